--- /dev/null
+++ b/include/arbutuspier/router.h
@@ -0,0 +1,192 @@
+// Chooses an upstream for a request by predicted time to first token, on stale reports.
+#pragma once
+
+#include "arbutuspier/clock.h"
+#include "arbutuspier/costmodel.h"
+#include "arbutuspier/event.h"
+#include "arbutuspier/fairqueue.h"
+#include "arbutuspier/ids.h"
+#include "arbutuspier/prefixindex.h"
+#include "arbutuspier/random.h"
+#include "arbutuspier/request.h"
+#include "arbutuspier/upstream.h"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace arbutuspier {
+
+/// How requests are spread. All but `Predicted` exist as baselines for the bench.
+enum class RoutingMode { Predicted, RoundRobin, LeastOutstanding, TwoChoices };
+
+struct RouterOptions
+{
+    RoutingMode mode = RoutingMode::Predicted;
+    /// Added to the score of an upstream in another zone.
+    Duration otherZonePenalty = std::chrono::milliseconds{4};
+    /// Work an engine may have ahead of a short prompt; more is held back here, in order.
+    Duration maxShortBacklog = std::chrono::milliseconds{200};
+    /// Work an engine may have ahead of a longer prompt.
+    Duration maxLongBacklog = std::chrono::milliseconds{400};
+    /// Streams one engine may run.
+    std::uint32_t maxStreams = 80;
+    /// A new or returned upstream takes its full load only after this.
+    Duration slowStart = std::chrono::seconds{5};
+    /// How long a failing upstream is left out at first; doubles with each repeat.
+    Duration ejection = std::chrono::seconds{1};
+    /// The part of the upstreams that may be left out for failures.
+    double maxEjectedPart = 0.34;
+    /// Long prompts keep to a set of upstreams that follows their demand.
+    bool isolatesLengths = true;
+    bool usesPrefixCache = true;
+    /// Chooses at random among nearly equal scores.
+    bool avoidsHerding = true;
+};
+
+/// What a route costs, as predicted.
+struct Route
+{
+    UpstreamId upstream;
+    Duration firstToken{};
+    std::uint64_t cachedTokens = 0;
+};
+
+/// Holds what is known of each upstream. Knows nothing of requests' owners or of queues.
+class Router
+{
+public:
+    Router(std::string zone, std::span<const UpstreamInfo> upstreams, RouterOptions options);
+
+    const UpstreamInfo *info(UpstreamId upstream) const;
+    std::vector<UpstreamId> upstreamsFor(RequestKind kind, std::string_view target) const;
+
+    /// The best upstream that may take the request now, or nothing if all have enough queued.
+    /// `avoid` lists upstreams that must not be chosen.
+    std::optional<Route> choose(const RequestSpec &spec, Lane lane,
+                                std::span<const UpstreamId> avoid, TimePoint now, Random &random);
+    /// Upstreams other than `avoid` that could take the request now, whatever its length.
+    std::vector<UpstreamId> withRoom(const RequestSpec &spec, Lane lane,
+                                     std::span<const UpstreamId> avoid, TimePoint now) const;
+    /// The time to first token if the request were queued behind what engines have now.
+    std::optional<Duration> predict(const RequestSpec &spec, Lane lane, TimePoint now) const;
+    /// Prefill seconds of this request on an average engine without cache.
+    Duration typicalPrefill(const RequestSpec &spec) const;
+    /// Engines of one zone for a prompt larger than one engine; empty if too few are usable.
+    std::vector<UpstreamId> chooseGang(const RequestSpec &spec, TimePoint now) const;
+    /// Engines that a prompt of this size needs; zero if all of them are too few.
+    std::size_t gangSize(const RequestSpec &spec) const;
+
+    /// Counts an attempt on an upstream until `onEnded`.
+    void onOpened(AttemptId attempt, const Route &route, const RequestSpec &spec, Lane lane,
+                  TimePoint now);
+    void onFirstToken(AttemptId attempt, TimePoint now);
+    void onDone(AttemptId attempt, std::uint64_t tokens, std::uint64_t cachedTokens,
+                TimePoint now);
+    /// The attempt ended without an answer; says nothing of the upstream.
+    void onEnded(AttemptId attempt);
+    /// The upstream misbehaved: it is left out for a while if enough others remain.
+    void onFailure(UpstreamId upstream, TimePoint now);
+
+    void onReport(const LoadReport &report, TimePoint now);
+    /// The process is gone; a new incarnation must report before it is used again.
+    void onDead(UpstreamId upstream, TimePoint now);
+    void onCacheEvents(const CacheEvents &events);
+    /// Sticky for the upstream's present incarnation.
+    void markLeaving(UpstreamId upstream);
+    bool isLeaving(UpstreamId upstream) const;
+    /// True if the upstream may be given work at all.
+    bool isUsable(UpstreamId upstream, TimePoint now) const;
+    Incarnation incarnation(UpstreamId upstream) const;
+
+    /// Arrivals feed the size of the set for long prompts.
+    void noteArrival(const RequestSpec &spec, Lane lane, TimePoint now);
+    /// Entry VMs that share these upstreams; scales own arrivals to the fleet's.
+    void setFleetSize(std::size_t vms) { m_fleetSize = vms == 0 ? 1 : vms; }
+    /// Upstreams of the target that long prompts may use at present.
+    std::vector<UpstreamId> longSet(std::string_view target, TimePoint now) const;
+    std::size_t usableCount(RequestKind kind, std::string_view target, TimePoint now) const;
+
+    /// Attempts counted on an upstream.
+    std::size_t inFlight(UpstreamId upstream) const;
+
+private:
+    struct OpenAttempt
+    {
+        UpstreamId upstream;
+        std::uint64_t uncached = 0;
+        std::uint64_t context = 0;
+        std::uint64_t believedCached = 0;
+        std::uint64_t heldTokens = 0;
+        bool isUrgent = false;
+        bool wasAlone = false;
+        TimePoint openedAt;
+        std::optional<TimePoint> firstTokenAt;
+    };
+    struct State
+    {
+        explicit State(const UpstreamInfo &i);
+
+        UpstreamInfo info;
+        CostModel cost;
+        PrefixIndex cache;
+        Incarnation incarnation;
+        bool isLeaving = false;
+        bool isDead = false;
+        bool hasReport = false;
+        TimePoint reportedAt;
+        std::uint64_t reportedQueued = 0;
+        std::uint64_t reportedUrgent = 0;
+        std::uint32_t reportedRunning = 0;
+        std::uint64_t reportedFree = 0;
+        TimePoint startedAt;
+        TimePoint ejectedUntil;
+        int failures = 0;
+        /// Own work without a first token yet, in seconds of prefill.
+        double ownBacklog = 0;
+        double ownUrgentBacklog = 0;
+        std::size_t ownStreams = 0;
+        std::uint64_t ownHeld = 0;
+        /// Own dispatches the report cannot have seen yet.
+        double dispatchedSinceReport = 0;
+        double urgentSinceReport = 0;
+        std::size_t streamsSinceReport = 0;
+        std::uint64_t heldSinceReport = 0;
+    };
+    struct ArrivalRate
+    {
+        TimePoint at;
+        double shortWork = 0;
+        double longWork = 0;
+    };
+
+    State *find(UpstreamId upstream);
+    const State *find(UpstreamId upstream) const;
+    bool isUsable(const State &state, TimePoint now) const;
+    double backlog(const State &state, bool onlyUrgent, TimePoint now) const;
+    std::uint64_t freeTokens(const State &state) const;
+    Duration predictOn(const State &state, const RequestSpec &spec, Lane lane, TimePoint now,
+                       std::uint64_t *cachedOut) const;
+    bool hasRoom(const State &state, const RequestSpec &spec, Lane lane, TimePoint now) const;
+    std::optional<Route> chooseBaseline(const RequestSpec &spec,
+                                        std::span<const UpstreamId> avoid, TimePoint now,
+                                        Random &random);
+    void forget(const OpenAttempt &attempt);
+    const ArrivalRate *rateFor(std::string_view target) const;
+
+    std::string m_zone;
+    RouterOptions m_options;
+    std::vector<State> m_states;
+    std::unordered_map<UpstreamId, std::size_t> m_index;
+    /// Upstreams by target, in the order in which every VM hands them to long prompts.
+    std::map<std::string, std::vector<std::size_t>, std::less<>> m_byTarget;
+    std::unordered_map<AttemptId, OpenAttempt> m_open;
+    std::map<std::string, ArrivalRate, std::less<>> m_arrivals;
+    std::size_t m_fleetSize = 1;
+    std::size_t m_roundRobin = 0;
+};
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/coordination/holdings.cpp
@@ -0,0 +1,165 @@
+// Three maps: held here, held by peers, being released.
+#include "arbutuspier/holdings.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace arbutuspier {
+
+Holdings::Holdings(VmId self, Incarnation incarnation, HoldingsOptions options)
+    : m_self(self), m_incarnation(incarnation), m_options(options)
+{
+}
+
+void Holdings::add(HoldingId holding, UpstreamId upstream, TimePoint deadline)
+{
+    assert(!m_releasing.contains(holding));
+    m_own[holding] = {upstream, deadline, false};
+}
+
+void Holdings::forget(HoldingId holding)
+{
+    auto it = m_own.find(holding);
+    if (it == m_own.end())
+        return;
+    if (it->second.isNoticed) {
+        HoldingNotice ended{holding, it->second.upstream, m_self, m_incarnation, {}, true};
+        m_ended.push_back(ended);
+    }
+    m_own.erase(it);
+}
+
+void Holdings::release(HoldingId holding, TimePoint now)
+{
+    auto it = m_own.find(holding);
+    if (it == m_own.end())
+        return;
+    const UpstreamId upstream = it->second.upstream;
+    forget(holding);
+    startRelease(holding, upstream, now);
+}
+
+void Holdings::releaseUnknown(HoldingId holding, UpstreamId upstream, TimePoint now)
+{
+    if (m_own.contains(holding))
+        release(holding, now);
+    else
+        startRelease(holding, upstream, now);
+}
+
+void Holdings::startRelease(HoldingId holding, UpstreamId upstream, TimePoint now)
+{
+    if (!m_releasing.contains(holding))
+        m_releasing[holding] = {upstream, now, m_options.releaseRetry};
+}
+
+void Holdings::onReleased(HoldingId holding)
+{
+    m_releasing.erase(holding);
+}
+
+void Holdings::onUpstreamDead(UpstreamId upstream)
+{
+    const auto isThere = [&](const auto &entry) { return entry.second.upstream == upstream; };
+    for (auto it = m_own.begin(); it != m_own.end();) {
+        const HoldingId holding = it->first;
+        const bool isLost = isThere(*it);
+        ++it;
+        if (isLost)
+            forget(holding);
+    }
+    std::erase_if(m_peers, isThere);
+    std::erase_if(m_releasing, isThere);
+}
+
+void Holdings::onNotices(const HoldingNotices &notices, TimePoint now)
+{
+    for (const HoldingNotice &notice : notices.notices) {
+        if (notice.isReleased) {
+            m_peers.erase(notice.holding);
+            continue;
+        }
+        m_peers[notice.holding] = {notice.upstream, notice.owner, notice.ownerIncarnation,
+                                   now + notice.remaining};
+    }
+}
+
+void Holdings::onOwnerGone(VmId owner, Incarnation incarnation, TimePoint now)
+{
+    for (auto it = m_peers.begin(); it != m_peers.end();) {
+        const bool isOrphan
+            = it->second.owner == owner && it->second.incarnation == incarnation;
+        if (!isOrphan) {
+            ++it;
+            continue;
+        }
+        startRelease(it->first, it->second.upstream, now);
+        it = m_peers.erase(it);
+    }
+}
+
+std::vector<Holdings::ReleaseNow> Holdings::tick(TimePoint now)
+{
+    for (auto it = m_peers.begin(); it != m_peers.end();) {
+        if (now < it->second.deadline + m_options.grace) {
+            ++it;
+            continue;
+        }
+        startRelease(it->first, it->second.upstream, now);
+        it = m_peers.erase(it);
+    }
+    std::vector<ReleaseNow> due;
+    for (auto &[holding, releasing] : m_releasing) {
+        if (now < releasing.dueAt)
+            continue;
+        due.push_back({holding, releasing.upstream});
+        releasing.dueAt = now + releasing.wait;
+        releasing.wait = std::min(releasing.wait * 2, m_options.maxReleaseRetry);
+    }
+    return due;
+}
+
+HoldingNotice Holdings::notice(HoldingId id, const Own &own, TimePoint now) const
+{
+    const Duration remaining = std::max(Duration::zero(), own.deadline - now);
+    return {id, own.upstream, m_self, m_incarnation, remaining, false};
+}
+
+std::optional<HoldingNotices> Holdings::takeNotices(TimePoint now)
+{
+    if (m_nextNotice && now < *m_nextNotice)
+        return std::nullopt;
+    m_nextNotice = now + m_options.noticeInterval;
+    HoldingNotices notices;
+    notices.notices = std::exchange(m_ended, {});
+    for (auto &[id, own] : m_own) {
+        if (own.isNoticed)
+            continue;
+        own.isNoticed = true;
+        notices.notices.push_back(notice(id, own, now));
+    }
+    if (notices.notices.empty())
+        return std::nullopt;
+    return notices;
+}
+
+HoldingNotices Holdings::allNotices(TimePoint now) const
+{
+    HoldingNotices all;
+    for (const auto &[id, own] : m_own)
+        all.notices.push_back(notice(id, own, now));
+    return all;
+}
+
+bool Holdings::isOwn(HoldingId holding) const
+{
+    return m_own.contains(holding);
+}
+
+bool Holdings::isReleasing(HoldingId holding) const
+{
+    return m_releasing.contains(holding);
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/coordination/onceledger.cpp
@@ -0,0 +1,415 @@
+// One conditional insert before the one send; lost replies are settled by reading the row back.
+#include "arbutuspier/onceledger.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace arbutuspier {
+
+namespace {
+
+constexpr std::string_view kRowPrefix = "once/";
+constexpr Duration kFirstPoll = std::chrono::milliseconds{100};
+constexpr Duration kStoreRetryAfter = std::chrono::seconds{5};
+
+std::string_view stateName(OnceRow::State state)
+{
+    switch (state) {
+    case OnceRow::State::Sent:
+        return "sent";
+    case OnceRow::State::Released:
+        return "released";
+    case OnceRow::State::Done:
+        return "done";
+    }
+    return "sent";
+}
+
+std::optional<OnceRow::State> stateNamed(std::string_view name)
+{
+    for (auto state : {OnceRow::State::Sent, OnceRow::State::Released, OnceRow::State::Done}) {
+        if (stateName(state) == name)
+            return state;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string OnceRow::encode() const
+{
+    nlohmann::json json;
+    json["state"] = stateName(state);
+    json["attempt"] = attempt.value;
+    json["fingerprint"] = fingerprint.value;
+    if (state == State::Done) {
+        json["status"] = status;
+        json["kept"] = isResultKept;
+        json["result"] = result;
+    }
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<OnceRow> OnceRow::decode(std::string_view text)
+{
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_object() || !json.contains("state") || !json["state"].is_string())
+        return std::nullopt;
+    const auto state = stateNamed(json["state"].get_ref<const std::string &>());
+    const auto number = [&](const char *name) {
+        return json.contains(name) && json[name].is_number_unsigned();
+    };
+    if (!state || !number("attempt") || !number("fingerprint"))
+        return std::nullopt;
+    OnceRow row;
+    row.state = *state;
+    row.attempt.value = json["attempt"].get<std::uint64_t>();
+    row.fingerprint.value = json["fingerprint"].get<std::uint64_t>();
+    if (row.state != State::Done)
+        return row;
+    const bool isWhole = json.contains("status") && json["status"].is_number_integer()
+        && json.contains("kept") && json["kept"].is_boolean() && json.contains("result")
+        && json["result"].is_string();
+    if (!isWhole)
+        return std::nullopt;
+    row.status = json["status"].get<int>();
+    row.isResultKept = json["kept"].get<bool>();
+    row.result = json["result"].get<std::string>();
+    return row;
+}
+
+OnceLedger::OnceLedger(OnceOptions options, TableOpId firstOp)
+    : m_options(options), m_nextOp(firstOp)
+{
+}
+
+void OnceLedger::begin(RequestId request, AttemptId attempt, std::string_view key,
+                       WallTime keyIssuedAt, Fingerprint fingerprint, WallTime wallNow)
+{
+    assert(!m_entries.contains(attempt));
+    // Half the retention leaves room for the clocks of callers and of the store to differ.
+    const bool isTooOld = keyIssuedAt + m_options.retention / 2 < wallNow;
+    const bool isTooNew = keyIssuedAt > wallNow + m_options.maxClockSkew;
+    if (isTooOld || isTooNew) {
+        m_actions.push_back(Refuse{request, Verdict::NotRun, Reason::KeyExpired, {}});
+        return;
+    }
+    Entry &entry = m_entries[attempt];
+    entry.request = request;
+    entry.attempt = attempt;
+    entry.key = std::string(kRowPrefix) + std::string(key);
+    entry.fingerprint = fingerprint;
+    entry.wait = m_options.retryWait;
+    m_byRequest[request] = attempt;
+    insert(entry);
+}
+
+void OnceLedger::issue(Entry &entry, TableRequest request)
+{
+    entry.op = m_nextOp;
+    ++m_nextOp.value;
+    entry.dueAt.reset();
+    m_byOp[entry.op] = entry.attempt;
+    m_actions.push_back(Call{entry.op, std::move(request)});
+}
+
+void OnceLedger::insert(Entry &entry)
+{
+    entry.phase = Phase::Inserting;
+    entry.isReadingRow = false;
+    OnceRow row;
+    row.attempt = entry.attempt;
+    row.fingerprint = entry.fingerprint;
+    issue(entry, TableTransaction{{{entry.key, entry.expected, row.encode(), false}}});
+}
+
+void OnceLedger::read(Entry &entry)
+{
+    entry.isReadingRow = true;
+    issue(entry, TableRead{entry.key, false});
+}
+
+void OnceLedger::settle(Entry &entry)
+{
+    entry.isReadingRow = false;
+    issue(entry, TableTransaction{{{entry.key, entry.expected, entry.outcome.encode(), false}}});
+}
+
+void OnceLedger::backOff(Entry &entry, TimePoint now, Random &random)
+{
+    entry.dueAt = now + jittered(random, entry.wait);
+    entry.wait = std::min(entry.wait * 2, m_options.maxRetryWait);
+}
+
+bool OnceLedger::onTableReply(TableOpId op, const TableOutcome &outcome, TimePoint now,
+                              Random &random)
+{
+    auto byOp = m_byOp.find(op);
+    if (byOp == m_byOp.end())
+        return false;
+    auto it = m_entries.find(byOp->second);
+    m_byOp.erase(byOp);
+    if (it == m_entries.end() || it->second.op != op)
+        return true;
+    Entry &entry = it->second;
+    if (entry.isReadingRow)
+        onReadReply(entry, outcome, now, random);
+    else if (entry.phase == Phase::Settling)
+        onSettleReply(entry, outcome, now, random);
+    else
+        onInsertReply(entry, outcome, now, random);
+    return true;
+}
+
+void OnceLedger::onInsertReply(Entry &entry, const TableOutcome &outcome, TimePoint now,
+                               Random &random)
+{
+    if (std::holds_alternative<TableCommitted>(outcome)) {
+        entry.phase = Phase::Sending;
+        ++entry.expected;
+        m_actions.push_back(SendNow{entry.request, entry.attempt});
+        return;
+    }
+    if (const auto *conflict = std::get_if<TableConflict>(&outcome)) {
+        if (!conflict->rows.empty()) {
+            onRowSeen(entry, conflict->rows.front(), now, random);
+            return;
+        }
+    }
+    if (std::holds_alternative<TableUnknown>(outcome)) {
+        entry.mayHaveRow = true;
+        entry.phase = Phase::ReadingBack;
+        read(entry);
+        return;
+    }
+    if (entry.mayHaveRow) {
+        // The store went down between the lost reply and now: keep asking until the deadline.
+        entry.phase = Phase::ReadingBack;
+        backOff(entry, now, random);
+        return;
+    }
+    refuse(entry, Verdict::NotRun, Reason::StoreUnavailable, kStoreRetryAfter);
+    drop(entry.attempt);
+}
+
+void OnceLedger::onReadReply(Entry &entry, const TableOutcome &outcome, TimePoint now,
+                             Random &random)
+{
+    const auto *rows = std::get_if<TableRows>(&outcome);
+    if (!rows || rows->rows.empty()) {
+        backOff(entry, now, random);
+        return;
+    }
+    onRowSeen(entry, rows->rows.front(), now, random);
+}
+
+void OnceLedger::onRowSeen(Entry &entry, const TableRow &row, TimePoint now, Random &random)
+{
+    if (entry.phase == Phase::Settling) {
+        const auto current = row.version == 0 ? std::nullopt : OnceRow::decode(row.value);
+        const bool isOurs = current && current->attempt == entry.attempt;
+        if (isOurs && current->state == OnceRow::State::Sent) {
+            entry.expected = row.version;
+            settle(entry);
+            return;
+        }
+        if (row.version == 0 && entry.mayHaveRow) {
+            // The insert may still arrive: write the outcome in its place.
+            entry.expected = 0;
+            settle(entry);
+            return;
+        }
+        drop(entry.attempt);
+        return;
+    }
+    if (row.version == 0 && entry.phase == Phase::Waiting) {
+        // A row that was seen is gone: nothing can be said of its run any more.
+        refuse(entry, Verdict::MayHaveRun, Reason::KeyOutcomeUnknown, {});
+        drop(entry.attempt);
+        return;
+    }
+    if (row.version == 0) {
+        // Not there yet. The same attempt id makes a repeat of the insert harmless.
+        entry.expected = 0;
+        insert(entry);
+        return;
+    }
+    const auto current = OnceRow::decode(row.value);
+    if (!current) {
+        refuse(entry, Verdict::MayHaveRun, Reason::KeyOutcomeUnknown, {});
+        drop(entry.attempt);
+        return;
+    }
+    if (current->attempt == entry.attempt && current->state == OnceRow::State::Sent) {
+        entry.phase = Phase::Sending;
+        entry.expected = row.version;
+        m_actions.push_back(SendNow{entry.request, entry.attempt});
+        return;
+    }
+    if (current->fingerprint != entry.fingerprint) {
+        refuse(entry, Verdict::NotRun, Reason::KeyReused, {});
+        drop(entry.attempt);
+        return;
+    }
+    switch (current->state) {
+    case OnceRow::State::Done:
+        if (current->isResultKept)
+            m_actions.push_back(Replay{entry.request, current->status, current->result});
+        else
+            refuse(entry, Verdict::Ran, Reason::None, {});
+        drop(entry.attempt);
+        return;
+    case OnceRow::State::Released:
+        entry.expected = row.version;
+        insert(entry);
+        return;
+    case OnceRow::State::Sent:
+        if (entry.phase != Phase::Waiting) {
+            entry.phase = Phase::Waiting;
+            entry.wait = kFirstPoll;
+        }
+        backOff(entry, now, random);
+        return;
+    }
+}
+
+void OnceLedger::onSettleReply(Entry &entry, const TableOutcome &outcome, TimePoint now,
+                               Random &random)
+{
+    if (std::holds_alternative<TableCommitted>(outcome)) {
+        drop(entry.attempt);
+        return;
+    }
+    if (const auto *conflict = std::get_if<TableConflict>(&outcome);
+        conflict && !conflict->rows.empty()) {
+        onRowSeen(entry, conflict->rows.front(), now, random);
+        return;
+    }
+    backOff(entry, now, random);
+}
+
+void OnceLedger::refuse(Entry &entry, Verdict verdict, Reason reason, Duration retryAfter)
+{
+    m_actions.push_back(Refuse{entry.request, verdict, reason, retryAfter});
+}
+
+void OnceLedger::startSettling(Entry &entry, OnceRow::State state)
+{
+    entry.outcome.state = state;
+    entry.outcome.attempt = entry.attempt;
+    entry.outcome.fingerprint = entry.fingerprint;
+    entry.phase = Phase::Settling;
+    entry.wait = m_options.retryWait;
+    m_byRequest.erase(entry.request);
+    settle(entry);
+    boundPending();
+}
+
+void OnceLedger::onRan(AttemptId attempt, int status, std::string_view result)
+{
+    auto it = m_entries.find(attempt);
+    if (it == m_entries.end() || it->second.phase != Phase::Sending)
+        return;
+    Entry &entry = it->second;
+    entry.outcome.status = status;
+    entry.outcome.isResultKept = result.size() <= m_options.maxResultBytes;
+    if (entry.outcome.isResultKept)
+        entry.outcome.result = result;
+    startSettling(entry, OnceRow::State::Done);
+}
+
+void OnceLedger::onNotRun(AttemptId attempt)
+{
+    auto it = m_entries.find(attempt);
+    if (it == m_entries.end() || it->second.phase != Phase::Sending)
+        return;
+    startSettling(it->second, OnceRow::State::Released);
+}
+
+void OnceLedger::onUnknown(AttemptId attempt)
+{
+    drop(attempt);
+}
+
+Verdict OnceLedger::abandon(RequestId request)
+{
+    auto byRequest = m_byRequest.find(request);
+    if (byRequest == m_byRequest.end())
+        return Verdict::NotRun;
+    Entry &entry = m_entries.at(byRequest->second);
+    switch (entry.phase) {
+    case Phase::Waiting:
+        drop(entry.attempt);
+        return Verdict::MayHaveRun;
+    case Phase::Sending:
+        drop(entry.attempt);
+        return Verdict::MayHaveRun;
+    case Phase::Inserting:
+    case Phase::ReadingBack:
+        // Never sent, and from here on never will be. The row, if any, is given back.
+        entry.mayHaveRow = true;
+        startSettling(entry, OnceRow::State::Released);
+        return Verdict::NotRun;
+    case Phase::Settling:
+        return Verdict::Ran;
+    }
+    return Verdict::MayHaveRun;
+}
+
+void OnceLedger::tick(TimePoint now)
+{
+    for (auto &[attempt, entry] : m_entries) {
+        if (!entry.dueAt || *entry.dueAt > now)
+            continue;
+        switch (entry.phase) {
+        case Phase::Inserting:
+            insert(entry);
+            break;
+        case Phase::ReadingBack:
+        case Phase::Waiting:
+            read(entry);
+            break;
+        case Phase::Settling:
+            settle(entry);
+            break;
+        case Phase::Sending:
+            entry.dueAt.reset();
+            break;
+        }
+    }
+}
+
+void OnceLedger::drop(AttemptId attempt)
+{
+    auto it = m_entries.find(attempt);
+    if (it == m_entries.end())
+        return;
+    m_byOp.erase(it->second.op);
+    auto byRequest = m_byRequest.find(it->second.request);
+    if (byRequest != m_byRequest.end() && byRequest->second == attempt)
+        m_byRequest.erase(byRequest);
+    m_entries.erase(it);
+}
+
+void OnceLedger::boundPending()
+{
+    std::size_t settling = 0;
+    for (const auto &[attempt, entry] : m_entries)
+        settling += entry.phase == Phase::Settling ? 1 : 0;
+    if (settling <= m_options.maxPendingResults)
+        return;
+    auto oldest = std::find_if(m_entries.begin(), m_entries.end(), [](const auto &item) {
+        return item.second.phase == Phase::Settling;
+    });
+    drop(AttemptId{oldest->first});
+}
+
+std::vector<OnceLedger::Action> OnceLedger::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/coordination/quarantine.cpp
@@ -0,0 +1,159 @@
+// A grow-only set of deaths for each body, minus those from which it was cleared.
+#include "arbutuspier/quarantine.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+
+namespace arbutuspier {
+
+namespace {
+
+std::uint64_t deathDigest(UpstreamId upstream, Incarnation incarnation)
+{
+    const std::array<std::uint64_t, 2> parts{upstream.value, incarnation.value};
+    return XXH64(parts.data(), sizeof(parts), 0);
+}
+
+std::uint64_t trialOrder(Fingerprint fingerprint, UpstreamId upstream)
+{
+    return XXH64(&upstream.value, sizeof(upstream.value), fingerprint.value);
+}
+
+} // namespace
+
+Quarantine::Standing Quarantine::standing(Fingerprint fingerprint) const
+{
+    auto it = m_records.find(fingerprint);
+    if (it == m_records.end() || it->second.deaths.empty())
+        return Standing::Clean;
+    return it->second.deaths.size() >= m_options.maxDeaths ? Standing::Quarantined
+                                                           : Standing::Suspect;
+}
+
+Quarantine::Record &Quarantine::touch(Fingerprint fingerprint, TimePoint now)
+{
+    const bool isFull = m_records.size() >= m_options.maxRecords;
+    if (isFull && !m_records.contains(fingerprint)) {
+        auto oldest = std::min_element(m_records.begin(), m_records.end(),
+                                       [](const auto &a, const auto &b) {
+                                           return a.second.touchedAt < b.second.touchedAt;
+                                       });
+        m_records.erase(oldest);
+    }
+    Record &record = m_records[fingerprint];
+    record.touchedAt = now;
+    return record;
+}
+
+std::vector<SuspectNotice> Quarantine::onUpstreamDeath(UpstreamId upstream,
+                                                       Incarnation incarnation,
+                                                       std::span<const Fingerprint> inFlight,
+                                                       TimePoint now)
+{
+    const std::uint64_t death = deathDigest(upstream, incarnation);
+    std::vector<SuspectNotice> notices;
+    for (Fingerprint fingerprint : inFlight) {
+        Record &record = touch(fingerprint, now);
+        record.upstreams.insert(upstream);
+        if (!record.deaths.insert(death).second)
+            continue;
+        SuspectNotice notice;
+        notice.fingerprint = fingerprint;
+        notice.deaths.assign(record.deaths.begin(), record.deaths.end());
+        notices.push_back(std::move(notice));
+    }
+    return notices;
+}
+
+std::vector<SuspectNotice> Quarantine::retract(UpstreamId upstream, Incarnation incarnation)
+{
+    const std::uint64_t death = deathDigest(upstream, incarnation);
+    std::vector<SuspectNotice> notices;
+    for (auto &[fingerprint, record] : m_records) {
+        if (record.deaths.erase(death) == 0)
+            continue;
+        record.cleared.insert(death);
+        record.upstreams.erase(upstream);
+        notices.push_back({fingerprint, {death}, true});
+    }
+    return notices;
+}
+
+std::vector<SuspectNotice> Quarantine::onCompleted(Fingerprint fingerprint)
+{
+    if (standing(fingerprint) != Standing::Suspect)
+        return {};
+    return clear(fingerprint);
+}
+
+std::vector<SuspectNotice> Quarantine::clear(Fingerprint fingerprint)
+{
+    auto it = m_records.find(fingerprint);
+    if (it == m_records.end() || it->second.deaths.empty())
+        return {};
+    Record &record = it->second;
+    SuspectNotice notice;
+    notice.fingerprint = fingerprint;
+    notice.deaths.assign(record.deaths.begin(), record.deaths.end());
+    notice.isCleared = true;
+    record.cleared.insert(record.deaths.begin(), record.deaths.end());
+    record.deaths.clear();
+    record.upstreams.clear();
+    return {std::move(notice)};
+}
+
+bool Quarantine::merge(const SuspectNotice &notice, TimePoint now)
+{
+    const Standing before = standing(notice.fingerprint);
+    Record &record = touch(notice.fingerprint, now);
+    for (std::uint64_t death : notice.deaths) {
+        if (notice.isCleared) {
+            record.cleared.insert(death);
+            record.deaths.erase(death);
+        } else if (!record.cleared.contains(death)) {
+            record.deaths.insert(death);
+        }
+    }
+    return standing(notice.fingerprint) != before;
+}
+
+void Quarantine::tick(TimePoint now)
+{
+    std::erase_if(m_records, [&](const auto &entry) {
+        return now >= entry.second.touchedAt + m_options.memory;
+    });
+}
+
+UpstreamId Quarantine::trialUpstream(Fingerprint fingerprint,
+                                     std::span<const UpstreamId> usable) const
+{
+    auto it = m_records.find(fingerprint);
+    UpstreamId best;
+    for (UpstreamId upstream : usable) {
+        if (it != m_records.end() && it->second.upstreams.contains(upstream))
+            continue;
+        const bool isBetter = !best.isValid()
+            || trialOrder(fingerprint, upstream) < trialOrder(fingerprint, best);
+        if (isBetter)
+            best = upstream;
+    }
+    return best;
+}
+
+std::vector<SuspectNotice> Quarantine::records() const
+{
+    std::vector<SuspectNotice> found;
+    for (const auto &[fingerprint, record] : m_records) {
+        if (record.deaths.empty())
+            continue;
+        found.push_back({fingerprint, {record.deaths.begin(), record.deaths.end()}, false});
+    }
+    std::sort(found.begin(), found.end(), [](const SuspectNotice &a, const SuspectNotice &b) {
+        return a.fingerprint < b.fingerprint;
+    });
+    return found;
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/model/tablemodel.h
@@ -0,0 +1,47 @@
+// The platform's table service: versioned rows, transactions with conditions, rate limits, faults.
+#pragma once
+
+#include "arbutuspier/clock.h"
+#include "arbutuspier/table.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace arbutuspier::model {
+
+struct TableModelOptions
+{
+    double writesPerSecond = 300;
+    double readsPerSecond = 2000;
+};
+
+class TableModel
+{
+public:
+    explicit TableModel(TableModelOptions options) : m_options(options) { }
+
+    /// Carries a request out and returns its true outcome.
+    TableOutcome apply(const TableRequest &request, TimePoint now);
+
+    std::uint64_t writes() const { return m_writes; }
+    std::uint64_t reads() const { return m_reads; }
+    std::size_t rowCount() const { return m_rows.size(); }
+    const std::map<std::string, TableRow> &rows() const { return m_rows; }
+
+private:
+    TableOutcome applyTransaction(const TableTransaction &transaction);
+    TableOutcome applyRead(const TableRead &read) const;
+    bool takeToken(double &tokens, TimePoint &at, double rate, TimePoint now);
+
+    TableModelOptions m_options;
+    std::map<std::string, TableRow> m_rows;
+    std::uint64_t m_writes = 0;
+    std::uint64_t m_reads = 0;
+    double m_writeTokens = 0;
+    double m_readTokens = 0;
+    TimePoint m_writeAt;
+    TimePoint m_readAt;
+};
+
+} // namespace arbutuspier::model
--- /dev/null
+++ b/src/node/admission.h
@@ -0,0 +1,49 @@
+// Decides at the door: deadline, lane, whether the request can be on time, and what it waits for.
+#pragma once
+
+#include "node/answers.h"
+#include "node/attemptflow.h"
+#include "node/dispatcher.h"
+#include "node/nodecontext.h"
+#include "node/onceflow.h"
+#include "node/requeststore.h"
+
+namespace arbutuspier {
+
+class Admission
+{
+public:
+    Admission(NodeContext &context, RequestStore &store, Answers &answers, Dispatcher &dispatcher,
+              AttemptFlow &attempts, OnceFlow &once)
+        : m_context(context), m_store(store), m_answers(answers), m_dispatcher(dispatcher),
+          m_attempts(attempts), m_once(once)
+    {
+    }
+
+    void onArrival(const CallerRequest &event);
+    void onCallerGone(const CallerGone &event);
+    /// Ends what is past its deadline and drops queued work that cannot be on time.
+    void tick();
+    /// From now on nothing is admitted.
+    void stop() { m_isStopped = true; }
+    bool isStopped() const { return m_isStopped; }
+
+private:
+    bool refuseUnfit(const CallerRequest &event);
+    Request makeRequest(const CallerRequest &event, Lane lane) const;
+    Lane laneFor(const RequestSpec &spec) const;
+    bool refuseLate(const CallerRequest &event, const Request &request);
+    Duration timeAllowed(const RequestSpec &spec, const LimitRow &row, Lane lane) const;
+    void endLate(Request &request);
+    void endQueued(Request &request, Reason reason);
+
+    NodeContext &m_context;
+    RequestStore &m_store;
+    Answers &m_answers;
+    Dispatcher &m_dispatcher;
+    AttemptFlow &m_attempts;
+    OnceFlow &m_once;
+    bool m_isStopped = false;
+};
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/node/attemptflow.cpp
@@ -0,0 +1,183 @@
+// Late and repeated news of an attempt finds no request and is dropped.
+#include "node/attemptflow.h"
+
+#include <algorithm>
+
+namespace arbutuspier {
+
+namespace {
+
+constexpr int kMaxAttempts = 4;
+constexpr Duration kRefusedRetryAfter = std::chrono::seconds{1};
+
+} // namespace
+
+RetryBudget &AttemptFlow::budget(const std::string &className)
+{
+    const AdmissionOptions &options = m_context.settings.admission;
+    return m_budgets
+        .try_emplace(className, options.retriesPerRequest, options.maxSavedRetries)
+        .first->second;
+}
+
+void AttemptFlow::noteFirstTry(const Request &request)
+{
+    budget(request.spec.className).onRequest();
+}
+
+void AttemptFlow::onFirstToken(const StreamFirstToken &event)
+{
+    Request *request = m_store.byAttempt(event.attempt);
+    if (!request)
+        return;
+    m_context.service<Router>(service::kRouter).onFirstToken(event.attempt, m_context.now);
+    if (!request->firstTokenAt)
+        request->firstTokenAt = m_context.now;
+}
+
+void AttemptFlow::onDone(const StreamDone &event)
+{
+    Request *request = m_store.byAttempt(event.attempt);
+    if (!request)
+        return;
+    m_context.service<Router>(service::kRouter)
+        .onDone(event.attempt, event.tokens, event.cachedTokens, m_context.now);
+    m_context.service<Holdings>(service::kHoldings).forget(HoldingId{event.attempt.value});
+    if (request->isOnce())
+        m_context.service<OnceLedger>(service::kOnce)
+            .onRan(event.attempt, event.status, event.result);
+    auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
+    for (const SuspectNotice &notice : quarantine.onCompleted(request->spec.fingerprint))
+        m_context.broadcast(notice);
+    m_answers.finish(*request, event.tokens);
+}
+
+void AttemptFlow::endAttempt(Request &request, FailureKind kind)
+{
+    auto &holdings = m_context.service<Holdings>(service::kHoldings);
+    const HoldingId holding{request.attempt.value};
+    const bool isNothingHeld = kind == FailureKind::NotSent || kind == FailureKind::Refused;
+    if (isNothingHeld)
+        holdings.forget(holding);
+    else
+        holdings.release(holding, m_context.now);
+    m_context.service<Router>(service::kRouter).onEnded(request.attempt);
+    if (!isNothingHeld)
+        request.mayHaveRun = true;
+}
+
+void AttemptFlow::onFailed(const StreamFailed &event)
+{
+    Request *request = m_store.byAttempt(event.attempt);
+    if (!request)
+        return;
+    request->delivered = std::max(request->delivered, event.deliveredTokens);
+    const UpstreamId upstream = request->upstream;
+    if (event.kind == FailureKind::Died)
+        presumeDead(upstream);
+    if (event.kind != FailureKind::Refused)
+        m_context.service<Router>(service::kRouter).onFailure(upstream, m_context.now);
+    endAttempt(*request, event.kind);
+    afterFailure(*request, event.kind);
+}
+
+void AttemptFlow::presumeDead(UpstreamId upstream)
+{
+    const auto &router = m_context.service<Router>(service::kRouter);
+    const Incarnation life = router.incarnation(upstream);
+    std::vector<Fingerprint> inFlight;
+    for (RequestId id : m_store.onUpstream(upstream)) {
+        const Request *request = m_store.find(id);
+        if (request->spec.kind == RequestKind::Prompt || request->spec.repeatable)
+            inFlight.push_back(request->spec.fingerprint);
+    }
+    auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
+    const auto notices
+        = quarantine.onUpstreamDeath(upstream, life, inFlight, m_context.now);
+    for (const SuspectNotice &notice : notices)
+        m_context.broadcast(notice);
+    if (notices.empty())
+        return;
+    m_presumedDead[upstream] = life;
+    m_context.log(LogLine("upstream_presumed_dead")
+                      .add("upstream", m_context.upstreamName(upstream))
+                      .add("suspects", std::uint64_t{notices.size()}));
+}
+
+void AttemptFlow::onUpstreamAlive(UpstreamId upstream, Incarnation incarnation)
+{
+    auto it = m_presumedDead.find(upstream);
+    if (it == m_presumedDead.end())
+        return;
+    const bool isSameLife = it->second == incarnation && incarnation.isValid();
+    m_presumedDead.erase(it);
+    if (!isSameLife)
+        return;
+    auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
+    for (const SuspectNotice &notice : quarantine.retract(upstream, incarnation))
+        m_context.broadcast(notice);
+}
+
+void AttemptFlow::onUpstreamDead(UpstreamId upstream)
+{
+    const std::vector<RequestId> lost = m_store.onUpstream(upstream);
+    if (!lost.empty())
+        presumeDead(upstream);
+    m_context.service<Holdings>(service::kHoldings).onUpstreamDead(upstream);
+    m_context.service<Router>(service::kRouter).onDead(upstream, m_context.now);
+    for (RequestId id : lost) {
+        Request *request = m_store.find(id);
+        if (!request || request->phase != Phase::Running)
+            continue;
+        endAttempt(*request, FailureKind::Died);
+        afterFailure(*request, FailureKind::Died);
+    }
+}
+
+void AttemptFlow::afterFailure(Request &request, FailureKind kind)
+{
+    m_store.setAttempt(request, {});
+    request.phase = Phase::FirstInLine;
+    if (request.isOnce()) {
+        afterCallFailure(request, kind);
+        return;
+    }
+    m_gangs.giveBack(request);
+    const auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
+    const Verdict verdict = request.mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun;
+    if (quarantine.standing(request.spec.fingerprint) == Quarantine::Standing::Quarantined) {
+        m_answers.refuse(request, verdict, Reason::Quarantined);
+        return;
+    }
+    retry(request);
+}
+
+void AttemptFlow::afterCallFailure(Request &request, FailureKind kind)
+{
+    auto &once = m_context.service<OnceLedger>(service::kOnce);
+    // The row names the attempt; setAttempt has only cut the link from late answers.
+    const AttemptId attempt = request.onceAttempt;
+    const bool isNotRun = kind == FailureKind::NotSent || kind == FailureKind::Refused;
+    if (isNotRun) {
+        once.onNotRun(attempt);
+        m_answers.refuse(request, Verdict::NotRun, Reason::UpstreamRefused, kRefusedRetryAfter);
+        return;
+    }
+    once.onUnknown(attempt);
+    m_answers.refuse(request, Verdict::MayHaveRun, Reason::UpstreamLost);
+}
+
+void AttemptFlow::retry(Request &request)
+{
+    const Verdict verdict = request.mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun;
+    const bool isAllowed
+        = request.attempts < kMaxAttempts && budget(request.spec.className).trySpend();
+    if (!isAllowed) {
+        m_answers.refuse(request, verdict, Reason::UpstreamLost, kRefusedRetryAfter);
+        return;
+    }
+    request.avoid.push_back(request.upstream);
+    m_dispatcher.putFirstInLine(request);
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/node/attemptflow.h
@@ -0,0 +1,53 @@
+// What upstreams answer: tokens, ends, failures and deaths, and the retry that follows.
+#pragma once
+
+#include "arbutuspier/retrybudget.h"
+#include "node/answers.h"
+#include "node/dispatcher.h"
+#include "node/gangflow.h"
+#include "node/nodecontext.h"
+#include "node/requeststore.h"
+
+#include <map>
+#include <string>
+
+namespace arbutuspier {
+
+class AttemptFlow
+{
+public:
+    AttemptFlow(NodeContext &context, RequestStore &store, Answers &answers,
+                Dispatcher &dispatcher, GangFlow &gangs)
+        : m_context(context), m_store(store), m_answers(answers), m_dispatcher(dispatcher),
+          m_gangs(gangs)
+    {
+    }
+
+    void noteFirstTry(const Request &request);
+    void onFirstToken(const StreamFirstToken &event);
+    void onDone(const StreamDone &event);
+    void onFailed(const StreamFailed &event);
+    /// The upstream's process is gone, with whatever ran there.
+    void onUpstreamDead(UpstreamId upstream);
+    /// A report came: a death that was presumed for this very process did not happen.
+    void onUpstreamAlive(UpstreamId upstream, Incarnation incarnation);
+
+private:
+    void presumeDead(UpstreamId upstream);
+    void endAttempt(Request &request, FailureKind kind);
+    void afterFailure(Request &request, FailureKind kind);
+    void afterCallFailure(Request &request, FailureKind kind);
+    void retry(Request &request);
+    RetryBudget &budget(const std::string &className);
+
+    NodeContext &m_context;
+    RequestStore &m_store;
+    Answers &m_answers;
+    Dispatcher &m_dispatcher;
+    GangFlow &m_gangs;
+    std::map<std::string, RetryBudget> m_budgets;
+    /// Lives presumed over; a report from the same life takes it back.
+    std::map<UpstreamId, Incarnation> m_presumedDead;
+};
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/node/controlflow.cpp
@@ -0,0 +1,399 @@
+// Joins the coordination parts to each other and to the platform.
+#include "node/controlflow.h"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace arbutuspier {
+
+namespace {
+
+constexpr Duration kSlowTick = std::chrono::milliseconds{250};
+/// VMs that contend for the lease of one upstream.
+constexpr std::size_t kContenders = 2;
+constexpr std::size_t kCopyHolders = 2;
+constexpr std::string_view kDeathPrefix = "poison/";
+
+std::string deathKey(Fingerprint fingerprint)
+{
+    return std::string(kDeathPrefix) + std::to_string(fingerprint.value);
+}
+
+} // namespace
+
+ControlFlow::ControlFlow(NodeContext &context, RequestStore &store, Dispatcher &dispatcher,
+                         AttemptFlow &attempts, GangFlow &gangs, TableOpId firstOp)
+    : m_context(context), m_store(store), m_dispatcher(dispatcher), m_attempts(attempts),
+      m_gangs(gangs), m_nextOp(firstOp)
+{
+}
+
+void ControlFlow::onPeer(const PeerMessage &message)
+{
+    auto &membership = m_context.service<Membership>(service::kMembership);
+    membership.onHeard(message.from, message.incarnation, m_context.now);
+    membership.onUpdates(message.updates, m_context.now);
+    const bool isCurrentLife = membership.incarnation(message.from) == message.incarnation;
+    if (!isCurrentLife)
+        return;
+    std::uint64_t &confirmed = m_confirmed[message.from];
+    confirmed = std::max(confirmed, message.limitsVersion);
+    auto &limits = m_context.service<LimitsTable>(service::kLimits);
+    if (message.limitsVersion > limits.version()) {
+        limits.hint(message.limitsVersion, m_context.now);
+        const bool isAsking = std::holds_alternative<LimitsPush>(message.body);
+        if (limits.isCutOff() && !isAsking)
+            m_context.sendPeer(message.from, LimitsPull{});
+    }
+    m_context.service<ShareAllocator>(service::kShares)
+        .onConfirmed({message.from, message.incarnation}, message.shareEpoch);
+    applyBody(message.from, message);
+    onMembershipChanges();
+    sendOutgoing();
+}
+
+void ControlFlow::applyBody(VmId from, const PeerMessage &message)
+{
+    auto &membership = m_context.service<Membership>(service::kMembership);
+    auto &shares = m_context.service<ShareAllocator>(service::kShares);
+    auto &limits = m_context.service<LimitsTable>(service::kLimits);
+    auto &holdings = m_context.service<Holdings>(service::kHoldings);
+    struct Visitor
+    {
+        ControlFlow &flow;
+        VmId from;
+        Membership &membership;
+        ShareAllocator &shares;
+        LimitsTable &limits;
+        Holdings &holdings;
+
+        void operator()(const Ping &body) const { membership.onPing(from, body); }
+        void operator()(const PingAck &body) const
+        {
+            membership.onPingAck(from, body, flow.m_context.now);
+        }
+        void operator()(const PingRequest &body) const
+        {
+            membership.onPingRequest(from, body, flow.m_context.now);
+        }
+        void operator()(const LimitsPush &body) const
+        {
+            limits.offer(body.snapshot);
+            flow.carryOutLimits();
+        }
+        void operator()(const LimitsPull &) const
+        {
+            flow.m_context.sendPeer(from, LimitsPush{limits.snapshot()});
+        }
+        void operator()(const HoldingNotices &body) const
+        {
+            holdings.onNotices(body, flow.m_context.now);
+        }
+        void operator()(const SuspectNotice &body) const { flow.onSuspectNotice(body); }
+        void operator()(const ShareTransfer &body) const { shares.onTransfer(from, body); }
+        void operator()(const ShareTransferAck &body) const { shares.onTransferAck(from, body); }
+        void operator()(const ShareRequest &body) const { shares.onRequest(from, body); }
+        void operator()(const LeavingNotice &body) const
+        {
+            const Incarnation known = flow.m_context.service<Router>(service::kRouter)
+                                          .incarnation(body.upstream);
+            if (!known.isValid() || known == body.incarnation)
+                flow.markLeaving(body.upstream, "peer");
+        }
+        void operator()(const ServiceDebits &body) const { flow.m_dispatcher.debit(body); }
+    };
+    std::visit(Visitor{*this, from, membership, shares, limits, holdings}, message.body);
+}
+
+void ControlFlow::onTableReply(const TableReply &reply)
+{
+    auto &limits = m_context.service<LimitsTable>(service::kLimits);
+    auto &orders = m_context.service<OrderService>(service::kOrders);
+    const auto &[op, outcome] = reply;
+    if (limits.onTableReply(op, outcome, m_context.now, m_context.random)) {
+        carryOutLimits();
+        return;
+    }
+    if (orders.onTableReply(op, outcome, m_context.now, m_context.random))
+        return;
+    if (m_gangs.onTableReply(op, outcome))
+        return;
+    if (m_loadOp && *m_loadOp == op) {
+        m_loadOp.reset();
+        if (const auto *rows = std::get_if<TableRows>(&outcome))
+            onDeathRows(*rows);
+        return;
+    }
+    for (auto it = m_persistOps.begin(); it != m_persistOps.end(); ++it) {
+        if (it->second != op)
+            continue;
+        // Without a clear success the row is written anew by the next slow tick.
+        if (!std::holds_alternative<TableCommitted>(outcome))
+            m_persisted.erase(it->first);
+        if (const auto *conflict = std::get_if<TableConflict>(&outcome))
+            onDeathRows({conflict->rows});
+        m_persistOps.erase(it);
+        return;
+    }
+}
+
+void ControlFlow::carryOutLimits()
+{
+    auto &limits = m_context.service<LimitsTable>(service::kLimits);
+    for (LimitsTable::Action &action : limits.takeActions()) {
+        if (auto *call = std::get_if<LimitsTable::Call>(&action))
+            m_context.emit(TableCall{call->op, std::move(call->request)});
+        else if (const auto *adopted = std::get_if<LimitsTable::Adopted>(&action))
+            onAdopted(adopted->version);
+        else if (auto *answer = std::get_if<EditAnswer>(&action))
+            m_context.emit(std::move(*answer));
+    }
+}
+
+void ControlFlow::onAdopted(std::uint64_t version)
+{
+    const auto &limits = m_context.service<LimitsTable>(service::kLimits);
+    m_context.log(LogLine("limits_adopted")
+                      .add("version", version)
+                      .add("edit", limits.snapshot().editId)
+                      .add("by", limits.snapshot().editor)
+                      .add("rows", std::uint64_t{limits.snapshot().rows.size()}));
+    // The epoch goes first: no share may rise to a new limit before all have lowered theirs.
+    beginEpoch();
+    auto &gate = m_context.service<LimitGate>(service::kGate);
+    for (const LimitRow &row : gate.rows())
+        gate.setRow(limits.row(row.team, row.className));
+    // Peers learn of the version with their next message; these go out at once.
+    for (VmId peer : m_context.service<Membership>(service::kMembership).reachable())
+        m_context.sendPeer(peer, Ping{0, m_context.settings.self.id});
+}
+
+void ControlFlow::beginEpoch()
+{
+    std::vector<ShareAllocator::Member> members;
+    for (const ListedVm &vm : m_list.vms)
+        members.push_back({vm.vm, vm.incarnation});
+    const ShareEpoch epoch{m_context.service<LimitsTable>(service::kLimits).version(),
+                           m_list.revision};
+    m_context.service<ShareAllocator>(service::kShares).beginEpoch(epoch, members);
+}
+
+void ControlFlow::onVmList(const VmListRead &list)
+{
+    for (UpstreamId upstream : list.leavingUpstreams)
+        markLeaving(upstream, "list");
+    if (list.revision <= m_list.revision)
+        return;
+    m_list = list;
+    m_context.service<Membership>(service::kMembership).onVmList(list, m_context.now);
+    beginEpoch();
+    onMembershipChanges();
+    sendOutgoing();
+}
+
+void ControlFlow::onMembershipChanges()
+{
+    auto &membership = m_context.service<Membership>(service::kMembership);
+    auto &holdings = m_context.service<Holdings>(service::kHoldings);
+    const auto changes = membership.takeChanges();
+    for (const Membership::Change &change : changes) {
+        constexpr std::string_view kNames[]
+            = {"alive", "suspect", "unreachable", "leaving", "gone"};
+        m_context.log(LogLine("vm_state")
+                          .add("vm", change.vm.value)
+                          .add("incarnation", change.incarnation.value)
+                          .add("state", kNames[static_cast<std::size_t>(change.state)]));
+        if (change.state == MemberState::Gone)
+            holdings.onOwnerGone(change.vm, change.incarnation, m_context.now);
+        if (change.state != MemberState::Alive)
+            continue;
+        // A VM that came back, or is new, may hold copies for this one and has missed news.
+        m_context.sendPeer(change.vm, holdings.allNotices(m_context.now));
+        for (const SuspectNotice &notice :
+             m_context.service<Quarantine>(service::kQuarantine).records())
+            m_context.sendPeer(change.vm, notice);
+    }
+    if (changes.empty())
+        return;
+    m_context.service<Router>(service::kRouter).setFleetSize(membership.aliveCount());
+    chooseContenders();
+}
+
+void ControlFlow::chooseContenders()
+{
+    const auto &membership = m_context.service<Membership>(service::kMembership);
+    std::vector<VmId> vms = membership.reachable();
+    vms.push_back(m_context.settings.self.id);
+    std::set<UpstreamId> mine;
+    for (const UpstreamInfo &upstream : m_context.settings.upstreams) {
+        const auto rank = [&](VmId vm) {
+            return XXH64(&vm.value, sizeof(vm.value), upstream.id.value);
+        };
+        const std::uint64_t own = rank(m_context.settings.self.id);
+        const auto before = static_cast<std::size_t>(
+            std::count_if(vms.begin(), vms.end(), [&](VmId vm) { return rank(vm) < own; }));
+        if (before < kContenders)
+            mine.insert(upstream.id);
+    }
+    m_context.service<OrderService>(service::kOrders).setContenders(std::move(mine));
+}
+
+void ControlFlow::onReport(const LoadReport &report)
+{
+    auto &router = m_context.service<Router>(service::kRouter);
+    const Incarnation known = router.incarnation(report.upstream);
+    const bool isNewLife = known.isValid() && known != report.incarnation;
+    if (isNewLife)
+        m_attempts.onUpstreamDead(report.upstream);
+    m_attempts.onUpstreamAlive(report.upstream, report.incarnation);
+    const bool wasLeaving = router.isLeaving(report.upstream);
+    router.onReport(report, m_context.now);
+    if (report.isLeaving && !wasLeaving)
+        markLeaving(report.upstream, "upstream");
+    m_context.service<OrderService>(service::kOrders).onReported(report.upstream, report.state);
+}
+
+void ControlFlow::onReportMissing(const LoadReportMissing &missing)
+{
+    if (missing.isDead)
+        m_attempts.onUpstreamDead(missing.upstream);
+    else
+        m_context.service<Router>(service::kRouter).onFailure(missing.upstream, m_context.now);
+}
+
+void ControlFlow::markLeaving(UpstreamId upstream, std::string_view source)
+{
+    auto &router = m_context.service<Router>(service::kRouter);
+    const bool isNews = !router.isLeaving(upstream) || source == "upstream";
+    if (!isNews)
+        return;
+    router.markLeaving(upstream);
+    m_context.log(LogLine("upstream_leaving")
+                      .add("upstream", m_context.upstreamName(upstream))
+                      .add("source", source));
+    m_context.broadcast(LeavingNotice{upstream, router.incarnation(upstream)});
+}
+
+void ControlFlow::onUpstreamDrain(UpstreamId upstream)
+{
+    markLeaving(upstream, "operator");
+}
+
+void ControlFlow::onSuspectNotice(const SuspectNotice &notice)
+{
+    auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
+    quarantine.merge(notice, m_context.now);
+}
+
+void ControlFlow::onQuarantineClear(Fingerprint fingerprint)
+{
+    auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
+    for (const SuspectNotice &notice : quarantine.clear(fingerprint))
+        m_context.broadcast(notice);
+}
+
+void ControlFlow::persistDeaths()
+{
+    constexpr std::size_t kMaxWritesPerTick = 8;
+    const auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
+    std::size_t writes = 0;
+    for (const SuspectNotice &record : quarantine.records()) {
+        const bool isKnown = m_persisted[record.fingerprint] >= record.deaths.size();
+        if (isKnown || m_persistOps.contains(record.fingerprint) || writes == kMaxWritesPerTick)
+            continue;
+        // A first death of many bodies at once is told to peers only; a second one is kept.
+        if (quarantine.standing(record.fingerprint) != Quarantine::Standing::Quarantined)
+            continue;
+        ++writes;
+        m_persisted[record.fingerprint] = record.deaths.size();
+        const TableOpId op = m_nextOp;
+        ++m_nextOp.value;
+        m_persistOps[record.fingerprint] = op;
+        const std::string value = nlohmann::json(record.deaths).dump();
+        m_context.emit(
+            TableCall{op, TableTransaction{{{deathKey(record.fingerprint), 0, value, false}}}});
+    }
+}
+
+void ControlFlow::loadDeaths()
+{
+    if (m_areDeathsLoaded || m_loadOp)
+        return;
+    m_loadOp = m_nextOp;
+    ++m_nextOp.value;
+    m_context.emit(TableCall{*m_loadOp, TableRead{std::string(kDeathPrefix), true}});
+}
+
+void ControlFlow::onDeathRows(const TableRows &rows)
+{
+    m_areDeathsLoaded = true;
+    auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
+    for (const TableRow &row : rows.rows) {
+        if (row.key.rfind(kDeathPrefix, 0) != 0)
+            continue;
+        SuspectNotice notice;
+        const char *first = row.key.data() + kDeathPrefix.size();
+        std::from_chars(first, row.key.data() + row.key.size(), notice.fingerprint.value);
+        const auto json = nlohmann::json::parse(row.value, nullptr, false);
+        if (!json.is_array())
+            continue;
+        for (const auto &death : json) {
+            if (death.is_number_unsigned())
+                notice.deaths.push_back(death.get<std::uint64_t>());
+        }
+        quarantine.merge(notice, m_context.now);
+        m_persisted[notice.fingerprint] = notice.deaths.size();
+    }
+}
+
+void ControlFlow::sendOutgoing()
+{
+    for (auto &[to, body] : m_context.service<Membership>(service::kMembership).takeOutgoing())
+        m_context.sendPeer(to, std::move(body));
+    for (auto &[to, body] : m_context.service<ShareAllocator>(service::kShares).takeOutgoing())
+        m_context.sendPeer(to, std::move(body));
+}
+
+void ControlFlow::tick()
+{
+    auto &limits = m_context.service<LimitsTable>(service::kLimits);
+    limits.tick(m_context.now, m_context.random);
+    carryOutLimits();
+    auto &membership = m_context.service<Membership>(service::kMembership);
+    membership.tick(m_context.now, m_context.random);
+    onMembershipChanges();
+    auto &holdings = m_context.service<Holdings>(service::kHoldings);
+    for (const Holdings::ReleaseNow &release : holdings.tick(m_context.now))
+        m_context.emit(Release{release.holding, release.upstream});
+    if (const auto notices = holdings.takeNotices(m_context.now)) {
+        for (VmId holder : membership.copyHolders(kCopyHolders))
+            m_context.sendPeer(holder, *notices);
+    }
+    m_gangs.tick();
+    sendOutgoing();
+    if (m_nextSlowTick && m_context.now < *m_nextSlowTick)
+        return;
+    m_nextSlowTick = m_context.now + kSlowTick;
+    auto &orders = m_context.service<OrderService>(service::kOrders);
+    orders.tick(m_context.now, m_context.random);
+    m_dispatcher.reportWaiting();
+    m_context.service<LimitGate>(service::kGate).tick(m_context.now);
+    m_context.service<ShareAllocator>(service::kShares).tick();
+    m_context.service<Quarantine>(service::kQuarantine).tick(m_context.now);
+    loadDeaths();
+    persistDeaths();
+    if (ServiceDebits debits = m_dispatcher.takeDebits(); !debits.debits.empty())
+        m_context.broadcast(std::move(debits));
+    sendOutgoing();
+}
+
+std::uint64_t ControlFlow::confirmedVersion(VmId vm) const
+{
+    auto it = m_confirmed.find(vm);
+    return it == m_confirmed.end() ? 0 : it->second;
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/node/controlflow.h
@@ -0,0 +1,67 @@
+// Everything that is not a request: peers, the platform's table and list, operators, leaving.
+#pragma once
+
+#include "node/attemptflow.h"
+#include "node/dispatcher.h"
+#include "node/gangflow.h"
+#include "node/nodecontext.h"
+#include "node/requeststore.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace arbutuspier {
+
+class ControlFlow
+{
+public:
+    ControlFlow(NodeContext &context, RequestStore &store, Dispatcher &dispatcher,
+                AttemptFlow &attempts, GangFlow &gangs, TableOpId firstOp);
+
+    void onPeer(const PeerMessage &message);
+    void onTableReply(const TableReply &reply);
+    void onVmList(const VmListRead &list);
+    void onReport(const LoadReport &report);
+    void onReportMissing(const LoadReportMissing &missing);
+    void onUpstreamDrain(UpstreamId upstream);
+    void onQuarantineClear(Fingerprint fingerprint);
+    void tick();
+    /// The version of the limits table a peer has confirmed.
+    std::uint64_t confirmedVersion(VmId vm) const;
+
+    /// Carries out what the limits table asks for.
+    void carryOutLimits();
+
+private:
+    void onMembershipChanges();
+    void onAdopted(std::uint64_t version);
+    void beginEpoch();
+    void sendOutgoing();
+    void applyBody(VmId from, const PeerMessage &message);
+    void onSuspectNotice(const SuspectNotice &notice);
+    void markLeaving(UpstreamId upstream, std::string_view source);
+    void persistDeaths();
+    void loadDeaths();
+    void onDeathRows(const TableRows &rows);
+    void chooseContenders();
+
+    NodeContext &m_context;
+    RequestStore &m_store;
+    Dispatcher &m_dispatcher;
+    AttemptFlow &m_attempts;
+    GangFlow &m_gangs;
+    TableOpId m_nextOp;
+    VmListRead m_list;
+    std::map<VmId, std::uint64_t> m_confirmed;
+    std::optional<TimePoint> m_nextSlowTick;
+    std::optional<TimePoint> m_nextHello;
+    /// Suspects whose present deaths are in the table.
+    std::map<Fingerprint, std::size_t> m_persisted;
+    std::map<Fingerprint, TableOpId> m_persistOps;
+    std::optional<TableOpId> m_loadOp;
+    bool m_areDeathsLoaded = false;
+};
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/node/dispatcher.cpp
@@ -0,0 +1,309 @@
+// Pumps each target: first retries and suspects, then the lanes from short to gang.
+#include "node/dispatcher.h"
+
+#include "node/gangflow.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace arbutuspier {
+
+namespace {
+
+constexpr double kDrainWindowSeconds = 1.0;
+constexpr Duration kDrainTrustAfter = std::chrono::milliseconds{300};
+/// A suspect that has run this long on its trial no longer keeps other suspects away.
+constexpr Duration kTrialTime = std::chrono::seconds{2};
+
+std::size_t laneIndex(Lane lane)
+{
+    return static_cast<std::size_t>(lane);
+}
+
+int lanePriority(Lane lane)
+{
+    return static_cast<int>(lane);
+}
+
+} // namespace
+
+std::pair<std::string, std::string> Dispatcher::queueKey(const Request &request) const
+{
+    if (!m_context.settings.admission.isFair)
+        return {};
+    return {request.spec.className, request.spec.team};
+}
+
+void Dispatcher::enqueue(Request &request)
+{
+    request.phase = Phase::Queued;
+    Target &target = m_targets[request.spec.target];
+    const auto [className, team] = queueKey(request);
+    const LimitRow classRow
+        = m_context.service<LimitsTable>(service::kLimits).row("*", request.spec.className);
+    target.queue.setClassWeight(className, classRow.weight);
+    target.queue.push(request.id, className, team, request.lane, request.cost(),
+                      request.limits.weight);
+    if (m_limitedTeams.contains({className, team}))
+        target.queue.pause(className, team);
+}
+
+void Dispatcher::putFirstInLine(Request &request)
+{
+    request.phase = Phase::FirstInLine;
+    m_targets[request.spec.target].first.push_back(request.id);
+}
+
+void Dispatcher::withdraw(const Request &request)
+{
+    auto it = m_targets.find(request.spec.target);
+    if (it == m_targets.end())
+        return;
+    it->second.queue.remove(request.id);
+    std::erase(it->second.first, request.id);
+}
+
+std::size_t Dispatcher::queuedCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[name, target] : m_targets)
+        count += target.queue.size() + target.first.size();
+    return count;
+}
+
+void Dispatcher::noteDrained(Target &target, Lane lane, std::uint64_t cost)
+{
+    DrainRate &drain = target.drain[laneIndex(lane)];
+    const double elapsed = toSeconds(m_context.now - drain.at);
+    drain.perSecond *= std::exp(-elapsed / kDrainWindowSeconds);
+    drain.perSecond += static_cast<double>(cost) / kDrainWindowSeconds;
+    drain.at = m_context.now;
+}
+
+void Dispatcher::noteBacklog(Target &target, Lane lane)
+{
+    DrainRate &drain = target.drain[laneIndex(lane)];
+    const bool isBacklogged = target.queue.queuedCount(lane) > 0;
+    if (isBacklogged && !drain.isBacklogged)
+        drain.backlogSince = m_context.now;
+    drain.isBacklogged = isBacklogged;
+}
+
+Duration Dispatcher::expectedWait(const Request &request) const
+{
+    auto it = m_targets.find(request.spec.target);
+    if (it == m_targets.end())
+        return {};
+    const Target &target = it->second;
+    const auto [className, team] = queueKey(request);
+    const std::uint64_t ahead
+        = target.queue.costAhead(className, team, request.lane, request.limits.weight);
+    if (ahead == 0)
+        return {};
+    const DrainRate &drain = target.drain[laneIndex(request.lane)];
+    const bool isMeasured
+        = drain.isBacklogged && m_context.now - drain.backlogSince >= kDrainTrustAfter;
+    if (isMeasured) {
+        const double elapsed = toSeconds(m_context.now - drain.at);
+        const double rate = drain.perSecond * std::exp(-elapsed / kDrainWindowSeconds);
+        if (rate > 0)
+            return fromSeconds(static_cast<double>(ahead) / rate);
+    }
+    const Router &router = m_context.service<Router>(service::kRouter);
+    const bool isLong = request.lane == Lane::Long || request.lane == Lane::Gang;
+    const std::size_t engines = isLong
+        ? router.longSet(request.spec.target, m_context.now).size()
+        : router.usableCount(request.spec.kind, request.spec.target, m_context.now);
+    const auto sharing = static_cast<double>(
+        m_context.service<Membership>(service::kMembership).aliveCount());
+    const double share = std::max(1.0, static_cast<double>(engines)) / sharing;
+    const double each = toSeconds(router.typicalPrefill(request.spec));
+    const double perCost = each / static_cast<double>(std::max<std::uint64_t>(request.cost(), 1));
+    return fromSeconds(static_cast<double>(ahead) * perCost / share);
+}
+
+void Dispatcher::pump()
+{
+    for (auto &[name, target] : m_targets) {
+        pumpFirst(target);
+        for (Lane lane : {Lane::Short, Lane::Medium, Lane::Long, Lane::Gang}) {
+            pumpLane(target, lane);
+            noteBacklog(target, lane);
+        }
+    }
+}
+
+void Dispatcher::pumpFirst(Target &target)
+{
+    const std::deque<RequestId> waiting = target.first;
+    for (RequestId id : waiting) {
+        Request *request = m_store.find(id);
+        if (!request) {
+            std::erase(target.first, id);
+            continue;
+        }
+        if (request->lane == Lane::Gang) {
+            if (m_gangs->tryStart(*request))
+                std::erase(target.first, id);
+            continue;
+        }
+        const auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
+        const bool isSuspect
+            = quarantine.standing(request->spec.fingerprint) == Quarantine::Standing::Suspect;
+        const bool isOpened = isSuspect ? tryOpenTrial(*request) : tryOpen(*request);
+        if (isOpened)
+            std::erase(target.first, id);
+    }
+}
+
+bool Dispatcher::isLimited(const Request &request)
+{
+    if (request.isCounted)
+        return false;
+    return !m_context.service<LimitGate>(service::kGate)
+                .mayStart(request.limits, m_context.now);
+}
+
+void Dispatcher::pumpLane(Target &target, Lane lane)
+{
+    while (const auto next = target.queue.front(lane)) {
+        Request *request = m_store.find(*next);
+        if (!request) {
+            target.queue.remove(*next);
+            continue;
+        }
+        const auto [className, team] = queueKey(*request);
+        if (isLimited(*request)) {
+            m_limitedTeams[{className, team}] = request->limits;
+            target.queue.pause(className, team);
+            continue;
+        }
+        const std::uint64_t cost = request->cost();
+        if (lane == Lane::Gang) {
+            if (!m_gangs->tryStart(*request))
+                return;
+        } else if (!tryOpen(*request)) {
+            return;
+        }
+        target.queue.pop(lane);
+        noteDrained(target, lane, cost);
+    }
+}
+
+bool Dispatcher::tryOpen(Request &request)
+{
+    auto &router = m_context.service<Router>(service::kRouter);
+    auto route
+        = router.choose(request.spec, request.lane, request.avoid, m_context.now, m_context.random);
+    if (!route && !request.avoid.empty()) {
+        // Everything else is full or gone: better where it failed before than not at all.
+        route = router.choose(request.spec, request.lane, {}, m_context.now, m_context.random);
+    }
+    if (!route)
+        return false;
+    const bool isOnce = request.isOnce();
+    open(request, *route, isOnce ? request.onceAttempt : m_context.newAttempt());
+    return true;
+}
+
+bool Dispatcher::tryOpenTrial(Request &request)
+{
+    auto &router = m_context.service<Router>(service::kRouter);
+    const auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
+    std::vector<UpstreamId> busy = request.avoid;
+    for (const auto &[id, other] : m_store.all()) {
+        const bool isOnTrial = other.phase == Phase::Running && other.trialUntil
+            && m_context.now < *other.trialUntil;
+        const bool isTwin = other.spec.fingerprint == request.spec.fingerprint;
+        // A copy of the same body belongs on the same upstream: one death then counts for both.
+        if (isOnTrial && !isTwin)
+            busy.push_back(other.upstream);
+    }
+    const std::vector<UpstreamId> usable
+        = router.withRoom(request.spec, request.lane, busy, m_context.now);
+    const UpstreamId chosen = quarantine.trialUpstream(request.spec.fingerprint, usable);
+    if (!chosen.isValid())
+        return false;
+    request.trialUntil = m_context.now + kTrialTime;
+    open(request, Route{chosen, {}, 0}, m_context.newAttempt());
+    return true;
+}
+
+void Dispatcher::open(Request &request, const Route &route, AttemptId attempt)
+{
+    auto &router = m_context.service<Router>(service::kRouter);
+    m_store.noteStarted(request);
+    m_store.setAttempt(request, attempt);
+    request.phase = Phase::Running;
+    request.upstream = route.upstream;
+    ++request.attempts;
+    if (!request.firstSentAt)
+        request.firstSentAt = m_context.now;
+    if (!request.isCounted) {
+        request.isCounted = true;
+        m_context.service<LimitGate>(service::kGate)
+            .onStarted(request.limits, request.cost(), m_context.now);
+        m_served[{request.spec.className, request.spec.team}] += request.cost();
+    }
+    router.onOpened(attempt, route, request.spec, request.lane, m_context.now);
+    m_context.service<Holdings>(service::kHoldings)
+        .add(HoldingId{attempt.value}, route.upstream, request.deadline);
+    OpenStream command;
+    command.attempt = attempt;
+    command.request = request.id;
+    command.upstream = route.upstream;
+    command.resumeOffset = request.delivered;
+    command.priority = lanePriority(request.lane);
+    command.limit = request.deadline - m_context.now;
+    command.gang = request.gang;
+    m_context.emit(std::move(command));
+}
+
+void Dispatcher::debit(const ServiceDebits &debits)
+{
+    for (const ServiceDebit &debit : debits.debits) {
+        for (auto &[name, target] : m_targets)
+            target.queue.debit(debit.className, debit.team, debit.tokens);
+    }
+}
+
+ServiceDebits Dispatcher::takeDebits()
+{
+    ServiceDebits debits;
+    for (const auto &[key, tokens] : std::exchange(m_served, {}))
+        debits.debits.push_back({key.first, key.second, tokens});
+    return debits;
+}
+
+void Dispatcher::resumeLimited()
+{
+    auto &gate = m_context.service<LimitGate>(service::kGate);
+    for (auto it = m_limitedTeams.begin(); it != m_limitedTeams.end();) {
+        if (!gate.mayStart(it->second, m_context.now)) {
+            ++it;
+            continue;
+        }
+        for (auto &[name, target] : m_targets)
+            target.queue.resume(it->first.first, it->first.second);
+        it = m_limitedTeams.erase(it);
+    }
+}
+
+void Dispatcher::reportWaiting()
+{
+    auto &gate = m_context.service<LimitGate>(service::kGate);
+    std::map<TeamKey, std::pair<LimitRow, std::size_t>> waiting;
+    for (const LimitRow &row : gate.rows())
+        waiting[{row.className, row.team}] = {row, 0};
+    for (const auto &[id, request] : m_store.all()) {
+        if (request.phase != Phase::Queued)
+            continue;
+        auto it = waiting.find({request.spec.className, request.spec.team});
+        if (it != waiting.end())
+            ++it->second.second;
+    }
+    for (const auto &[key, entry] : waiting)
+        gate.noteWaiting(entry.first, entry.second);
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/node/dispatcher.h
@@ -0,0 +1,83 @@
+// Holds work until an upstream should have it, and sends it there.
+#pragma once
+
+#include "arbutuspier/fairqueue.h"
+#include "node/nodecontext.h"
+#include "node/requeststore.h"
+
+#include <array>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+namespace arbutuspier {
+
+class GangFlow;
+
+class Dispatcher
+{
+public:
+    Dispatcher(NodeContext &context, RequestStore &store) : m_context(context), m_store(store) { }
+
+    void setGangFlow(GangFlow *gangs) { m_gangs = gangs; }
+
+    /// Puts a request into the fair queue of its target.
+    void enqueue(Request &request);
+    /// Puts a request ahead of the queue: a retry or a suspect.
+    void putFirstInLine(Request &request);
+    /// Takes a request out of whichever line it stands in.
+    void withdraw(const Request &request);
+    /// Sends what can go now.
+    void pump();
+
+    /// Time a new request would wait here before it is sent.
+    Duration expectedWait(const Request &request) const;
+    std::size_t queuedCount() const;
+    /// Opens an attempt. The request must be in no line.
+    void open(Request &request, const Route &route, AttemptId attempt);
+    /// Charges queued teams with service that other VMs gave them.
+    void debit(const ServiceDebits &debits);
+    /// Tokens sent on since the last call, by class and team.
+    ServiceDebits takeDebits();
+    /// Lets limited teams try again; called when a limit may have room.
+    void resumeLimited();
+    /// Tells the gate how many requests wait at each limit.
+    void reportWaiting();
+
+private:
+    /// How fast a lane drains while it has a backlog.
+    struct DrainRate
+    {
+        TimePoint at;
+        TimePoint backlogSince;
+        bool isBacklogged = false;
+        double perSecond = 0;
+    };
+    struct Target
+    {
+        FairQueue queue;
+        std::deque<RequestId> first;
+        std::array<DrainRate, kLaneCount> drain;
+        std::array<bool, kLaneCount> hasRoom{true, true, true, true};
+    };
+    using TeamKey = std::pair<std::string, std::string>;
+
+    std::pair<std::string, std::string> queueKey(const Request &request) const;
+    void pumpFirst(Target &target);
+    void pumpLane(Target &target, Lane lane);
+    bool tryOpen(Request &request);
+    bool tryOpenTrial(Request &request);
+    bool isLimited(const Request &request);
+    void noteDrained(Target &target, Lane lane, std::uint64_t cost);
+    void noteBacklog(Target &target, Lane lane);
+
+    NodeContext &m_context;
+    RequestStore &m_store;
+    GangFlow *m_gangs = nullptr;
+    std::map<std::string, Target, std::less<>> m_targets;
+    std::map<TeamKey, LimitRow> m_limitedTeams;
+    std::map<TeamKey, std::uint64_t> m_served;
+};
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/node/gangflow.cpp
@@ -0,0 +1,283 @@
+// Record, reserve all members, then open; or give all back and wait.
+#include "node/gangflow.h"
+
+#include "node/dispatcher.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace arbutuspier {
+
+namespace {
+
+constexpr std::string_view kRowPrefix = "gang/";
+constexpr Duration kFirstWait = std::chrono::milliseconds{200};
+constexpr Duration kMaxWait = std::chrono::seconds{3};
+constexpr Duration kReserveLimit = std::chrono::seconds{5};
+constexpr Duration kEraseRetry = std::chrono::seconds{2};
+constexpr Duration kScanInterval = std::chrono::seconds{10};
+
+std::string encodeGang(VmId owner, Incarnation incarnation, const std::vector<GangMember> &gang)
+{
+    nlohmann::json json;
+    json["owner"] = owner.value;
+    json["incarnation"] = incarnation.value;
+    json["members"] = nlohmann::json::array();
+    for (const GangMember &member : gang)
+        json["members"].push_back({member.upstream.value, member.holding.value});
+    return json.dump();
+}
+
+struct GangRow
+{
+    VmId owner;
+    Incarnation incarnation;
+    std::vector<GangMember> members;
+};
+
+std::optional<GangRow> decodeGang(const std::string &text)
+{
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    const bool isWhole = json.is_object() && json.contains("owner")
+        && json["owner"].is_number_unsigned() && json.contains("incarnation")
+        && json["incarnation"].is_number_unsigned() && json.contains("members")
+        && json["members"].is_array();
+    if (!isWhole)
+        return std::nullopt;
+    GangRow row;
+    row.owner.value = json["owner"].get<std::uint64_t>();
+    row.incarnation.value = json["incarnation"].get<std::uint64_t>();
+    for (const auto &item : json["members"]) {
+        const bool isPair = item.is_array() && item.size() == 2 && item[0].is_number_unsigned()
+            && item[1].is_number_unsigned();
+        if (!isPair)
+            return std::nullopt;
+        row.members.push_back({UpstreamId{item[0].get<std::uint64_t>()},
+                               HoldingId{item[1].get<std::uint64_t>()}});
+    }
+    return row;
+}
+
+} // namespace
+
+GangFlow::GangFlow(NodeContext &context, RequestStore &store, Dispatcher &dispatcher,
+                   TableOpId firstOp)
+    : m_context(context), m_store(store), m_dispatcher(dispatcher), m_nextOp(firstOp)
+{
+}
+
+TableOpId GangFlow::call(TableRequest request)
+{
+    const TableOpId op = m_nextOp;
+    ++m_nextOp.value;
+    m_context.emit(TableCall{op, std::move(request)});
+    return op;
+}
+
+bool GangFlow::tryStart(Request &request)
+{
+    // One gang at a time forms here, oldest first: the next would take what this one lacks.
+    if (!m_forming.empty())
+        return false;
+    auto waiting = m_waiting.find(request.id);
+    if (waiting != m_waiting.end() && m_context.now < waiting->second.retryAt)
+        return false;
+    const auto &router = m_context.service<Router>(service::kRouter);
+    const std::vector<UpstreamId> members = router.chooseGang(request.spec, m_context.now);
+    if (members.empty())
+        return false;
+    for (UpstreamId member : members)
+        request.gang.push_back({member, m_context.newHolding()});
+    request.phase = Phase::Reserving;
+    m_store.noteStarted(request);
+    record(request, m_forming[request.id]);
+    return true;
+}
+
+void GangFlow::record(const Request &request, Forming &forming)
+{
+    forming.rowKey = std::string(kRowPrefix) + std::to_string(m_context.newAttempt().value);
+    m_rows[request.id] = forming.rowKey;
+    const std::string row = encodeGang(m_context.settings.self.id,
+                                       m_context.settings.incarnation, request.gang);
+    const TableOpId op = call(TableTransaction{{{forming.rowKey, 0, row, false}}});
+    m_recordOps[op] = request.id;
+}
+
+bool GangFlow::onTableReply(TableOpId op, const TableOutcome &outcome)
+{
+    if (auto it = m_recordOps.find(op); it != m_recordOps.end()) {
+        const RequestId id = it->second;
+        m_recordOps.erase(it);
+        Request *request = m_store.find(id);
+        auto forming = m_forming.find(id);
+        if (!request || forming == m_forming.end())
+            return true;
+        // With the table down the peers' copies alone cover this gang; prompts go on.
+        forming->second.isRecorded = std::holds_alternative<TableCommitted>(outcome);
+        reserveAll(*request);
+        return true;
+    }
+    if (auto it = m_eraseOps.find(op); it != m_eraseOps.end()) {
+        const std::string rowKey = it->second;
+        m_eraseOps.erase(it);
+        const bool isSettled = std::holds_alternative<TableCommitted>(outcome)
+            || std::holds_alternative<TableConflict>(outcome);
+        if (isSettled)
+            m_toErase.erase(rowKey);
+        else
+            m_toErase[rowKey] = m_context.now + kEraseRetry;
+        return true;
+    }
+    if (m_scanOp && *m_scanOp == op) {
+        m_scanOp.reset();
+        if (const auto *rows = std::get_if<TableRows>(&outcome))
+            onOrphanRows(*rows);
+        return true;
+    }
+    return false;
+}
+
+void GangFlow::reserveAll(Request &request)
+{
+    Forming &forming = m_forming[request.id];
+    auto &holdings = m_context.service<Holdings>(service::kHoldings);
+    const std::uint64_t each = request.cost() / request.gang.size() + 1;
+    for (const GangMember &member : request.gang) {
+        forming.unanswered.push_back(member.holding);
+        m_byHolding[member.holding] = request.id;
+        holdings.add(member.holding, member.upstream, request.deadline);
+        m_context.emit(Reserve{member.holding, member.upstream, each,
+                               request.deadline - m_context.now});
+    }
+}
+
+void GangFlow::onReserveReply(const ReserveReply &reply)
+{
+    auto &holdings = m_context.service<Holdings>(service::kHoldings);
+    auto it = m_byHolding.find(reply.holding);
+    Request *request = it == m_byHolding.end() ? nullptr : m_store.find(it->second);
+    auto forming = request ? m_forming.find(request->id) : m_forming.end();
+    if (it != m_byHolding.end())
+        m_byHolding.erase(it);
+    if (forming == m_forming.end()) {
+        // A late grant for a gang that is over, or a repeated one for a gang that runs.
+        const bool mayBeHeld = reply.isGranted || reply.isUnknown;
+        if (mayBeHeld && !holdings.isOwn(reply.holding))
+            holdings.releaseUnknown(reply.holding, reply.upstream, m_context.now);
+        return;
+    }
+    std::erase(forming->second.unanswered, reply.holding);
+    if (!reply.isGranted) {
+        ++forming->second.refused;
+        const bool isSurelyFree = !reply.isUnknown;
+        if (isSurelyFree)
+            holdings.forget(reply.holding);
+        else
+            holdings.release(reply.holding, m_context.now);
+        std::erase_if(request->gang, [&](const GangMember &member) {
+            return member.holding == reply.holding;
+        });
+    }
+    if (forming->second.unanswered.empty())
+        decide(*request);
+}
+
+void GangFlow::decide(Request &request)
+{
+    const bool isWhole = m_forming[request.id].refused == 0;
+    m_forming.erase(request.id);
+    const auto &router = m_context.service<Router>(service::kRouter);
+    const bool isStaying
+        = std::none_of(request.gang.begin(), request.gang.end(), [&](const GangMember &member) {
+              return router.isLeaving(member.upstream);
+          });
+    if (isWhole && isStaying) {
+        m_waiting.erase(request.id);
+        const UpstreamId leader = request.gang.front().upstream;
+        m_dispatcher.open(request, Route{leader, {}, 0}, m_context.newAttempt());
+        return;
+    }
+    giveBack(request);
+    backOff(request);
+    m_dispatcher.putFirstInLine(request);
+}
+
+void GangFlow::backOff(const Request &request)
+{
+    Waiting &waiting = m_waiting[request.id];
+    waiting.wait = waiting.wait == Duration::zero() ? kFirstWait
+                                                    : std::min(waiting.wait * 2, kMaxWait);
+    waiting.retryAt = m_context.now + jittered(m_context.random, waiting.wait);
+}
+
+void GangFlow::giveBack(Request &request)
+{
+    auto &holdings = m_context.service<Holdings>(service::kHoldings);
+    for (const GangMember &member : request.gang) {
+        m_byHolding.erase(member.holding);
+        holdings.release(member.holding, m_context.now);
+    }
+    request.gang.clear();
+    m_forming.erase(request.id);
+    if (auto row = m_rows.find(request.id); row != m_rows.end()) {
+        m_toErase[row->second] = m_context.now;
+        m_rows.erase(row);
+    }
+}
+
+void GangFlow::eraseRow(const std::string &rowKey)
+{
+    const TableOpId op = call(TableTransaction{{{rowKey, 1, {}, true}}});
+    m_eraseOps[op] = rowKey;
+}
+
+void GangFlow::tick()
+{
+    std::erase_if(m_forming, [&](const auto &entry) { return !m_store.find(entry.first); });
+    std::erase_if(m_waiting, [&](const auto &entry) { return !m_store.find(entry.first); });
+    std::erase_if(m_byHolding, [&](const auto &entry) { return !m_store.find(entry.second); });
+    for (auto it = m_rows.begin(); it != m_rows.end();) {
+        if (m_store.find(it->first)) {
+            ++it;
+            continue;
+        }
+        m_toErase[it->second] = m_context.now;
+        it = m_rows.erase(it);
+    }
+    for (auto &[rowKey, dueAt] : m_toErase) {
+        if (m_context.now < dueAt)
+            continue;
+        dueAt = m_context.now + kReserveLimit;
+        eraseRow(rowKey);
+    }
+    if (!m_nextScan)
+        m_nextScan = m_context.now;
+    if (m_scanOp || m_context.now < *m_nextScan)
+        return;
+    m_nextScan = m_context.now + jittered(m_context.random, kScanInterval);
+    m_scanOp = call(TableRead{std::string(kRowPrefix), true});
+}
+
+void GangFlow::onOrphanRows(const TableRows &rows)
+{
+    const auto &membership = m_context.service<Membership>(service::kMembership);
+    auto &holdings = m_context.service<Holdings>(service::kHoldings);
+    for (const TableRow &row : rows.rows) {
+        const auto gang = decodeGang(row.value);
+        if (!gang)
+            continue;
+        const Incarnation known = membership.incarnation(gang->owner);
+        const bool isReplaced = known.isValid() && gang->incarnation < known;
+        const bool isGone = membership.state(gang->owner) == MemberState::Gone
+            && known == gang->incarnation;
+        if (!isReplaced && !isGone)
+            continue;
+        for (const GangMember &member : gang->members)
+            holdings.releaseUnknown(member.holding, member.upstream, m_context.now);
+        m_toErase[row.key] = m_context.now;
+    }
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/node/onceflow.cpp
@@ -0,0 +1,114 @@
+// The record decides who sends; this flow only finds an upstream and reports the outcome.
+#include "node/onceflow.h"
+
+namespace arbutuspier {
+
+namespace {
+
+/// Team and key are joined so that no two teams share a row.
+std::string recordKey(const RequestSpec &spec)
+{
+    return spec.target + '/' + spec.team + '/' + spec.idempotencyKey;
+}
+
+} // namespace
+
+void OnceFlow::begin(Request &request)
+{
+    request.phase = Phase::Recording;
+    request.onceAttempt = m_context.newAttempt();
+    m_context.service<OnceLedger>(service::kOnce)
+        .begin(request.id, request.onceAttempt, recordKey(request.spec), request.spec.keyIssuedAt,
+               request.spec.fingerprint, m_context.wallNow);
+    carryOut();
+}
+
+void OnceFlow::carryOut()
+{
+    auto &once = m_context.service<OnceLedger>(service::kOnce);
+    for (OnceLedger::Action &action : once.takeActions()) {
+        if (auto *call = std::get_if<OnceLedger::Call>(&action))
+            m_context.emit(TableCall{call->op, std::move(call->request)});
+        else if (const auto *send = std::get_if<OnceLedger::SendNow>(&action))
+            onSend(*send);
+        else if (auto *replay = std::get_if<OnceLedger::Replay>(&action))
+            onReplay(*replay);
+        else if (const auto *refuse = std::get_if<OnceLedger::Refuse>(&action))
+            onRefuse(*refuse);
+    }
+}
+
+void OnceFlow::onSend(const OnceLedger::SendNow &send)
+{
+    Request *request = m_store.find(send.request);
+    if (!request || request->phase != Phase::Recording) {
+        m_context.service<OnceLedger>(service::kOnce).onNotRun(send.attempt);
+        return;
+    }
+    m_dispatcher.putFirstInLine(*request);
+}
+
+void OnceFlow::onReplay(OnceLedger::Replay &replay)
+{
+    if (Request *request = m_store.find(replay.request))
+        m_answers.replay(*request, replay.status, std::move(replay.result));
+}
+
+void OnceFlow::onRefuse(const OnceLedger::Refuse &refuse)
+{
+    if (Request *request = m_store.find(refuse.request))
+        m_answers.refuse(*request, refuse.verdict, refuse.reason, refuse.retryAfter);
+}
+
+bool OnceFlow::onCallerLeft(Request &request)
+{
+    auto &once = m_context.service<OnceLedger>(service::kOnce);
+    switch (request.phase) {
+    case Phase::Running:
+        m_answers.forgetCaller(request);
+        m_store.setDeadline(request,
+                            request.deadline + m_context.settings.admission.recordGrace);
+        return true;
+    case Phase::FirstInLine:
+        once.onNotRun(request.onceAttempt);
+        return false;
+    case Phase::Recording:
+    case Phase::Queued:
+    case Phase::Reserving:
+        once.abandon(request.id);
+        return false;
+    }
+    return false;
+}
+
+void OnceFlow::onDeadline(Request &request)
+{
+    auto &once = m_context.service<OnceLedger>(service::kOnce);
+    switch (request.phase) {
+    case Phase::Running:
+        if (request.isAnswered) {
+            once.onUnknown(request.onceAttempt);
+            m_answers.drop(request);
+            return;
+        }
+        m_answers.answerAndKeep(request, Verdict::MayHaveRun, Reason::DeadlinePassed);
+        m_store.setDeadline(request,
+                            request.deadline + m_context.settings.admission.recordGrace);
+        return;
+    case Phase::FirstInLine:
+        once.onNotRun(request.onceAttempt);
+        m_answers.refuse(request, Verdict::NotRun, Reason::DeadlinePassed);
+        return;
+    case Phase::Recording:
+    case Phase::Queued:
+    case Phase::Reserving: {
+        const Verdict verdict = once.abandon(request.id);
+        const Reason reason = verdict == Verdict::NotRun ? Reason::StoreUnavailable
+                                                         : Reason::KeyOutcomeUnknown;
+        m_answers.refuse(request, verdict, reason);
+        return;
+    }
+    }
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/policy/limitgate.cpp
@@ -0,0 +1,132 @@
+// A counter and a token bucket for each limited row, sized by this VM's shares.
+#include "arbutuspier/limitgate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace arbutuspier {
+
+namespace {
+
+constexpr double kBurstSeconds = 1.0;
+constexpr double kRateWindowSeconds = 2.0;
+constexpr double kDemandHeadroom = 1.25;
+
+std::string concurrencyKey(const std::string &key)
+{
+    return "c:" + key;
+}
+
+std::string rateKey(const std::string &key)
+{
+    return "r:" + key;
+}
+
+} // namespace
+
+std::string LimitGate::key(const LimitRow &row)
+{
+    return row.className + '/' + row.team;
+}
+
+LimitGate::State *LimitGate::find(const LimitRow &row)
+{
+    auto it = m_states.find(key(row));
+    return it == m_states.end() ? nullptr : &it->second;
+}
+
+void LimitGate::setRow(const LimitRow &row)
+{
+    const std::string name = key(row);
+    m_shares.setLimit(concurrencyKey(name), row.concurrency);
+    m_shares.setLimit(rateKey(name), row.tokenRate);
+    auto it = m_states.find(name);
+    const bool isLimited = row.concurrency != 0 || row.tokenRate != 0;
+    if (it == m_states.end() && !isLimited)
+        return;
+    m_states[name].row = row;
+}
+
+void LimitGate::refill(State &state, TimePoint now)
+{
+    const double elapsed = std::max(0.0, toSeconds(now - state.at));
+    const auto rate
+        = static_cast<double>(m_shares.share(rateKey(key(state.row))).value_or(0));
+    state.tokens = std::min(rate * kBurstSeconds, state.tokens + rate * elapsed);
+    state.recentRate *= std::exp(-elapsed / kRateWindowSeconds);
+    state.at = now;
+}
+
+bool LimitGate::mayStart(const LimitRow &row, TimePoint now)
+{
+    if (row.concurrency == 0 && row.tokenRate == 0)
+        return true;
+    State *state = find(row);
+    if (!state) {
+        setRow(row);
+        state = find(row);
+        state->at = now;
+    }
+    refill(*state, now);
+    const std::string name = key(row);
+    const auto slots = m_shares.share(concurrencyKey(name));
+    if (slots && state->running >= *slots)
+        return false;
+    const bool isOverRate = m_shares.share(rateKey(name)).has_value() && state->tokens <= 0;
+    return !isOverRate;
+}
+
+void LimitGate::onStarted(const LimitRow &row, std::uint64_t cost, TimePoint now)
+{
+    State *state = find(row);
+    if (!state)
+        return;
+    refill(*state, now);
+    ++state->running;
+    if (row.tokenRate == 0)
+        return;
+    state->tokens -= static_cast<double>(cost);
+    state->recentRate += static_cast<double>(cost) / kRateWindowSeconds;
+}
+
+void LimitGate::onEnded(const LimitRow &row)
+{
+    State *state = find(row);
+    if (state && state->running > 0)
+        --state->running;
+}
+
+void LimitGate::noteWaiting(const LimitRow &row, std::size_t waiting)
+{
+    if (State *state = find(row))
+        state->waiting = waiting;
+}
+
+void LimitGate::tick(TimePoint now)
+{
+    for (auto &[name, state] : m_states) {
+        refill(state, now);
+        m_shares.noteDemand(concurrencyKey(name), state.running, state.running + state.waiting);
+        const auto used = static_cast<std::uint64_t>(state.recentRate);
+        const bool isShort = state.waiting > 0 && state.tokens <= 0;
+        const auto wanted = static_cast<std::uint64_t>(
+            isShort ? static_cast<double>(state.row.tokenRate) : state.recentRate * kDemandHeadroom);
+        m_shares.noteDemand(rateKey(name), used, wanted);
+    }
+}
+
+std::vector<LimitRow> LimitGate::rows() const
+{
+    std::vector<LimitRow> found;
+    for (const auto &[name, state] : m_states)
+        found.push_back(state.row);
+    return found;
+}
+
+std::uint32_t LimitGate::running(const LimitRow &row) const
+{
+    auto it = m_states.find(key(row));
+    return it == m_states.end() ? 0 : it->second.running;
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/policy/router.cpp
@@ -0,0 +1,602 @@
+// Predicted-first-token routing over lagged reports and own dispatches.
+#include "arbutuspier/router.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace arbutuspier {
+
+namespace {
+
+constexpr double kShortRateWindowSeconds = 1.0;
+constexpr double kLongRateWindowSeconds = 20.0;
+constexpr double kLongHeadroom = 1.2;
+constexpr double kShortHeadroom = 1.4;
+constexpr double kNearBestFactor = 1.10;
+constexpr double kNearBestSeconds = 0.005;
+constexpr double kSlowStartFloor = 0.1;
+constexpr int kFailuresToEject = 2;
+constexpr int kMaxEjectionDoublings = 5;
+/// Part of an engine's memory that one prompt may plan for.
+constexpr double kUsableMemory = 0.9;
+
+std::uint64_t orderKey(std::string_view target, UpstreamId upstream)
+{
+    return XXH64(target.data(), target.size(), upstream.value);
+}
+
+bool contains(std::span<const UpstreamId> list, UpstreamId upstream)
+{
+    return std::find(list.begin(), list.end(), upstream) != list.end();
+}
+
+bool isLongLane(Lane lane)
+{
+    return lane == Lane::Long || lane == Lane::Gang;
+}
+
+std::uint64_t neededTokens(const RequestSpec &spec)
+{
+    return spec.promptTokens + spec.maxTokens;
+}
+
+} // namespace
+
+Router::State::State(const UpstreamInfo &i)
+    : info(i), cache(std::max<std::uint64_t>(i.memoryTokens / kPrefixBlockTokens, 1))
+{
+}
+
+Router::Router(std::string zone, std::span<const UpstreamInfo> upstreams, RouterOptions options)
+    : m_zone(std::move(zone)), m_options(options)
+{
+    for (const UpstreamInfo &upstream : upstreams) {
+        m_index[upstream.id] = m_states.size();
+        m_byTarget[upstream.target].push_back(m_states.size());
+        m_states.emplace_back(upstream);
+    }
+    for (auto &[target, list] : m_byTarget) {
+        std::sort(list.begin(), list.end(), [&, &name = target](std::size_t a, std::size_t b) {
+            return orderKey(name, m_states[a].info.id) < orderKey(name, m_states[b].info.id);
+        });
+    }
+}
+
+Router::State *Router::find(UpstreamId upstream)
+{
+    auto it = m_index.find(upstream);
+    return it == m_index.end() ? nullptr : &m_states[it->second];
+}
+
+const Router::State *Router::find(UpstreamId upstream) const
+{
+    auto it = m_index.find(upstream);
+    return it == m_index.end() ? nullptr : &m_states[it->second];
+}
+
+const UpstreamInfo *Router::info(UpstreamId upstream) const
+{
+    const State *state = find(upstream);
+    return state ? &state->info : nullptr;
+}
+
+std::vector<UpstreamId> Router::upstreamsFor(RequestKind kind, std::string_view target) const
+{
+    std::vector<UpstreamId> found;
+    auto it = m_byTarget.find(target);
+    if (it == m_byTarget.end())
+        return found;
+    for (std::size_t i : it->second) {
+        if (m_states[i].info.kind == kind)
+            found.push_back(m_states[i].info.id);
+    }
+    return found;
+}
+
+bool Router::isUsable(const State &state, TimePoint now) const
+{
+    return !state.isLeaving && !state.isDead && now >= state.ejectedUntil;
+}
+
+std::size_t Router::usableCount(RequestKind kind, std::string_view target, TimePoint now) const
+{
+    auto it = m_byTarget.find(target);
+    if (it == m_byTarget.end())
+        return 0;
+    return static_cast<std::size_t>(
+        std::count_if(it->second.begin(), it->second.end(), [&](std::size_t i) {
+            return m_states[i].info.kind == kind && isUsable(m_states[i], now);
+        }));
+}
+
+double Router::backlog(const State &state, bool onlyUrgent, TimePoint now) const
+{
+    const double own = onlyUrgent ? state.ownUrgentBacklog : state.ownBacklog;
+    if (!state.hasReport)
+        return own;
+    const std::uint64_t tokens = onlyUrgent ? state.reportedUrgent : state.reportedQueued;
+    const double reported = static_cast<double>(tokens) * state.cost.parameters().perToken;
+    const double since = onlyUrgent ? state.urgentSinceReport : state.dispatchedSinceReport;
+    const double drained = toSeconds(now - state.reportedAt);
+    return std::max(own, std::max(0.0, reported - drained) + since);
+}
+
+std::uint64_t Router::freeTokens(const State &state) const
+{
+    const std::uint64_t total = state.info.memoryTokens;
+    const std::uint64_t ownFree = total > state.ownHeld ? total - state.ownHeld : 0;
+    if (!state.hasReport)
+        return ownFree;
+    const std::uint64_t free = state.reportedFree > state.heldSinceReport
+        ? state.reportedFree - state.heldSinceReport
+        : 0;
+    return std::min(free, ownFree);
+}
+
+Duration Router::predictOn(const State &state, const RequestSpec &spec, Lane lane, TimePoint now,
+                           std::uint64_t *cachedOut) const
+{
+    std::uint64_t cached = 0;
+    if (m_options.usesPrefixCache)
+        cached = std::min(state.cache.cachedTokens(spec.prefixBlocks), spec.promptTokens);
+    if (cachedOut)
+        *cachedOut = cached;
+    const bool isUrgent = lane == Lane::Short;
+    const double wait = backlog(state, isUrgent, now);
+    Duration predicted
+        = fromSeconds(wait) + state.cost.prefill(spec.promptTokens - cached, spec.promptTokens);
+    if (state.info.zone != m_zone)
+        predicted += m_options.otherZonePenalty;
+    return predicted;
+}
+
+bool Router::hasRoom(const State &state, const RequestSpec &spec, Lane lane, TimePoint now) const
+{
+    double rampUp = 1.0;
+    if (now < state.startedAt + m_options.slowStart && state.startedAt != TimePoint{}) {
+        const double age = toSeconds(now - state.startedAt) / toSeconds(m_options.slowStart);
+        rampUp = std::max(kSlowStartFloor, age);
+    }
+    const auto limit = static_cast<std::size_t>(std::ceil(m_options.maxStreams * rampUp));
+    const std::size_t streams
+        = std::max<std::size_t>(state.ownStreams,
+                                state.hasReport ? state.reportedRunning + state.streamsSinceReport
+                                                : 0);
+    if (streams >= limit)
+        return false;
+    if (spec.kind == RequestKind::ServiceCall)
+        return true;
+    if (lane != Lane::Gang && freeTokens(state) < neededTokens(spec))
+        return false;
+    if (lane == Lane::Short)
+        return backlog(state, true, now) <= toSeconds(m_options.maxShortBacklog) * rampUp;
+    return backlog(state, false, now) <= toSeconds(m_options.maxLongBacklog) * rampUp;
+}
+
+std::optional<Route> Router::choose(const RequestSpec &spec, Lane lane,
+                                    std::span<const UpstreamId> avoid, TimePoint now,
+                                    Random &random)
+{
+    if (m_options.mode != RoutingMode::Predicted)
+        return chooseBaseline(spec, avoid, now, random);
+    auto it = m_byTarget.find(spec.target);
+    if (it == m_byTarget.end())
+        return std::nullopt;
+    std::vector<UpstreamId> allowed;
+    const bool isRestricted = m_options.isolatesLengths && isLongLane(lane);
+    if (isRestricted)
+        allowed = longSet(spec.target, now);
+    std::vector<Route> routes;
+    Duration best = Duration::max();
+    for (std::size_t i : it->second) {
+        const State &state = m_states[i];
+        if (state.info.kind != spec.kind || !isUsable(state, now))
+            continue;
+        if (contains(avoid, state.info.id))
+            continue;
+        if (isRestricted && !contains(allowed, state.info.id))
+            continue;
+        if (!hasRoom(state, spec, lane, now))
+            continue;
+        Route route{state.info.id, {}, 0};
+        route.firstToken = predictOn(state, spec, lane, now, &route.cachedTokens);
+        best = std::min(best, route.firstToken);
+        routes.push_back(route);
+    }
+    if (routes.empty())
+        return std::nullopt;
+    const Duration nearBest = fromSeconds(toSeconds(best) * kNearBestFactor + kNearBestSeconds);
+    const Duration bound = m_options.avoidsHerding ? nearBest : best;
+    std::erase_if(routes, [&](const Route &route) { return route.firstToken > bound; });
+    return routes[uniformIndex(random, routes.size())];
+}
+
+std::vector<UpstreamId> Router::withRoom(const RequestSpec &spec, Lane lane,
+                                         std::span<const UpstreamId> avoid, TimePoint now) const
+{
+    std::vector<UpstreamId> found;
+    auto it = m_byTarget.find(spec.target);
+    if (it == m_byTarget.end())
+        return found;
+    for (std::size_t i : it->second) {
+        const State &state = m_states[i];
+        const bool isCandidate = state.info.kind == spec.kind && isUsable(state, now)
+            && !contains(avoid, state.info.id);
+        if (isCandidate && hasRoom(state, spec, lane, now))
+            found.push_back(state.info.id);
+    }
+    return found;
+}
+
+std::optional<Route> Router::chooseBaseline(const RequestSpec &spec,
+                                            std::span<const UpstreamId> avoid, TimePoint now,
+                                            Random &random)
+{
+    auto it = m_byTarget.find(spec.target);
+    if (it == m_byTarget.end())
+        return std::nullopt;
+    std::vector<const State *> usable;
+    for (std::size_t i : it->second) {
+        const State &state = m_states[i];
+        if (state.info.kind == spec.kind && !state.isLeaving && !state.isDead
+            && !contains(avoid, state.info.id))
+            usable.push_back(&state);
+    }
+    if (usable.empty())
+        return std::nullopt;
+    const auto outstanding = [](const State *state) {
+        return state->hasReport ? state->reportedRunning + state->streamsSinceReport
+                                : state->ownStreams;
+    };
+    const State *chosen = nullptr;
+    switch (m_options.mode) {
+    case RoutingMode::RoundRobin:
+        chosen = usable[m_roundRobin++ % usable.size()];
+        break;
+    case RoutingMode::LeastOutstanding:
+        chosen = *std::min_element(usable.begin(), usable.end(),
+                                   [&](const State *a, const State *b) {
+                                       return outstanding(a) < outstanding(b);
+                                   });
+        break;
+    case RoutingMode::TwoChoices:
+    case RoutingMode::Predicted: {
+        const State *a = usable[uniformIndex(random, usable.size())];
+        const State *b = usable[uniformIndex(random, usable.size())];
+        chosen = outstanding(a) <= outstanding(b) ? a : b;
+        break;
+    }
+    }
+    Route route{chosen->info.id, {}, 0};
+    route.firstToken = predictOn(*chosen, spec, Lane::Medium, now, &route.cachedTokens);
+    return route;
+}
+
+std::optional<Duration> Router::predict(const RequestSpec &spec, Lane lane, TimePoint now) const
+{
+    auto it = m_byTarget.find(spec.target);
+    if (it == m_byTarget.end())
+        return std::nullopt;
+    std::optional<Duration> best;
+    for (std::size_t i : it->second) {
+        const State &state = m_states[i];
+        if (state.info.kind != spec.kind || !isUsable(state, now))
+            continue;
+        const Duration predicted = predictOn(state, spec, lane, now, nullptr);
+        if (!best || predicted < *best)
+            best = predicted;
+    }
+    return best;
+}
+
+Duration Router::typicalPrefill(const RequestSpec &spec) const
+{
+    auto it = m_byTarget.find(spec.target);
+    if (it == m_byTarget.end() || it->second.empty())
+        return CostModel().prefill(spec.promptTokens, spec.promptTokens);
+    return m_states[it->second.front()].cost.prefill(spec.promptTokens, spec.promptTokens);
+}
+
+std::size_t Router::gangSize(const RequestSpec &spec) const
+{
+    auto it = m_byTarget.find(spec.target);
+    if (it == m_byTarget.end())
+        return 0;
+    std::map<std::string_view, std::size_t> enginesByZone;
+    std::uint64_t smallest = 0;
+    for (std::size_t i : it->second) {
+        const UpstreamInfo &info = m_states[i].info;
+        if (info.kind != RequestKind::Prompt)
+            continue;
+        ++enginesByZone[info.zone];
+        smallest = smallest == 0 ? info.memoryTokens : std::min(smallest, info.memoryTokens);
+    }
+    if (smallest == 0)
+        return 0;
+    const double usable = static_cast<double>(smallest) * kUsableMemory;
+    const auto needed
+        = static_cast<std::size_t>(std::ceil(static_cast<double>(neededTokens(spec)) / usable));
+    const bool fitsSomeZone
+        = std::any_of(enginesByZone.begin(), enginesByZone.end(),
+                      [&](const auto &entry) { return entry.second >= needed; });
+    return fitsSomeZone ? needed : 0;
+}
+
+std::vector<UpstreamId> Router::chooseGang(const RequestSpec &spec, TimePoint now) const
+{
+    const std::size_t needed = gangSize(spec);
+    auto it = m_byTarget.find(spec.target);
+    if (needed == 0 || it == m_byTarget.end())
+        return {};
+    const std::uint64_t each = neededTokens(spec) / needed + 1;
+    std::map<std::string_view, std::vector<const State *>> byZone;
+    // From the back of the order: long prompts fill engines from the front.
+    for (auto i = it->second.rbegin(); i != it->second.rend(); ++i) {
+        const State &state = m_states[*i];
+        if (state.info.kind == RequestKind::Prompt && isUsable(state, now)
+            && freeTokens(state) >= each)
+            byZone[state.info.zone].push_back(&state);
+    }
+    const auto own = byZone.find(m_zone);
+    const std::vector<const State *> *best = own == byZone.end() ? nullptr : &own->second;
+    for (const auto &[zone, states] : byZone) {
+        const bool isBestTooSmall = !best || best->size() < needed;
+        if (isBestTooSmall && states.size() >= needed)
+            best = &states;
+    }
+    if (!best || best->size() < needed)
+        return {};
+    std::vector<UpstreamId> chosen;
+    for (std::size_t i = 0; i < needed; ++i)
+        chosen.push_back((*best)[i]->info.id);
+    return chosen;
+}
+
+void Router::onOpened(AttemptId attempt, const Route &route, const RequestSpec &spec, Lane lane,
+                      TimePoint now)
+{
+    State *state = find(route.upstream);
+    if (!state)
+        return;
+    OpenAttempt open;
+    open.upstream = route.upstream;
+    open.context = spec.promptTokens;
+    open.believedCached = route.cachedTokens;
+    open.uncached = spec.promptTokens - std::min(spec.promptTokens, route.cachedTokens);
+    open.heldTokens = lane == Lane::Gang ? 0 : neededTokens(spec);
+    open.isUrgent = lane == Lane::Short;
+    open.openedAt = now;
+    const double work = toSeconds(state->cost.prefill(open.uncached, open.context));
+    open.wasAlone = backlog(*state, false, now) < work / 4;
+    state->ownBacklog += work;
+    state->dispatchedSinceReport += work;
+    if (open.isUrgent) {
+        state->ownUrgentBacklog += work;
+        state->urgentSinceReport += work;
+    }
+    ++state->ownStreams;
+    ++state->streamsSinceReport;
+    state->ownHeld += open.heldTokens;
+    state->heldSinceReport += open.heldTokens;
+    if (m_options.usesPrefixCache)
+        state->cache.expect(spec.prefixBlocks);
+    m_open[attempt] = open;
+}
+
+void Router::forget(const OpenAttempt &open)
+{
+    State *state = find(open.upstream);
+    --state->ownStreams;
+    state->ownHeld -= open.heldTokens;
+    if (!open.firstTokenAt) {
+        const double work = toSeconds(state->cost.prefill(open.uncached, open.context));
+        state->ownBacklog = std::max(0.0, state->ownBacklog - work);
+        if (open.isUrgent)
+            state->ownUrgentBacklog = std::max(0.0, state->ownUrgentBacklog - work);
+    }
+    if (state->ownStreams == 0) {
+        state->ownBacklog = 0;
+        state->ownUrgentBacklog = 0;
+    }
+}
+
+void Router::onFirstToken(AttemptId attempt, TimePoint now)
+{
+    auto it = m_open.find(attempt);
+    if (it == m_open.end() || it->second.firstTokenAt)
+        return;
+    OpenAttempt &open = it->second;
+    State *state = find(open.upstream);
+    const double work = toSeconds(state->cost.prefill(open.uncached, open.context));
+    state->ownBacklog = std::max(0.0, state->ownBacklog - work);
+    if (open.isUrgent)
+        state->ownUrgentBacklog = std::max(0.0, state->ownUrgentBacklog - work);
+    if (open.wasAlone)
+        state->cost.learnPrefill(open.uncached, open.context, now - open.openedAt);
+    open.firstTokenAt = now;
+}
+
+void Router::onDone(AttemptId attempt, std::uint64_t tokens, std::uint64_t cachedTokens,
+                    TimePoint now)
+{
+    auto it = m_open.find(attempt);
+    if (it == m_open.end())
+        return;
+    const OpenAttempt open = it->second;
+    State *state = find(open.upstream);
+    state->failures = 0;
+    state->cache.learn(open.believedCached, cachedTokens);
+    if (open.firstTokenAt && tokens > 1)
+        state->cost.learnDecode(tokens - 1, now - *open.firstTokenAt);
+    forget(open);
+    m_open.erase(it);
+}
+
+void Router::onEnded(AttemptId attempt)
+{
+    auto it = m_open.find(attempt);
+    if (it == m_open.end())
+        return;
+    forget(it->second);
+    m_open.erase(it);
+}
+
+void Router::onFailure(UpstreamId upstream, TimePoint now)
+{
+    State *state = find(upstream);
+    if (!state || ++state->failures < kFailuresToEject)
+        return;
+    const auto &group = m_byTarget.find(state->info.target)->second;
+    const auto ejected = std::count_if(group.begin(), group.end(), [&](std::size_t i) {
+        return now < m_states[i].ejectedUntil || m_states[i].isDead;
+    });
+    const double allowed = std::floor(static_cast<double>(group.size()) * m_options.maxEjectedPart);
+    if (static_cast<double>(ejected) >= allowed)
+        return;
+    const int doublings = std::min(state->failures - kFailuresToEject, kMaxEjectionDoublings);
+    state->ejectedUntil = now + m_options.ejection * (1 << doublings);
+}
+
+void Router::onReport(const LoadReport &report, TimePoint now)
+{
+    State *state = find(report.upstream);
+    if (!state)
+        return;
+    const bool isNewLife = state->incarnation != report.incarnation;
+    if (isNewLife) {
+        // The first report ever is of an upstream that was running; later ones are restarts.
+        if (state->incarnation.isValid() || state->isDead)
+            state->startedAt = now;
+        state->incarnation = report.incarnation;
+        state->isLeaving = false;
+        state->cache.clear();
+        state->failures = 0;
+        state->ejectedUntil = {};
+    }
+    state->isDead = false;
+    state->isLeaving = state->isLeaving || report.isLeaving;
+    const TimePoint at = now - report.age;
+    if (state->hasReport && !isNewLife && at < state->reportedAt)
+        return;
+    state->hasReport = true;
+    state->reportedAt = at;
+    state->reportedQueued = report.queuedTokens;
+    state->reportedUrgent = report.urgentTokens;
+    state->reportedRunning = report.running;
+    state->reportedFree = report.freeTokens;
+    state->dispatchedSinceReport = 0;
+    state->urgentSinceReport = 0;
+    state->streamsSinceReport = 0;
+    state->heldSinceReport = 0;
+    for (const auto &[attempt, open] : m_open) {
+        if (open.upstream != report.upstream || open.openedAt <= at)
+            continue;
+        const double work = toSeconds(state->cost.prefill(open.uncached, open.context));
+        state->dispatchedSinceReport += work;
+        if (open.isUrgent)
+            state->urgentSinceReport += work;
+        ++state->streamsSinceReport;
+        state->heldSinceReport += open.heldTokens;
+    }
+}
+
+void Router::onDead(UpstreamId upstream, TimePoint)
+{
+    State *state = find(upstream);
+    if (!state)
+        return;
+    state->isDead = true;
+    state->hasReport = false;
+    state->cache.clear();
+}
+
+void Router::onCacheEvents(const CacheEvents &events)
+{
+    if (State *state = find(events.upstream))
+        state->cache.apply(events.sequence, events.added, events.removed);
+}
+
+void Router::markLeaving(UpstreamId upstream)
+{
+    if (State *state = find(upstream))
+        state->isLeaving = true;
+}
+
+bool Router::isLeaving(UpstreamId upstream) const
+{
+    const State *state = find(upstream);
+    return state && state->isLeaving;
+}
+
+bool Router::isUsable(UpstreamId upstream, TimePoint now) const
+{
+    const State *state = find(upstream);
+    return state && isUsable(*state, now);
+}
+
+Incarnation Router::incarnation(UpstreamId upstream) const
+{
+    const State *state = find(upstream);
+    return state ? state->incarnation : Incarnation{};
+}
+
+std::size_t Router::inFlight(UpstreamId upstream) const
+{
+    const State *state = find(upstream);
+    return state ? state->ownStreams : 0;
+}
+
+void Router::noteArrival(const RequestSpec &spec, Lane lane, TimePoint now)
+{
+    auto it = m_arrivals.find(spec.target);
+    if (it == m_arrivals.end())
+        it = m_arrivals.emplace(spec.target, ArrivalRate{now, 0, 0}).first;
+    ArrivalRate &rate = it->second;
+    const double elapsed = toSeconds(now - rate.at);
+    rate.at = now;
+    rate.shortWork *= std::exp(-elapsed / kShortRateWindowSeconds);
+    rate.longWork *= std::exp(-elapsed / kLongRateWindowSeconds);
+    const double work = toSeconds(typicalPrefill(spec));
+    if (isLongLane(lane))
+        rate.longWork += work / kLongRateWindowSeconds;
+    else
+        rate.shortWork += work / kShortRateWindowSeconds;
+}
+
+const Router::ArrivalRate *Router::rateFor(std::string_view target) const
+{
+    auto it = m_arrivals.find(target);
+    return it == m_arrivals.end() ? nullptr : &it->second;
+}
+
+std::vector<UpstreamId> Router::longSet(std::string_view target, TimePoint now) const
+{
+    std::vector<UpstreamId> usable;
+    auto it = m_byTarget.find(target);
+    if (it == m_byTarget.end())
+        return usable;
+    for (std::size_t i : it->second) {
+        const State &state = m_states[i];
+        if (state.info.kind == RequestKind::Prompt && isUsable(state, now))
+            usable.push_back(state.info.id);
+    }
+    const ArrivalRate *rate = rateFor(target);
+    if (!rate || usable.empty())
+        return usable;
+    const double elapsed = toSeconds(now - rate->at);
+    const auto fleet = static_cast<double>(m_fleetSize);
+    const double longNeed
+        = fleet * rate->longWork * std::exp(-elapsed / kLongRateWindowSeconds) * kLongHeadroom;
+    const double shortNeed
+        = fleet * rate->shortWork * std::exp(-elapsed / kShortRateWindowSeconds) * kShortHeadroom;
+    const auto count = static_cast<double>(usable.size());
+    const double spare = std::max(1.0, count - std::ceil(shortNeed));
+    const double size = std::clamp(std::ceil(longNeed), 1.0, spare);
+    usable.resize(static_cast<std::size_t>(size));
+    return usable;
+}
+
+} // namespace arbutuspier
