--- a/include/arbutuspier/command.h
+++ b/include/arbutuspier/command.h
@@ -131,9 +131,9 @@
     std::string line;
 };
 
-using Command = std::variant<OpenStream, Reserve, Release, SendOrder, TableCall,
-                             SendPeer, RefuseCaller, FinishCaller, ReplayAnswer, EditAnswer,
-                             RequestEnded, ExitReady, LogRecord>;
+using Command =
+    std::variant<OpenStream, Reserve, Release, SendOrder, TableCall, SendPeer, RefuseCaller,
+                 FinishCaller, ReplayAnswer, EditAnswer, RequestEnded, ExitReady, LogRecord>;
 
 using Commands = std::vector<Command>;
 
--- a/include/arbutuspier/entrynode.h
+++ b/include/arbutuspier/entrynode.h
@@ -111,6 +111,8 @@
 
     NodeStatus status(TimePoint now) const;
     const LimitsSnapshot &limits() const;
+    /// The latest edits of the limits table, oldest first, as far as the platform keeps them.
+    std::vector<LimitsDelta> limitsHistory() const;
 
 private:
     struct Impl;
--- a/include/arbutuspier/event.h
+++ b/include/arbutuspier/event.h
@@ -177,11 +177,10 @@
 {
 };
 
-using Event
-    = std::variant<CallerRequest, CallerGone, StreamOpened, StreamFirstToken, StreamDone,
-                   StreamFailed, LoadReport, LoadReportMissing, CacheEvents,
-                   ReserveReply, ReleaseReply, ExpiredHoldings, OrderReply, TableReply, VmListRead,
-                   PeerReceived, LimitsEdit, DesiredStateEdit, DrainRequest, UpstreamDrainRequest,
-                   QuarantineClear, Tick>;
+using Event = std::variant<CallerRequest, CallerGone, StreamOpened, StreamFirstToken, StreamDone,
+                           StreamFailed, LoadReport, LoadReportMissing, CacheEvents, ReserveReply,
+                           ReleaseReply, ExpiredHoldings, OrderReply, TableReply, VmListRead,
+                           PeerReceived, LimitsEdit, DesiredStateEdit, DrainRequest,
+                           UpstreamDrainRequest, QuarantineClear, Tick>;
 
 } // namespace arbutuspier
--- a/include/arbutuspier/fairqueue.h
+++ b/include/arbutuspier/fairqueue.h
@@ -91,6 +91,8 @@
         double tag = 0;
         double virtualTime = 0;
         std::uint32_t weight = 1;
+        /// Requests queued, of paused teams too.
+        std::size_t queued = 0;
         std::map<std::string, Team, std::less<>> teams;
         /// Invariant: holds the unpaused teams with work in the lane, under their present tag.
         std::array<TeamOrder, kLaneCount> order;
--- a/include/arbutuspier/limitgate.h
+++ b/include/arbutuspier/limitgate.h
@@ -16,7 +16,10 @@
 class LimitGate
 {
 public:
-    explicit LimitGate(ShareAllocator &shares) : m_shares(shares) { }
+    explicit LimitGate(ShareAllocator &shares)
+        : m_shares(shares)
+    {
+    }
 
     /// Sets a row's limits; a request of a team without a row of its own brings the default row.
     void setRow(const LimitRow &row);
--- a/include/arbutuspier/limitstable.h
+++ b/include/arbutuspier/limitstable.h
@@ -86,6 +86,8 @@
     void edit(LimitsSnapshot edit, TimePoint now);
     bool onTableReply(TableOpId op, const TableOutcome &outcome, TimePoint now, Random &random);
     void tick(TimePoint now, Random &random);
+    /// The latest edits, oldest first, as of the last read of the head row.
+    std::vector<LimitsDelta> history() const;
     /// True if the platform could not be read lately.
     bool isCutOff() const { return m_failures > 0; }
 
--- a/include/arbutuspier/orders.h
+++ b/include/arbutuspier/orders.h
@@ -1,4 +1,5 @@
-// Brings upstreams to the state operators want (model, adapter, role) by fenced, declarative orders.
+// Brings upstreams to the state operators want (model, adapter, role) by fenced, declarative
+// orders.
 //
 // The wanted state is a row in the table service. One VM at a time, by lease, sends the order; the
 // lease's fence goes with it. Upstreams that do not check fences get their first order under a new
--- a/include/arbutuspier/peer.h
+++ b/include/arbutuspier/peer.h
@@ -128,10 +128,9 @@
     std::vector<ServiceDebit> debits;
 };
 
-using PeerBody
-    = std::variant<Ping, PingAck, PingRequest, LimitsPush, LimitsPull, HoldingNotices,
-                   SuspectNotice, ShareTransfer, ShareTransferAck, ShareRequest, LeavingNotice,
-                   ServiceDebits>;
+using PeerBody =
+    std::variant<Ping, PingAck, PingRequest, LimitsPush, LimitsPull, HoldingNotices, SuspectNotice,
+                 ShareTransfer, ShareTransferAck, ShareRequest, LeavingNotice, ServiceDebits>;
 
 /// A message and what every message carries along.
 struct PeerMessage
--- a/include/arbutuspier/prefixindex.h
+++ b/include/arbutuspier/prefixindex.h
@@ -13,7 +13,10 @@
 class PrefixIndex
 {
 public:
-    explicit PrefixIndex(std::size_t maxBlocks) : m_maxBlocks(maxBlocks) { }
+    explicit PrefixIndex(std::size_t maxBlocks)
+        : m_maxBlocks(maxBlocks)
+    {
+    }
 
     /// Applies cache events. After a gap in `sequence` the belief stays but counts for less.
     void apply(std::uint64_t sequence, std::span<const std::uint64_t> added,
--- a/include/arbutuspier/quarantine.h
+++ b/include/arbutuspier/quarantine.h
@@ -34,7 +34,10 @@
 public:
     enum class Standing { Clean, Suspect, Quarantined };
 
-    explicit Quarantine(QuarantineOptions options) : m_options(options) { }
+    explicit Quarantine(QuarantineOptions options)
+        : m_options(options)
+    {
+    }
 
     Standing standing(Fingerprint fingerprint) const;
     /// An upstream's life ended with these bodies in flight. The notices go to every peer.
--- a/include/arbutuspier/result.h
+++ b/include/arbutuspier/result.h
@@ -11,7 +11,10 @@
 /// An error with a sentence for the person who reads it.
 struct Error
 {
-    explicit Error(std::string text) : message(std::move(text)) { }
+    explicit Error(std::string text = {})
+        : message(std::move(text))
+    {
+    }
     std::string message;
 };
 
--- a/include/arbutuspier/retrybudget.h
+++ b/include/arbutuspier/retrybudget.h
@@ -10,7 +10,9 @@
 {
 public:
     RetryBudget(double earnedPerRequest, double maximum)
-        : m_earned(earnedPerRequest), m_maximum(maximum), m_balance(maximum)
+        : m_earned(earnedPerRequest)
+        , m_maximum(maximum)
+        , m_balance(maximum)
     {
     }
 
--- a/include/arbutuspier/router.h
+++ b/include/arbutuspier/router.h
@@ -84,8 +84,7 @@
     void onOpened(AttemptId attempt, const Route &route, const RequestSpec &spec, Lane lane,
                   TimePoint now);
     void onFirstToken(AttemptId attempt, TimePoint now);
-    void onDone(AttemptId attempt, std::uint64_t tokens, std::uint64_t cachedTokens,
-                TimePoint now);
+    void onDone(AttemptId attempt, std::uint64_t tokens, std::uint64_t cachedTokens, TimePoint now);
     /// The attempt ended without an answer; says nothing of the upstream.
     void onEnded(AttemptId attempt);
     /// The upstream misbehaved: it is left out for a while if enough others remain.
@@ -171,9 +170,8 @@
     Duration predictOn(const State &state, const RequestSpec &spec, Lane lane, TimePoint now,
                        std::uint64_t *cachedOut) const;
     bool hasRoom(const State &state, const RequestSpec &spec, Lane lane, TimePoint now) const;
-    std::optional<Route> chooseBaseline(const RequestSpec &spec,
-                                        std::span<const UpstreamId> avoid, TimePoint now,
-                                        Random &random);
+    std::optional<Route> chooseBaseline(const RequestSpec &spec, std::span<const UpstreamId> avoid,
+                                        TimePoint now, Random &random);
     void forget(const OpenAttempt &attempt);
     const ArrivalRate *rateFor(std::string_view target) const;
 
--- a/include/arbutuspier/table.h
+++ b/include/arbutuspier/table.h
@@ -68,7 +68,7 @@
 {
 };
 
-using TableOutcome
-    = std::variant<TableCommitted, TableConflict, TableRows, TableUnavailable, TableUnknown>;
+using TableOutcome =
+    std::variant<TableCommitted, TableConflict, TableRows, TableUnavailable, TableUnknown>;
 
 } // namespace arbutuspier
--- a/src/coordination/holdings.cpp
+++ b/src/coordination/holdings.cpp
@@ -8,7 +8,9 @@
 namespace arbutuspier {
 
 Holdings::Holdings(VmId self, Incarnation incarnation, HoldingsOptions options)
-    : m_self(self), m_incarnation(incarnation), m_options(options)
+    : m_self(self)
+    , m_incarnation(incarnation)
+    , m_options(options)
 {
 }
 
@@ -88,8 +90,7 @@
 void Holdings::onOwnerGone(VmId owner, Incarnation incarnation, TimePoint now)
 {
     for (auto it = m_peers.begin(); it != m_peers.end();) {
-        const bool isOrphan
-            = it->second.owner == owner && it->second.incarnation == incarnation;
+        const bool isOrphan = it->second.owner == owner && it->second.incarnation == incarnation;
         if (!isOrphan) {
             ++it;
             continue;
--- a/src/coordination/lease.cpp
+++ b/src/coordination/lease.cpp
@@ -43,8 +43,10 @@
 }
 
 Lease::Lease(std::string rowKey, VmId holder, Incarnation incarnation, LeaseOptions options)
-    : m_rowKey(std::move(rowKey)), m_holder(holder), m_incarnation(incarnation),
-      m_options(options)
+    : m_rowKey(std::move(rowKey))
+    , m_holder(holder)
+    , m_incarnation(incarnation)
+    , m_options(options)
 {
 }
 
@@ -64,9 +66,8 @@
     m_op = op;
     if (m_isOurs && m_seen) {
         const bool isGivingBack = !m_isWanted;
-        const bool isRenewalDue
-            = now + m_options.duration * (kRenewalsPerLease - 1) / kRenewalsPerLease
-            >= m_expiresAt;
+        const bool isRenewalDue =
+            now + m_options.duration * (kRenewalsPerLease - 1) / kRenewalsPerLease >= m_expiresAt;
         if (!isGivingBack && !isRenewalDue) {
             m_op.reset();
             return std::nullopt;
--- a/src/coordination/limits.cpp
+++ b/src/coordination/limits.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 6> kColumns
-    = {"team", "class", "weight", "token_rate", "concurrency", "deadline_ms"};
+constexpr std::array<std::string_view, 6> kColumns = {"team",       "class",       "weight",
+                                                      "token_rate", "concurrency", "deadline_ms"};
 
 using RowKey = std::pair<std::string_view, std::string_view>;
 
@@ -84,7 +84,8 @@
     constexpr std::size_t kMaxNameBytes = 128;
     const auto isPlain = [](char c) {
         const bool isLetter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
-        return isLetter || (c >= '0' && c <= '9') || std::string_view("._-*").find(c) != std::string_view::npos;
+        return isLetter || (c >= '0' && c <= '9')
+            || std::string_view("._-*").find(c) != std::string_view::npos;
     };
     return !text.empty() && text.size() <= kMaxNameBytes
         && std::all_of(text.begin(), text.end(), isPlain);
@@ -158,8 +159,7 @@
         if (!hasHeader) {
             hasHeader = true;
             if (!std::equal(fields.begin(), fields.end(), kColumns.begin()))
-                errors.add(line,
-                           "expected team,class,weight,token_rate,concurrency,deadline_ms");
+                errors.add(line, "expected team,class,weight,token_rate,concurrency,deadline_ms");
             continue;
         }
         LimitRow row = parseRow(fields, line, errors);
--- a/src/coordination/limitstable.cpp
+++ b/src/coordination/limitstable.cpp
@@ -25,8 +25,8 @@
 
 Json rowToJson(const LimitRow &row)
 {
-    return Json::array({row.team, row.className, row.weight, row.tokenRate, row.concurrency,
-                        row.deadlineMs});
+    return Json::array(
+        {row.team, row.className, row.weight, row.tokenRate, row.concurrency, row.deadlineMs});
 }
 
 bool rowFromJson(const Json &json, LimitRow &row)
@@ -153,7 +153,8 @@
 }
 
 LimitsTable::LimitsTable(LimitsOptions options, TableOpId firstOp)
-    : m_options(options), m_nextOp(firstOp)
+    : m_options(options)
+    , m_nextOp(firstOp)
 {
 }
 
@@ -241,8 +242,8 @@
     const auto *rows = std::get_if<TableRows>(&outcome);
     if (!rows || rows->rows.empty()) {
         ++m_failures;
-        const Duration wait
-            = std::min(m_options.pollInterval * m_failures, m_options.maxPollInterval);
+        const Duration wait =
+            std::min(m_options.pollInterval * m_failures, m_options.maxPollInterval);
         m_nextPoll = now + jittered(random, wait);
         return;
     }
@@ -259,11 +260,15 @@
     if (row.version == 0)
         return;
     auto head = LimitsHead::decode(row.value);
-    if (!head || head->version <= m_snapshot.version)
+    if (!head)
         return;
-    m_head = std::move(head);
-    const std::uint64_t firstDelta
-        = m_head->deltas.empty() ? m_head->version + 1 : m_head->deltas.front().version;
+    const bool isNewer = head->version > m_snapshot.version;
+    if (isNewer || !m_head || head->version >= m_head->version)
+        m_head = std::move(head);
+    if (!isNewer)
+        return;
+    const std::uint64_t firstDelta =
+        m_head->deltas.empty() ? m_head->version + 1 : m_head->deltas.front().version;
     if (m_snapshot.version + 1 >= firstDelta) {
         LimitsSnapshot next = m_snapshot;
         applyDeltas(next);
@@ -344,16 +349,16 @@
 
 void LimitsTable::onEditHead(PendingEdit &pending, const TableRow &row, TimePoint now)
 {
-    const auto head = row.version == 0 ? std::optional<LimitsHead>(LimitsHead{})
-                                       : LimitsHead::decode(row.value);
+    const auto head =
+        row.version == 0 ? std::optional<LimitsHead>(LimitsHead{}) : LimitsHead::decode(row.value);
     const std::string editId = pending.edit.editId;
     if (!head) {
         answer(editId, EditOutcome::Unavailable);
         return;
     }
-    const bool isWritten
-        = std::any_of(head->deltas.begin(), head->deltas.end(),
-                      [&](const LimitsDelta &delta) { return delta.editId == editId; });
+    const bool isWritten =
+        std::any_of(head->deltas.begin(), head->deltas.end(),
+                    [&](const LimitsDelta &delta) { return delta.editId == editId; });
     if (row.version != 0)
         onHead(row);
     if (isWritten) {
@@ -423,6 +428,13 @@
     }
 }
 
+std::vector<LimitsDelta> LimitsTable::history() const
+{
+    if (!m_head)
+        return {};
+    return {m_head->deltas.begin(), m_head->deltas.end()};
+}
+
 std::vector<LimitsTable::Action> LimitsTable::takeActions()
 {
     return std::exchange(m_actions, {});
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -30,7 +30,9 @@
 
 Membership::Membership(VmInfo self, Incarnation incarnation, std::span<const VmInfo> peers,
                        MembershipOptions options)
-    : m_self(std::move(self)), m_incarnation(incarnation), m_options(options)
+    : m_self(std::move(self))
+    , m_incarnation(incarnation)
+    , m_options(options)
 {
     for (const VmInfo &peer : peers) {
         Member member;
@@ -58,8 +60,8 @@
     MemberState state = member.state;
     if (member.isLeaving && severity(state) == 0)
         state = MemberState::Leaving;
-    m_spread[member.info.id]
-        = {{member.info.id, member.incarnation, member.counter, state}, sendsPerUpdate()};
+    m_spread[member.info.id] = {{member.info.id, member.incarnation, member.counter, state},
+                                sendsPerUpdate()};
 }
 
 void Membership::spreadSelf()
@@ -106,8 +108,7 @@
 void Membership::onPingAck(VmId, const PingAck &ack, TimePoint now)
 {
     if (auto relay = m_relays.find(ack.sequence); relay != m_relays.end()) {
-        m_outgoing.push_back(
-            {relay->second.origin, PingAck{relay->second.sequence, ack.subject}});
+        m_outgoing.push_back({relay->second.origin, PingAck{relay->second.sequence, ack.subject}});
         m_relays.erase(relay);
         return;
     }
@@ -156,8 +157,7 @@
         const bool isNewer = update.counter > member->counter
             || (update.counter == member->counter
                 && severity(update.state) > severity(member->state));
-        const bool isLeavingNews
-            = update.state == MemberState::Leaving && !member->isLeaving;
+        const bool isLeavingNews = update.state == MemberState::Leaving && !member->isLeaving;
         if (!isNewer && !isLeavingNews)
             return;
         member->counter = std::max(member->counter, update.counter);
@@ -195,10 +195,10 @@
     }
     // A VM that is on no list may be too new for it: only a VM that was listed before is gone.
     for (auto &[vm, member] : m_members) {
-        const bool isListed
-            = std::any_of(list.vms.begin(), list.vms.end(), [&](const ListedVm &entry) {
-                  return entry.vm == member.info.id && entry.incarnation == member.incarnation;
-              });
+        const bool isListed =
+            std::any_of(list.vms.begin(), list.vms.end(), [&](const ListedVm &entry) {
+                return entry.vm == member.info.id && entry.incarnation == member.incarnation;
+            });
         const bool isSilent = severity(member.state) >= severity(MemberState::Suspect);
         if (!isListed && isSilent && member.incarnation.isValid())
             setState(member, MemberState::Gone, now);
@@ -255,8 +255,8 @@
         it = m_probes.erase(it);
     }
     for (auto &[vm, member] : m_members) {
-        const bool isOverdue = member.state == MemberState::Suspect
-            && now >= member.suspectedAt + m_options.suspicion;
+        const bool isOverdue =
+            member.state == MemberState::Suspect && now >= member.suspectedAt + m_options.suspicion;
         if (isOverdue)
             setState(member, MemberState::Unreachable, now);
     }
--- a/src/coordination/onceledger.cpp
+++ b/src/coordination/onceledger.cpp
@@ -82,7 +82,8 @@
 }
 
 OnceLedger::OnceLedger(OnceOptions options, TableOpId firstOp)
-    : m_options(options), m_nextOp(firstOp)
+    : m_options(options)
+    , m_nextOp(firstOp)
 {
 }
 
--- a/src/coordination/orders.cpp
+++ b/src/coordination/orders.cpp
@@ -22,14 +22,26 @@
 OrderService::OrderService(VmId self, Incarnation incarnation,
                            std::span<const UpstreamInfo> upstreams, OrderOptions options,
                            TableOpId firstOp)
-    : m_self(self), m_incarnation(incarnation), m_options(options), m_nextOp(firstOp)
+    : m_self(self)
+    , m_incarnation(incarnation)
+    , m_options(options)
+    , m_nextOp(firstOp)
 {
     for (const UpstreamInfo &upstream : upstreams) {
         if (upstream.kind != RequestKind::Prompt)
             continue;
         Lease lease(rowKey(kLeasePrefix, upstream.id.value), self, incarnation, options.lease);
-        Target target{upstream, 0,  {}, {}, std::nullopt, std::nullopt, std::move(lease),
-                      std::nullopt, 0, std::nullopt, std::nullopt};
+        Target target{upstream,
+                      0,
+                      {},
+                      {},
+                      std::nullopt,
+                      std::nullopt,
+                      std::move(lease),
+                      std::nullopt,
+                      0,
+                      std::nullopt,
+                      std::nullopt};
         m_targets.emplace(upstream.id, std::move(target));
         m_contended.insert(upstream.id);
     }
@@ -98,8 +110,8 @@
         issue(*target.writeOp,
               TableTransaction{{{key, target.desiredVersion, *target.toWrite, false}}});
     }
-    const bool isTimedOut
-        = target.orderSentAt && now >= *target.orderSentAt + m_options.orderTimeout;
+    const bool isTimedOut =
+        target.orderSentAt && now >= *target.orderSentAt + m_options.orderTimeout;
     if (isTimedOut)
         target.orderSentAt.reset();
     // An order that is out keeps the lease, so that no other holder's order meets it.
@@ -130,7 +142,8 @@
 {
     if (!target.slot) {
         for (std::size_t i = 0; i < m_slots.size() && !target.slot; ++i) {
-            // Start at a place that differs between upstreams, so that they do not all queue at one.
+            // Start at a place that differs between upstreams, so that they do not all queue at
+            // one.
             const std::size_t slot = (i + target.info.id.value) % m_slots.size();
             if (m_slotUsers[slot])
                 continue;
@@ -171,8 +184,7 @@
         target.reported = reply.state;
 }
 
-bool OrderService::onTableReply(TableOpId op, const TableOutcome &outcome, TimePoint now,
-                                Random &)
+bool OrderService::onTableReply(TableOpId op, const TableOutcome &outcome, TimePoint now, Random &)
 {
     if (m_pollOp && *m_pollOp == op) {
         m_pollOp.reset();
--- a/src/coordination/quarantine.cpp
+++ b/src/coordination/quarantine.cpp
@@ -36,10 +36,10 @@
 {
     const bool isFull = m_records.size() >= m_options.maxRecords;
     if (isFull && !m_records.contains(fingerprint)) {
-        auto oldest = std::min_element(m_records.begin(), m_records.end(),
-                                       [](const auto &a, const auto &b) {
-                                           return a.second.touchedAt < b.second.touchedAt;
-                                       });
+        auto oldest =
+            std::min_element(m_records.begin(), m_records.end(), [](const auto &a, const auto &b) {
+                return a.second.touchedAt < b.second.touchedAt;
+            });
         m_records.erase(oldest);
     }
     Record &record = m_records[fingerprint];
@@ -47,8 +47,7 @@
     return record;
 }
 
-std::vector<SuspectNotice> Quarantine::onUpstreamDeath(UpstreamId upstream,
-                                                       Incarnation incarnation,
+std::vector<SuspectNotice> Quarantine::onUpstreamDeath(UpstreamId upstream, Incarnation incarnation,
                                                        std::span<const Fingerprint> inFlight,
                                                        TimePoint now)
 {
@@ -134,8 +133,8 @@
     for (UpstreamId upstream : usable) {
         if (it != m_records.end() && it->second.upstreams.contains(upstream))
             continue;
-        const bool isBetter = !best.isValid()
-            || trialOrder(fingerprint, upstream) < trialOrder(fingerprint, best);
+        const bool isBetter =
+            !best.isValid() || trialOrder(fingerprint, upstream) < trialOrder(fingerprint, best);
         if (isBetter)
             best = upstream;
     }
--- /dev/null
+++ b/src/daemon/adminserver.h
@@ -0,0 +1,48 @@
+// The door for operators, on the control thread: status, limits, drains, orders, quarantine.
+#pragma once
+
+#include "daemon/controlloop.h"
+#include "net/asiotypes.h"
+#include "settings/settings.h"
+
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <memory>
+#include <string>
+
+namespace arbutuspier {
+
+class AdminServer
+{
+public:
+    using Request = boost::beast::http::request<boost::beast::http::string_body>;
+
+    AdminServer(asio::io_context &context, const Settings &settings, ControlLoop &control);
+
+    Result<bool> listen();
+    Task<void> accept();
+    /// Called when an operator asks this VM to drain.
+    std::function<void()> onDrain;
+
+private:
+    struct Answer
+    {
+        int status = 200;
+        std::string body;
+    };
+
+    Task<void> serveConnection(Tcp::socket socket);
+    Task<Answer> handle(const Request &request);
+    Task<Answer> acceptEdit(const Request &request);
+    Answer upstreamAction(const std::string &path, const Request &request);
+    bool isAuthorized(const Request &request) const;
+
+    asio::io_context &m_context;
+    const Settings &m_settings;
+    ControlLoop &m_control;
+    std::unique_ptr<Tcp::acceptor> m_acceptor;
+};
+
+} // namespace arbutuspier
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -44,7 +44,8 @@
     struct Holder final : Base
     {
         template <class... Args>
-        explicit Holder(Args &&...args) : value(std::forward<Args>(args)...)
+        explicit Holder(Args &&...args)
+            : value(std::forward<Args>(args)...)
         {
         }
         T value;
--- a/src/kernel/logline.cpp
+++ b/src/kernel/logline.cpp
@@ -15,9 +15,10 @@
 bool needsQuotes(std::string_view value)
 {
     return value.empty() || std::any_of(value.begin(), value.end(), [](char c) {
-        const auto byte = static_cast<unsigned char>(c);
-        return byte <= kFirstPrintable || byte == kDelete || c == '"' || c == '=' || c == '\\';
-    });
+               const auto byte = static_cast<unsigned char>(c);
+               return byte <= kFirstPrintable || byte == kDelete || c == '"' || c == '='
+                   || c == '\\';
+           });
 }
 
 void appendEscaped(std::string &out, char c)
--- /dev/null
+++ b/src/metrics/requestmetrics.h
@@ -0,0 +1,100 @@
+// Figures of requests by class, team and prompt length, in bounded memory.
+#pragma once
+
+#include "arbutuspier/command.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace arbutuspier {
+
+/// One measured quantity: quantiles by accumulators and counts in fixed buckets.
+class Histogram
+{
+public:
+    static constexpr std::array<double, 12> kBounds = {0.01, 0.027, 0.05, 0.1, 0.25, 0.5,
+                                                       0.94, 2,     5,    15,  60,   300};
+
+    Histogram();
+    void add(double seconds);
+
+    std::uint64_t count() const;
+    double sum() const;
+    double max() const;
+    /// An estimate of the quantile; `which` is 0 for p50, 1 for p95, 2 for p99.
+    double quantile(std::size_t which) const;
+    const std::array<std::uint64_t, kBounds.size() + 1> &buckets() const { return m_buckets; }
+
+private:
+    using Accumulator = boost::accumulators::accumulator_set<
+        double,
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+                                   boost::accumulators::tag::max,
+                                   boost::accumulators::tag::extended_p_square_quantile>>;
+
+    Accumulator m_accumulator;
+    /// Invariant: the sum of the buckets is the count.
+    std::array<std::uint64_t, kBounds.size() + 1> m_buckets{};
+};
+
+/// Bucket of a prompt's length, as a label.
+std::string_view lengthBucket(std::uint64_t promptTokens);
+
+class RequestMetrics
+{
+public:
+    /// Teams beyond `maxSeries` (class, team, length) combinations are counted as team "other".
+    explicit RequestMetrics(std::size_t maxSeries)
+        : m_maxSeries(maxSeries)
+    {
+    }
+
+    void record(const RequestEnded &ended);
+    /// Prometheus text of all figures.
+    std::string prometheus() const;
+    std::size_t seriesCount() const { return m_series.size(); }
+
+private:
+    struct Key
+    {
+        std::string className;
+        std::string team;
+        std::string_view length;
+        friend auto operator<=>(const Key &, const Key &) = default;
+    };
+    struct Series
+    {
+        Histogram firstToken;
+        Histogram queued;
+        Histogram betweenTokens;
+        /// Time to first token as a multiple of what it was without queueing.
+        Histogram slowdown;
+        std::uint64_t tokens = 0;
+    };
+    struct Outcome
+    {
+        std::string className;
+        std::string_view verdict;
+        std::string_view reason;
+        friend auto operator<=>(const Outcome &, const Outcome &) = default;
+    };
+
+    Series &series(const RequestEnded &ended);
+
+    std::size_t m_maxSeries;
+    std::map<Key, Series> m_series;
+    std::map<Outcome, std::uint64_t> m_outcomes;
+};
+
+} // namespace arbutuspier
--- a/src/model/enginemodel.cpp
+++ b/src/model/enginemodel.cpp
@@ -9,7 +9,8 @@
 namespace arbutuspier::model {
 
 EngineModel::EngineModel(EngineOptions options, Incarnation incarnation)
-    : m_options(options), m_incarnation(incarnation)
+    : m_options(options)
+    , m_incarnation(incarnation)
 {
 }
 
@@ -18,16 +19,14 @@
 {
     const auto n = static_cast<double>(tokens);
     const auto c = static_cast<double>(context);
-    const double whole
-        = n * m_options.perToken + n * (c + n / 2) * m_options.perTokenPair;
+    const double whole = n * m_options.perToken + n * (c + n / 2) * m_options.perTokenPair;
     return whole / static_cast<double>(gang);
 }
 
 std::uint64_t EngineModel::tokensWithin(double seconds, std::uint64_t context,
                                         std::uint64_t gang) const
 {
-    const double each = (m_options.perToken
-                         + static_cast<double>(context) * m_options.perTokenPair)
+    const double each = (m_options.perToken + static_cast<double>(context) * m_options.perTokenPair)
         / static_cast<double>(gang);
     return std::max<std::uint64_t>(1, static_cast<std::uint64_t>(seconds / each));
 }
@@ -35,14 +34,13 @@
 bool EngineModel::open(EngineRequest request, TimePoint now)
 {
     const AttemptId attempt = request.attempt;
-    const bool isKnown
-        = m_streams.contains(attempt) || m_released.contains(HoldingId{attempt.value});
+    const bool isKnown =
+        m_streams.contains(attempt) || m_released.contains(HoldingId{attempt.value});
     if (isKnown)
         return false;
     const std::uint64_t need = request.promptTokens + request.maxTokens;
     const bool isReserved = request.reservation.isValid();
-    if (isReserved ? !m_reservations.contains(request.reservation)
-                   : need > m_options.memoryTokens)
+    if (isReserved ? !m_reservations.contains(request.reservation) : need > m_options.memoryTokens)
         return false;
     if (!m_isStepping)
         m_now = std::max(m_now, now);
@@ -80,8 +78,7 @@
     admitWaiting();
     m_stepPrefill.clear();
     m_stepDecode = m_decoding;
-    double budget
-        = m_decoding.empty() ? m_options.prefillBudgetAlone : m_options.prefillBudget;
+    double budget = m_decoding.empty() ? m_options.prefillBudgetAlone : m_options.prefillBudget;
     double prefillSeconds = 0;
     for (const auto &[key, attempt] : m_prefilling) {
         const Stream &stream = m_streams.at(attempt);
--- a/src/model/tablemodel.h
+++ b/src/model/tablemodel.h
@@ -19,7 +19,10 @@
 class TableModel
 {
 public:
-    explicit TableModel(TableModelOptions options) : m_options(options) { }
+    explicit TableModel(TableModelOptions options)
+        : m_options(options)
+    {
+    }
 
     /// Carries a request out and returns its true outcome.
     TableOutcome apply(const TableRequest &request, TimePoint now);
--- /dev/null
+++ b/src/net/httpchannel.cpp
@@ -0,0 +1,104 @@
+// Beast does the parsing; this adds time limits and says how far a failed call got.
+#include "net/httpchannel.h"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace arbutuspier {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr int kHttp11 = 11;
+constexpr std::uint64_t kMaxReplyBytes = 64ULL * 1024 * 1024;
+
+/// A kept connection that the other side has closed, or sent unasked bytes on, is of no use.
+bool isStale(beast::tcp_stream &stream)
+{
+    ErrorCode error;
+    char byte = 0;
+    auto &socket = stream.socket();
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+    return error != asio::error::would_block;
+}
+
+} // namespace
+
+Tcp::endpoint endpointOf(const Address &address)
+{
+    ErrorCode error;
+    return {asio::ip::make_address(address.host, error), address.port};
+}
+
+HttpChannel::HttpChannel(asio::any_io_executor executor, Address address)
+    : m_executor(std::move(executor))
+    , m_address(std::move(address))
+{
+}
+
+Task<HttpReply::Outcome> HttpChannel::connect(Duration timeout)
+{
+    m_buffer.clear();
+    m_stream = std::make_unique<beast::tcp_stream>(m_executor);
+    m_stream->expires_after(timeout);
+    const auto [error] = co_await m_stream->async_connect(endpointOf(m_address), kAwait);
+    if (!error) {
+        ErrorCode ignored;
+        m_stream->socket().set_option(Tcp::no_delay(true), ignored);
+        co_return HttpReply::Outcome::Answered;
+    }
+    m_stream.reset();
+    co_return error == asio::error::connection_refused ? HttpReply::Outcome::ConnectionRefused
+                                                       : HttpReply::Outcome::NotConnected;
+}
+
+Task<HttpReply> HttpChannel::call(HttpRequest request)
+{
+    HttpReply reply;
+    if (m_stream && isStale(*m_stream))
+        m_stream.reset();
+    if (!m_stream) {
+        reply.outcome = co_await connect(request.timeout);
+        if (!m_stream)
+            co_return reply;
+    }
+    http::request<http::string_body> message(request.method, request.target, kHttp11);
+    message.set(http::field::host, m_address.text());
+    for (const auto &[name, value] : request.headers)
+        message.set(name, value);
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    m_stream->expires_after(request.timeout);
+    const auto [writeError, written] = co_await http::async_write(*m_stream, message, kAwait);
+    reply.outcome = HttpReply::Outcome::Lost;
+    if (writeError) {
+        m_stream.reset();
+        co_return reply;
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(kMaxReplyBytes);
+    const auto [readError, got] = co_await http::async_read(*m_stream, m_buffer, parser, kAwait);
+    if (readError) {
+        m_stream.reset();
+        co_return reply;
+    }
+    reply.outcome = HttpReply::Outcome::Answered;
+    reply.status = parser.get().result_int();
+    reply.body = std::move(parser.get().body());
+    if (!parser.get().keep_alive())
+        m_stream.reset();
+    co_return reply;
+}
+
+Task<HttpReply> callOnce(Address address, HttpRequest request)
+{
+    HttpChannel channel(co_await asio::this_coro::executor, std::move(address));
+    co_return co_await channel.call(std::move(request));
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/net/httpfront.cpp
@@ -0,0 +1,350 @@
+// Checks a request as far as can be done without the core; a bad one touches no upstream.
+#include "net/httpfront.h"
+
+#include "net/httpchannel.h"
+#include "net/promptreader.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace arbutuspier {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::string_view kServicesPrefix = "/services/";
+constexpr std::string_view kTimeLimitHeader = "X-Time-Limit-Ms";
+constexpr std::string_view kKeyHeader = "Idempotency-Key";
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::size_t kMaxKeyBytes = 200;
+constexpr std::uint64_t kMaxTimeLimitMs = 86'400'000;
+
+std::string_view view(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+template <class T>
+bool parseNumber(std::string_view text, T &out)
+{
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
+    return error == std::errc{} && end == text.data() + text.size();
+}
+
+Problem badRequest(std::string detail)
+{
+    return {Verdict::NotRun, Reason::BadRequest, std::move(detail), {}};
+}
+
+/// Reads the time limit header. False if it is there and is no limit.
+bool readTimeLimit(const HttpFront::Request &request, Duration &limit)
+{
+    auto it = request.find(kTimeLimitHeader);
+    if (it == request.end())
+        return true;
+    std::uint64_t milliseconds = 0;
+    const bool isGood = parseNumber(view(it->value()), milliseconds) && milliseconds > 0
+        && milliseconds <= kMaxTimeLimitMs;
+    limit = std::chrono::milliseconds{milliseconds};
+    return isGood;
+}
+
+} // namespace
+
+bool parseKeyTime(std::string_view key, WallTime &issuedAt)
+{
+    const auto dash = key.find('-');
+    std::int64_t seconds = 0;
+    const bool isGood = dash != std::string_view::npos && dash > 0 && dash + 1 < key.size()
+        && key.size() <= kMaxKeyBytes && parseNumber(key.substr(0, dash), seconds) && seconds >= 0;
+    if (isGood)
+        issuedAt = WallTime{std::chrono::seconds{seconds}};
+    return isGood;
+}
+
+HttpFront::HttpFront(const Settings &settings, EventSink &events, SessionHub &hub,
+                     const MetricsBoard &metrics, std::uint64_t firstRequest)
+    : m_settings(settings)
+    , m_events(events)
+    , m_hub(hub)
+    , m_metrics(metrics)
+    , m_nextRequest(firstRequest)
+{
+}
+
+Result<bool> HttpFront::listen(asio::io_context &context)
+{
+    const Tcp::endpoint endpoint = endpointOf(m_settings.listen);
+    m_acceptor = std::make_unique<Tcp::acceptor>(context);
+    ErrorCode error;
+    m_acceptor->open(endpoint.protocol(), error);
+    if (!error)
+        m_acceptor->set_option(Tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_acceptor->bind(endpoint, error);
+    if (!error)
+        m_acceptor->listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return Error("vm.listen " + m_settings.listen.text() + ": " + error.message());
+    return true;
+}
+
+void HttpFront::close()
+{
+    ErrorCode ignored;
+    m_acceptor->close(ignored);
+}
+
+Task<void> HttpFront::accept(std::vector<asio::io_context *> traffic)
+{
+    std::size_t next = 0;
+    while (m_acceptor->is_open()) {
+        asio::io_context &context = *traffic[next++ % traffic.size()];
+        auto [error, socket] = co_await m_acceptor->async_accept(context, kAwait);
+        if (error)
+            continue;
+        if (m_connections >= m_settings.http.maxConnections)
+            continue;
+        ErrorCode ignored;
+        socket.set_option(Tcp::no_delay(true), ignored);
+        asio::co_spawn(context, serveConnection(std::move(socket)), asio::detached);
+    }
+}
+
+Task<void> HttpFront::serveConnection(Tcp::socket socket)
+{
+    ++m_connections;
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    bool isKept = true;
+    while (isKept) {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(m_settings.http.maxHeaderBytes);
+        parser.body_limit(m_settings.http.maxBodyBytes);
+        stream.expires_after(m_settings.http.idle);
+        // The first byte may take as long as an idle connection may; the rest may not dawdle.
+        const auto [waitError] = co_await stream.socket().async_wait(
+            Tcp::socket::wait_read, asio::as_tuple(asio::use_awaitable));
+        if (waitError)
+            break;
+        stream.expires_after(m_settings.http.slowSender);
+        const auto [error, size] = co_await http::async_read(stream, buffer, parser, kAwait);
+        stream.expires_never();
+        if (error == http::error::body_limit || error == http::error::header_limit) {
+            Request none;
+            none.version(11);
+            Problem problem{
+                Verdict::NotRun, Reason::TooLarge, "The request is larger than this VM takes.", {}};
+            none.keep_alive(false);
+            co_await answerProblem(stream, none, std::move(problem));
+            break;
+        }
+        if (error == http::error::end_of_stream)
+            break;
+        if (error
+            && error.category() == http::make_error_code(http::error::bad_method).category()) {
+            Request none;
+            none.version(11);
+            none.keep_alive(false);
+            co_await answerProblem(stream, none, badRequest("Not an HTTP request."));
+            break;
+        }
+        if (error)
+            break;
+        isKept = co_await serveRequest(stream, parser.release());
+    }
+    ErrorCode ignored;
+    stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    --m_connections;
+}
+
+Task<bool> HttpFront::serveRequest(beast::tcp_stream &stream, Request request)
+{
+    const std::string target(view(request.target()));
+    const std::string path = target.substr(0, target.find('?'));
+    const bool isGet = request.method() == http::verb::get;
+    if (path.rfind(kServicesPrefix, 0) == 0)
+        co_return co_await serveCall(stream, std::move(request));
+    if (path == "/v1/completions" || path == "/v1/chat/completions") {
+        if (request.method() == http::verb::post)
+            co_return co_await servePrompt(stream, std::move(request));
+        co_return co_await answerProblem(stream, request, badRequest("Use POST."));
+    }
+    if (isGet && path == "/healthz")
+        co_return co_await answerPlain(stream, request, 200, "text/plain", "ok\n");
+    if (isGet && path == "/readyz") {
+        const bool isReady = !m_isDraining;
+        co_return co_await answerPlain(stream, request, isReady ? 200 : 503, "text/plain",
+                                       isReady ? "ready\n" : "draining\n");
+    }
+    if (isGet && path == "/metrics")
+        co_return co_await answerPlain(stream, request, 200, "text/plain; version=0.0.4",
+                                       m_metrics.prometheus());
+    if (isGet && path == "/v1/models")
+        co_return co_await answerPlain(stream, request, 200, "application/json", modelsJson());
+    co_return co_await answerPlain(stream, request, 404, "application/problem+json",
+                                   problemJson(badRequest("There is nothing at this path.")));
+}
+
+std::string HttpFront::modelsJson() const
+{
+    nlohmann::json json;
+    json["object"] = "list";
+    json["data"] = nlohmann::json::array();
+    std::vector<std::string> seen;
+    for (const UpstreamInfo &upstream : m_settings.upstreams) {
+        const bool isNew = std::find(seen.begin(), seen.end(), upstream.target) == seen.end();
+        if (upstream.kind != RequestKind::Prompt || !isNew)
+            continue;
+        seen.push_back(upstream.target);
+        json["data"].push_back({{"id", upstream.target}, {"object", "model"}});
+    }
+    return json.dump();
+}
+
+const TeamSettings *HttpFront::teamOf(const Request &request) const
+{
+    const std::string_view value = view(request[http::field::authorization]);
+    if (value.substr(0, kBearer.size()) != kBearer)
+        return nullptr;
+    auto it = m_settings.teamsByKey.find(std::string(value.substr(kBearer.size())));
+    return it == m_settings.teamsByKey.end() ? nullptr : &it->second;
+}
+
+bool HttpFront::isNotRepeatable(const std::string &service, std::string_view method,
+                                std::string_view path) const
+{
+    auto it = m_settings.notRepeatable.find(service);
+    if (it == m_settings.notRepeatable.end())
+        return false;
+    return std::any_of(it->second.begin(), it->second.end(), [&](const CallPattern &pattern) {
+        return pattern.method == method && path.rfind(pattern.pathPrefix, 0) == 0;
+    });
+}
+
+Task<bool> HttpFront::servePrompt(beast::tcp_stream &stream, Request request)
+{
+    const TeamSettings *team = teamOf(request);
+    if (!team)
+        co_return co_await answerProblem(stream, request,
+                                         {Verdict::NotRun, Reason::UnknownTeam, {}, {}});
+    auto prompt = readPrompt(request.body());
+    if (!prompt)
+        co_return co_await answerProblem(stream, request, badRequest(prompt.error().message));
+    RequestSpec spec;
+    if (!readTimeLimit(request, spec.timeLimit))
+        co_return co_await answerProblem(stream, request,
+                                         badRequest("X-Time-Limit-Ms: expected 1 to 86400000."));
+    spec.kind = RequestKind::Prompt;
+    spec.team = team->name;
+    spec.className = team->className;
+    spec.target = prompt->model;
+    spec.promptTokens = prompt->promptTokens;
+    spec.maxTokens = prompt->maxTokens;
+    spec.prefixBlocks = std::move(prompt->prefixBlocks);
+    spec.fingerprint = fingerprintOf(request.body());
+    OutgoingRequest outgoing{"POST",
+                             std::string(view(request.target())),
+                             "application/json",
+                             std::make_shared<const std::string>(std::move(request.body())),
+                             {}};
+    const AnswerForm form = prompt->isStreaming ? AnswerForm::Events : AnswerForm::WholeCompletion;
+    auto session = std::make_shared<CallerSession>(
+        stream.get_executor(), RequestId{m_nextRequest++}, form, std::move(outgoing), m_events);
+    co_return co_await runSession(stream, std::move(session), std::move(spec),
+                                  request.keep_alive());
+}
+
+Task<bool> HttpFront::serveCall(beast::tcp_stream &stream, Request request)
+{
+    const TeamSettings *team = teamOf(request);
+    if (!team)
+        co_return co_await answerProblem(stream, request,
+                                         {Verdict::NotRun, Reason::UnknownTeam, {}, {}});
+    const std::string target(view(request.target()));
+    const std::size_t nameEnd = std::min(target.find('/', kServicesPrefix.size()), target.size());
+    const std::string service =
+        target.substr(kServicesPrefix.size(), nameEnd - kServicesPrefix.size());
+    const std::string path = nameEnd < target.size() ? target.substr(nameEnd) : "/";
+    RequestSpec spec;
+    spec.kind = RequestKind::ServiceCall;
+    spec.team = team->name;
+    spec.className = team->className;
+    spec.target = service;
+    const std::string method(view(request.method_string()));
+    if (!readTimeLimit(request, spec.timeLimit))
+        co_return co_await answerProblem(stream, request,
+                                         badRequest("X-Time-Limit-Ms: expected 1 to 86400000."));
+    spec.idempotencyKey = std::string(view(request[kKeyHeader]));
+    const bool hasKey = !spec.idempotencyKey.empty();
+    spec.repeatable = !hasKey && !isNotRepeatable(service, method, path);
+    if (!spec.repeatable && !parseKeyTime(spec.idempotencyKey, spec.keyIssuedAt))
+        co_return co_await answerProblem(
+            stream, request,
+            badRequest("This call runs at most once: send Idempotency-Key: "
+                       "<seconds since 1970>-<your own unique text>."));
+    const std::string identity = method + ' ' + path + '\n';
+    spec.fingerprint =
+        Fingerprint{fingerprintOf(identity).value ^ fingerprintOf(request.body()).value};
+    OutgoingRequest outgoing{method, path, std::string(view(request[http::field::content_type])),
+                             std::make_shared<const std::string>(std::move(request.body())),
+                             spec.idempotencyKey};
+    auto session =
+        std::make_shared<CallerSession>(stream.get_executor(), RequestId{m_nextRequest++},
+                                        AnswerForm::PlainService, std::move(outgoing), m_events);
+    co_return co_await runSession(stream, std::move(session), std::move(spec),
+                                  request.keep_alive());
+}
+
+Task<bool> HttpFront::runSession(beast::tcp_stream &stream, std::shared_ptr<CallerSession> session,
+                                 RequestSpec spec, bool isKeptAlive)
+{
+    m_hub.add(session);
+    m_events.post(CallerRequest{session->id(), std::move(spec)});
+    const bool isUsable = co_await session->serve(stream, isKeptAlive);
+    m_hub.remove(session->id());
+    co_return isUsable &&isKeptAlive;
+}
+
+Task<bool> HttpFront::answerPlain(beast::tcp_stream &stream, const Request &request, int status,
+                                  std::string_view contentType, std::string body)
+{
+    http::response<http::string_body> response(static_cast<http::status>(status),
+                                               request.version());
+    response.set(http::field::content_type,
+                 boost::beast::string_view(contentType.data(), contentType.size()));
+    response.keep_alive(request.keep_alive());
+    response.body() = std::move(body);
+    response.prepare_payload();
+    stream.expires_after(m_settings.http.slowSender);
+    const auto [error, size] = co_await http::async_write(stream, response, kAwait);
+    stream.expires_never();
+    co_return !error && request.keep_alive();
+}
+
+Task<bool> HttpFront::answerProblem(beast::tcp_stream &stream, const Request &request,
+                                    Problem problem)
+{
+    http::response<http::string_body> response(
+        static_cast<http::status>(httpStatus(problem.reason)), request.version());
+    response.set(http::field::content_type, "application/problem+json");
+    response.set(std::string(kVerdictHeader), std::string(verdictName(problem.verdict)));
+    response.keep_alive(request.keep_alive());
+    response.body() = problemJson(problem);
+    response.prepare_payload();
+    stream.expires_after(m_settings.http.slowSender);
+    const auto [error, size] = co_await http::async_write(stream, response, kAwait);
+    stream.expires_never();
+    co_return !error && request.keep_alive();
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/net/httpfront.h
@@ -0,0 +1,68 @@
+// The door for callers: OpenAI-compatible completions, plain services, health and metrics.
+#pragma once
+
+#include "metrics/metricsboard.h"
+#include "net/asiotypes.h"
+#include "net/callersession.h"
+#include "net/eventsink.h"
+#include "net/sessionhub.h"
+#include "settings/settings.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace arbutuspier {
+
+class HttpFront
+{
+public:
+    using Request = boost::beast::http::request<boost::beast::http::string_body>;
+
+    /// `firstRequest` starts the request ids; no other VM life may share them.
+    HttpFront(const Settings &settings, EventSink &events, SessionHub &hub,
+              const MetricsBoard &metrics, std::uint64_t firstRequest);
+
+    /// Opens the listening port. The error says why it can't be had.
+    Result<bool> listen(asio::io_context &context);
+    /// Accepts callers and spreads them over the traffic threads.
+    Task<void> accept(std::vector<asio::io_context *> traffic);
+    /// From now on not ready; requests still get their refusal.
+    void setDraining() { m_isDraining = true; }
+    void close();
+
+private:
+    Task<void> serveConnection(Tcp::socket socket);
+    Task<bool> serveRequest(beast::tcp_stream &stream, Request request);
+    Task<bool> servePrompt(beast::tcp_stream &stream, Request request);
+    Task<bool> serveCall(beast::tcp_stream &stream, Request request);
+    Task<bool> runSession(beast::tcp_stream &stream, std::shared_ptr<CallerSession> session,
+                          RequestSpec spec, bool isKeptAlive);
+    Task<bool> answerPlain(beast::tcp_stream &stream, const Request &request, int status,
+                           std::string_view contentType, std::string body);
+    Task<bool> answerProblem(beast::tcp_stream &stream, const Request &request, Problem problem);
+    const TeamSettings *teamOf(const Request &request) const;
+    bool isNotRepeatable(const std::string &service, std::string_view method,
+                         std::string_view path) const;
+    std::string modelsJson() const;
+
+    const Settings &m_settings;
+    EventSink &m_events;
+    SessionHub &m_hub;
+    const MetricsBoard &m_metrics;
+    std::atomic<std::uint64_t> m_nextRequest;
+    std::atomic<std::uint32_t> m_connections{0};
+    std::atomic<bool> m_isDraining{false};
+    std::unique_ptr<Tcp::acceptor> m_acceptor;
+};
+
+/// Reads a key of the form "<seconds since 1970>-<anything>". False if it has no issue time.
+bool parseKeyTime(std::string_view key, WallTime &issuedAt);
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/net/peercodec.cpp
@@ -0,0 +1,274 @@
+// One CBOR array a message: version, sender, what every message carries, kind, body.
+#include "net/peercodec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+
+namespace arbutuspier {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::uint64_t kWireVersion = 1;
+constexpr std::size_t kFields = 9;
+
+/// Thrown inside decoding only, for values of the wrong kind or range.
+struct BadMessage
+{
+};
+
+std::uint64_t number(const Json &json)
+{
+    if (!json.is_number_unsigned())
+        throw BadMessage();
+    return json.get<std::uint64_t>();
+}
+
+std::string text(const Json &json)
+{
+    if (!json.is_string())
+        throw BadMessage();
+    return json.get<std::string>();
+}
+
+bool flag(const Json &json)
+{
+    if (!json.is_boolean())
+        throw BadMessage();
+    return json.get<bool>();
+}
+
+const Json &list(const Json &json, std::size_t size)
+{
+    if (!json.is_array() || (size != 0 && json.size() != size))
+        throw BadMessage();
+    return json;
+}
+
+Json encodeRows(const std::vector<LimitRow> &rows)
+{
+    Json out = Json::array();
+    for (const LimitRow &row : rows)
+        out.push_back(
+            {row.team, row.className, row.weight, row.tokenRate, row.concurrency, row.deadlineMs});
+    return out;
+}
+
+std::vector<LimitRow> decodeRows(const Json &json)
+{
+    constexpr std::size_t kCells = 6;
+    std::vector<LimitRow> rows;
+    for (const Json &item : list(json, 0)) {
+        list(item, kCells);
+        LimitRow row;
+        row.team = text(item[0]);
+        row.className = text(item[1]);
+        row.weight = static_cast<std::uint32_t>(number(item[2]));
+        row.tokenRate = number(item[3]);
+        row.concurrency = static_cast<std::uint32_t>(number(item[4]));
+        row.deadlineMs = static_cast<std::uint32_t>(number(item[5]));
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+Json encodeEpoch(const ShareEpoch &epoch)
+{
+    return {epoch.limitsVersion, epoch.listRevision};
+}
+
+ShareEpoch decodeEpoch(const Json &json)
+{
+    list(json, 2);
+    return {number(json[0]), number(json[1])};
+}
+
+struct BodyEncoder
+{
+    Json operator()(const Ping &b) const { return {b.sequence, b.replyTo.value}; }
+    Json operator()(const PingAck &b) const { return {b.sequence, b.subject.value}; }
+    Json operator()(const PingRequest &b) const { return {b.sequence, b.target.value}; }
+    Json operator()(const LimitsPush &b) const
+    {
+        return {b.snapshot.version, b.snapshot.editId, b.snapshot.editor,
+                encodeRows(b.snapshot.rows)};
+    }
+    Json operator()(const LimitsPull &) const { return Json::array(); }
+    Json operator()(const HoldingNotices &b) const
+    {
+        Json out = Json::array();
+        for (const HoldingNotice &n : b.notices)
+            out.push_back({n.holding.value, n.upstream.value, n.owner.value,
+                           n.ownerIncarnation.value,
+                           static_cast<std::uint64_t>(n.remaining.count()), n.isReleased});
+        return out;
+    }
+    Json operator()(const SuspectNotice &b) const
+    {
+        return {b.fingerprint.value, Json(b.deaths), b.isCleared};
+    }
+    Json operator()(const ShareTransfer &b) const
+    {
+        return {b.transferId, encodeEpoch(b.epoch), b.rowKey, b.amount};
+    }
+    Json operator()(const ShareTransferAck &b) const { return Json::array({b.transferId}); }
+    Json operator()(const ShareRequest &b) const
+    {
+        return {encodeEpoch(b.epoch), b.rowKey, b.amount};
+    }
+    Json operator()(const LeavingNotice &b) const
+    {
+        return {b.upstream.value, b.incarnation.value};
+    }
+    Json operator()(const ServiceDebits &b) const
+    {
+        Json out = Json::array();
+        for (const ServiceDebit &debit : b.debits)
+            out.push_back({debit.className, debit.team, debit.tokens});
+        return out;
+    }
+};
+
+PeerBody decodeHoldings(const Json &json)
+{
+    constexpr std::size_t kNoticeFields = 6;
+    HoldingNotices notices;
+    for (const Json &item : list(json, 0)) {
+        list(item, kNoticeFields);
+        notices.notices.push_back({HoldingId{number(item[0])}, UpstreamId{number(item[1])},
+                                   VmId{number(item[2])}, Incarnation{number(item[3])},
+                                   Duration(static_cast<Duration::rep>(number(item[4]))),
+                                   flag(item[5])});
+    }
+    return notices;
+}
+
+PeerBody decodeDebits(const Json &json)
+{
+    ServiceDebits debits;
+    for (const Json &item : list(json, 0)) {
+        list(item, 3);
+        debits.debits.push_back({text(item[0]), text(item[1]), number(item[2])});
+    }
+    return debits;
+}
+
+PeerBody decodeSuspect(const Json &json)
+{
+    list(json, 3);
+    SuspectNotice notice;
+    notice.fingerprint = Fingerprint{number(json[0])};
+    for (const Json &death : list(json[1], 0))
+        notice.deaths.push_back(number(death));
+    notice.isCleared = flag(json[2]);
+    return notice;
+}
+
+PeerBody decodePush(const Json &json)
+{
+    list(json, 4);
+    return LimitsPush{{number(json[0]), text(json[1]), text(json[2]), decodeRows(json[3])}};
+}
+
+/// Kinds are numbered by their place in `PeerBody`; new ones go to its end.
+PeerBody decodeBody(std::uint64_t kind, const Json &json)
+{
+    switch (kind) {
+    case 0:
+        list(json, 2);
+        return Ping{number(json[0]), VmId{number(json[1])}};
+    case 1:
+        list(json, 2);
+        return PingAck{number(json[0]), VmId{number(json[1])}};
+    case 2:
+        list(json, 2);
+        return PingRequest{number(json[0]), VmId{number(json[1])}};
+    case 3:
+        return decodePush(json);
+    case 4:
+        return LimitsPull{};
+    case 5:
+        return decodeHoldings(json);
+    case 6:
+        return decodeSuspect(json);
+    case 7:
+        list(json, 4);
+        return ShareTransfer{number(json[0]), decodeEpoch(json[1]), text(json[2]), number(json[3])};
+    case 8:
+        list(json, 1);
+        return ShareTransferAck{number(json[0])};
+    case 9:
+        list(json, 3);
+        return ShareRequest{decodeEpoch(json[0]), text(json[1]), number(json[2])};
+    case 10:
+        list(json, 2);
+        return LeavingNotice{UpstreamId{number(json[0])}, Incarnation{number(json[1])}};
+    case 11:
+        return decodeDebits(json);
+    default:
+        throw BadMessage();
+    }
+}
+
+std::vector<MemberUpdate> decodeUpdates(const Json &json)
+{
+    std::vector<MemberUpdate> updates;
+    for (const Json &item : list(json, 0)) {
+        list(item, 4);
+        const std::uint64_t state = number(item[3]);
+        if (state > static_cast<std::uint64_t>(MemberState::Gone))
+            throw BadMessage();
+        updates.push_back({VmId{number(item[0])}, Incarnation{number(item[1])}, number(item[2]),
+                           static_cast<MemberState>(state)});
+    }
+    return updates;
+}
+
+PeerMessage decodeMessage(const Json &json)
+{
+    list(json, kFields);
+    if (number(json[0]) != kWireVersion)
+        throw BadMessage();
+    PeerMessage message;
+    message.from = VmId{number(json[1])};
+    message.incarnation = Incarnation{number(json[2])};
+    message.limitsVersion = number(json[3]);
+    message.shareEpoch = {number(json[4]), number(json[5])};
+    message.updates = decodeUpdates(json[6]);
+    message.body = decodeBody(number(json[7]), json[8]);
+    return message;
+}
+
+} // namespace
+
+std::string encodePeerMessage(const PeerMessage &message)
+{
+    Json updates = Json::array();
+    for (const MemberUpdate &update : message.updates)
+        updates.push_back({update.vm.value, update.incarnation.value, update.counter,
+                           static_cast<std::uint64_t>(update.state)});
+    const Json json = Json::array({kWireVersion, message.from.value, message.incarnation.value,
+                                   message.limitsVersion, message.shareEpoch.limitsVersion,
+                                   message.shareEpoch.listRevision, std::move(updates),
+                                   static_cast<std::uint64_t>(message.body.index()),
+                                   std::visit(BodyEncoder{}, message.body)});
+    std::string bytes;
+    Json::to_cbor(json, bytes);
+    return bytes;
+}
+
+std::optional<PeerMessage> decodePeerMessage(std::string_view bytes)
+{
+    const Json json = Json::from_cbor(bytes, true, false);
+    if (json.is_discarded())
+        return std::nullopt;
+    try {
+        return decodeMessage(json);
+    } catch (const BadMessage &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/net/peerlink.cpp
@@ -0,0 +1,234 @@
+// Asio moves the bytes; the WebSocket end turns them into messages.
+#include "net/peerlink.h"
+
+#include "kernel/logline.h"
+#include "net/httpchannel.h"
+#include "net/peercodec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+#include <glog/logging.h>
+
+#include <array>
+
+namespace arbutuspier {
+
+namespace {
+
+constexpr std::size_t kMaxWaiting = 256;
+constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr Duration kConnectTimeout = std::chrono::milliseconds{500};
+constexpr Duration kReconnectPause = std::chrono::milliseconds{500};
+
+bool isEqualInConstantTime(const std::string &a, const std::string &b)
+{
+    unsigned difference = a.size() == b.size() ? 0u : 1u;
+    for (std::size_t i = 0; i < a.size() && i < b.size(); ++i)
+        difference |= static_cast<unsigned char>(a[i]) ^ static_cast<unsigned char>(b[i]);
+    return difference == 0;
+}
+
+} // namespace
+
+/// One connection, of either side.
+class PeerLink::Link : public std::enable_shared_from_this<Link>
+{
+public:
+    Link(PeerLink &owner, Tcp::socket socket)
+        : m_owner(owner)
+        , m_socket(std::move(socket))
+    {
+    }
+
+    void startServer()
+    {
+        m_end = WsEndpoint::makeServer(callbacks());
+        asio::co_spawn(m_owner.m_context, read(), asio::detached);
+    }
+
+    Task<void> connect(Address address)
+    {
+        const auto self = shared_from_this();
+        asio::steady_timer timer(m_owner.m_context, kConnectTimeout);
+        timer.async_wait([self](ErrorCode error) {
+            if (!error && !self->m_end)
+                self->close();
+        });
+        const auto [error] = co_await m_socket.async_connect(endpointOf(address), kAwait);
+        timer.cancel();
+        if (error) {
+            close();
+            co_return;
+        }
+        ErrorCode ignored;
+        m_socket.set_option(Tcp::no_delay(true), ignored);
+        m_end = WsEndpoint::makeClient("ws://" + address.text() + "/peer", authorization(),
+                                       callbacks());
+        if (!m_end) {
+            close();
+            co_return;
+        }
+        co_await read();
+    }
+
+    void send(std::string bytes)
+    {
+        if (m_isClosed)
+            return;
+        if (m_end && m_isOpen) {
+            m_end->send(bytes);
+            return;
+        }
+        if (m_waiting.size() < kMaxWaiting)
+            m_waiting.push_back(std::move(bytes));
+    }
+
+    bool isUsable(TimePoint now) const { return !m_isClosed || now < m_closedAt + kReconnectPause; }
+
+private:
+    std::string authorization() const { return "Bearer " + m_owner.m_settings.peerKey; }
+
+    WsEndpoint::Callbacks callbacks()
+    {
+        WsEndpoint::Callbacks callbacks;
+        callbacks.write = [this](std::string_view bytes) { write(bytes); };
+        callbacks.opened = [this] {
+            m_isOpen = true;
+            for (const std::string &bytes : std::exchange(m_waiting, {}))
+                m_end->send(bytes);
+        };
+        callbacks.message = [this](std::string_view bytes) { onMessage(bytes); };
+        callbacks.closed = [this] { close(); };
+        callbacks.accept = [this](const std::string &value) {
+            const bool isGood = isEqualInConstantTime(value, authorization());
+            if (!isGood)
+                LOG(WARNING) << LogLine("peer_refused").add("why", "wrong key").text();
+            return isGood;
+        };
+        return callbacks;
+    }
+
+    void onMessage(std::string_view bytes)
+    {
+        auto message = decodePeerMessage(bytes);
+        if (!message) {
+            LOG(WARNING)
+                << LogLine("peer_message_dropped").add("bytes", std::uint64_t{bytes.size()}).text();
+            return;
+        }
+        m_owner.m_events.post(PeerReceived{std::move(*message)});
+    }
+
+    void write(std::string_view bytes)
+    {
+        m_owner.m_bytesSent += bytes.size();
+        m_out += bytes;
+        if (m_isWriting)
+            return;
+        m_isWriting = true;
+        asio::co_spawn(m_owner.m_context, flush(), asio::detached);
+    }
+
+    Task<void> flush()
+    {
+        const auto self = shared_from_this();
+        while (!m_out.empty() && !m_isClosed) {
+            const std::string bytes = std::exchange(m_out, {});
+            const auto [error, size] =
+                co_await asio::async_write(m_socket, asio::buffer(bytes), kAwait);
+            if (error)
+                close();
+        }
+        m_isWriting = false;
+    }
+
+    Task<void> read()
+    {
+        const auto self = shared_from_this();
+        std::array<char, kReadBytes> bytes;
+        while (!m_isClosed) {
+            const auto [error, size] =
+                co_await m_socket.async_read_some(asio::buffer(bytes), kAwait);
+            if (error)
+                break;
+            m_end->feed(std::string_view(bytes.data(), size));
+        }
+        close();
+    }
+
+    void close()
+    {
+        if (m_isClosed)
+            return;
+        m_isClosed = true;
+        m_isOpen = false;
+        m_closedAt = std::chrono::steady_clock::now();
+        ErrorCode ignored;
+        m_socket.close(ignored);
+    }
+
+    PeerLink &m_owner;
+    Tcp::socket m_socket;
+    std::unique_ptr<WsEndpoint> m_end;
+    std::deque<std::string> m_waiting;
+    std::string m_out;
+    bool m_isWriting = false;
+    bool m_isOpen = false;
+    bool m_isClosed = false;
+    TimePoint m_closedAt;
+};
+
+PeerLink::PeerLink(asio::io_context &context, const Settings &settings, EventSink &events)
+    : m_context(context)
+    , m_settings(settings)
+    , m_events(events)
+{
+}
+
+PeerLink::~PeerLink() = default;
+
+Result<bool> PeerLink::listen()
+{
+    const Tcp::endpoint endpoint = endpointOf(m_settings.peer);
+    m_acceptor = std::make_unique<Tcp::acceptor>(m_context);
+    ErrorCode error;
+    m_acceptor->open(endpoint.protocol(), error);
+    if (!error)
+        m_acceptor->set_option(Tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_acceptor->bind(endpoint, error);
+    if (!error)
+        m_acceptor->listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return Error("vm.peer " + m_settings.peer.text() + ": " + error.message());
+    return true;
+}
+
+Task<void> PeerLink::accept()
+{
+    while (m_acceptor->is_open()) {
+        auto [error, socket] = co_await m_acceptor->async_accept(kAwait);
+        if (error)
+            continue;
+        ErrorCode ignored;
+        socket.set_option(Tcp::no_delay(true), ignored);
+        std::make_shared<Link>(*this, std::move(socket))->startServer();
+    }
+}
+
+void PeerLink::send(VmId to, const PeerMessage &message)
+{
+    auto address = m_settings.peerAddresses.find(to);
+    if (address == m_settings.peerAddresses.end())
+        return;
+    std::shared_ptr<Link> &link = m_links[to];
+    if (!link || !link->isUsable(std::chrono::steady_clock::now())) {
+        link = std::make_shared<Link>(*this, Tcp::socket(m_context));
+        asio::co_spawn(m_context, link->connect(address->second), asio::detached);
+    }
+    link->send(encodePeerMessage(message));
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/net/sessionhub.cpp
@@ -0,0 +1,53 @@
+// One lock; held for a look-up only.
+#include "net/sessionhub.h"
+
+#include "net/callersession.h"
+
+namespace arbutuspier {
+
+void SessionHub::add(std::shared_ptr<CallerSession> session)
+{
+    const std::scoped_lock lock(m_mutex);
+    const RequestId id = session->id();
+    m_sessions[id] = std::move(session);
+}
+
+void SessionHub::remove(RequestId request)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_sessions.erase(request);
+}
+
+std::shared_ptr<CallerSession> SessionHub::find(RequestId request) const
+{
+    const std::scoped_lock lock(m_mutex);
+    auto it = m_sessions.find(request);
+    return it == m_sessions.end() ? nullptr : it->second;
+}
+
+void SessionHub::setAttempt(AttemptId attempt, RequestId request)
+{
+    const std::scoped_lock lock(m_mutex);
+    auto it = m_sessions.find(request);
+    if (it != m_sessions.end())
+        m_attempts[attempt] = it->second;
+}
+
+std::shared_ptr<CallerSession> SessionHub::takeAttempt(AttemptId attempt)
+{
+    const std::scoped_lock lock(m_mutex);
+    auto it = m_attempts.find(attempt);
+    if (it == m_attempts.end())
+        return nullptr;
+    auto session = it->second.lock();
+    m_attempts.erase(it);
+    return session;
+}
+
+std::size_t SessionHub::size() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_sessions.size();
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/net/sseparser.h
@@ -0,0 +1,38 @@
+// Splits a server-sent event stream into events.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace arbutuspier {
+
+struct SseEvent
+{
+    /// Number from the `id` field; zero if there is none.
+    std::uint64_t id = 0;
+    std::string data;
+};
+
+class SseParser
+{
+public:
+    /// Adds bytes of the stream.
+    void feed(std::string_view bytes) { m_buffer += bytes; }
+
+    /// The next whole event, if there is one.
+    std::optional<SseEvent> next();
+
+    /// True if one event grew beyond what any upstream sends.
+    bool isOverlong() const { return m_buffer.size() - m_start > kMaxEventBytes; }
+
+private:
+    static constexpr std::size_t kMaxEventBytes = 4 * 1024 * 1024;
+
+    std::string m_buffer;
+    /// Invariant: at most m_buffer.size(); bytes before it are done with.
+    std::size_t m_start = 0;
+};
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/net/upstreamstream.cpp
@@ -0,0 +1,210 @@
+// The body is written from the caller's buffer; events are passed on as they come.
+#include "net/upstreamstream.h"
+
+#include "net/callersession.h"
+#include "net/httpchannel.h"
+#include "net/sseparser.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace arbutuspier {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr Duration kConnectTimeout = std::chrono::seconds{1};
+constexpr std::uint64_t kMaxServiceAnswer = 8ULL * 1024 * 1024;
+constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr int kFirstServerError = 500;
+/// An upstream's own word that it did not and will not run the request.
+constexpr std::string_view kRefusalHeader = "X-Not-Run";
+
+std::uint64_t cachedTokens(const std::string &data)
+{
+    const auto json = nlohmann::json::parse(data, nullptr, false);
+    if (!json.is_object() || !json.contains("usage") || !json["usage"].is_object())
+        return 0;
+    const auto &usage = json["usage"];
+    const bool isThere =
+        usage.contains("cached_tokens") && usage["cached_tokens"].is_number_unsigned();
+    return isThere ? usage["cached_tokens"].get<std::uint64_t>() : 0;
+}
+
+} // namespace
+
+UpstreamStream::UpstreamStream(std::shared_ptr<CallerSession> session, OpenStream open,
+                               Address address)
+    : m_session(std::move(session))
+    , m_open(std::move(open))
+    , m_address(std::move(address))
+    , m_stream(m_session->executor())
+{
+}
+
+void UpstreamStream::cancel()
+{
+    m_isCancelled = true;
+    ErrorCode ignored;
+    m_stream.socket().close(ignored);
+}
+
+void UpstreamStream::fail(FailureKind kind)
+{
+    if (m_isCancelled)
+        return;
+    m_isCancelled = true;
+    m_session->events().post(StreamFailed{m_open.attempt, kind, m_session->delivered()});
+}
+
+std::string UpstreamStream::header() const
+{
+    const OutgoingRequest &outgoing = m_session->outgoing();
+    const auto milliseconds =
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_open.limit).count();
+    std::string text = outgoing.method + ' ' + outgoing.target
+        + " HTTP/1.1\r\nHost: " + m_address.text() + "\r\nConnection: close\r\nContent-Length: "
+        + std::to_string(outgoing.body->size()) + "\r\n";
+    if (!outgoing.contentType.empty())
+        text += "Content-Type: " + outgoing.contentType + "\r\n";
+    text += "X-Attempt: " + std::to_string(m_open.attempt.value)
+        + "\r\nX-Time-Limit-Ms: " + std::to_string(milliseconds) + "\r\n";
+    if (!outgoing.idempotencyKey.empty())
+        text += "Idempotency-Key: " + outgoing.idempotencyKey + "\r\n";
+    if (m_session->form() == AnswerForm::PlainService)
+        return text + "\r\n";
+    text += "Accept: text/event-stream\r\nX-Resume-Offset: " + std::to_string(m_open.resumeOffset)
+        + "\r\nX-Priority: " + std::to_string(m_open.priority) + "\r\n";
+    if (!m_open.gang.empty()) {
+        text += "X-Gang-Size: " + std::to_string(m_open.gang.size())
+            + "\r\nX-Reservation: " + std::to_string(m_open.gang.front().holding.value) + "\r\n";
+    }
+    return text + "\r\n";
+}
+
+Task<void> UpstreamStream::run([[maybe_unused]] std::shared_ptr<UpstreamStream> self)
+{
+    m_stream.expires_after(kConnectTimeout);
+    const auto [error] = co_await m_stream.async_connect(endpointOf(m_address), kAwait);
+    if (error) {
+        fail(FailureKind::NotSent);
+        co_return;
+    }
+    ErrorCode ignored;
+    m_stream.socket().set_option(Tcp::no_delay(true), ignored);
+    m_stream.expires_never();
+    if (!co_await send()) {
+        fail(FailureKind::Died);
+        co_return;
+    }
+    if (m_session->form() == AnswerForm::PlainService)
+        co_await readWhole();
+    else
+        co_await readEvents();
+}
+
+Task<bool> UpstreamStream::send()
+{
+    const std::string head = header();
+    const std::array<asio::const_buffer, 2> buffers = {asio::buffer(head),
+                                                       asio::buffer(*m_session->outgoing().body)};
+    const auto [error, size] = co_await asio::async_write(m_stream, buffers, kAwait);
+    co_return !error;
+}
+
+Task<void> UpstreamStream::readWhole()
+{
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(kMaxServiceAnswer);
+    const auto [error, size] = co_await http::async_read(m_stream, m_buffer, parser, kAwait);
+    if (m_isCancelled)
+        co_return;
+    if (error) {
+        fail(error == http::error::body_limit ? FailureKind::Broken : FailureKind::Died);
+        co_return;
+    }
+    auto &message = parser.get();
+    if (message.count(kRefusalHeader) != 0) {
+        fail(FailureKind::Refused);
+        co_return;
+    }
+    const int status = message.result_int();
+    m_session->onWholeAnswer(m_open.attempt, status,
+                             std::string(message[http::field::content_type]), message.body());
+    m_isCancelled = true;
+    m_session->events().post(StreamDone{m_open.attempt, 0, 0, status, std::move(message.body())});
+}
+
+Task<void> UpstreamStream::readEvents()
+{
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    auto [headerError, headerSize] =
+        co_await http::async_read_header(m_stream, m_buffer, parser, kAwait);
+    if (m_isCancelled)
+        co_return;
+    if (headerError) {
+        fail(FailureKind::Died);
+        co_return;
+    }
+    if (parser.get().result() != http::status::ok) {
+        const bool isRefusal = parser.get().count(kRefusalHeader) != 0
+            || parser.get().result_int() < kFirstServerError;
+        fail(isRefusal ? FailureKind::Refused : FailureKind::Broken);
+        co_return;
+    }
+    m_session->events().post(StreamOpened{m_open.attempt});
+    SseParser events;
+    std::array<char, kReadBytes> bytes;
+    std::uint64_t lastId = m_open.resumeOffset;
+    std::uint64_t cached = 0;
+    bool hasFirst = false;
+    while (true) {
+        parser.get().body().data = bytes.data();
+        parser.get().body().size = bytes.size();
+        auto [error, size] = co_await http::async_read_some(m_stream, m_buffer, parser, kAwait);
+        if (m_isCancelled)
+            co_return;
+        const std::size_t got = bytes.size() - parser.get().body().size;
+        events.feed(std::string_view(bytes.data(), got));
+        while (const auto event = events.next()) {
+            if (event->data == "[DONE]") {
+                m_session->onEvent(m_open.attempt, *event);
+                m_isCancelled = true;
+                m_session->events().post(StreamDone{m_open.attempt, lastId, cached, 200, {}});
+                co_return;
+            }
+            if (event->id != 0 && !hasFirst) {
+                hasFirst = true;
+                m_session->events().post(StreamFirstToken{m_open.attempt});
+            }
+            lastId = std::max(lastId, event->id);
+            if (event->id == 0)
+                cached = cachedTokens(event->data);
+            if (!m_session->onEvent(m_open.attempt, *event)) {
+                fail(FailureKind::Broken);
+                co_return;
+            }
+        }
+        const bool isNeedBuffer = error == http::error::need_buffer;
+        const bool isOver = (error && !isNeedBuffer) || parser.is_done();
+        if (isOver || events.isOverlong()) {
+            fail(isOver ? FailureKind::Died : FailureKind::Broken);
+            co_return;
+        }
+        while (m_session->isFull() && !m_isCancelled) {
+            asio::steady_timer pause(m_session->executor(), std::chrono::milliseconds{2});
+            co_await pause.async_wait(kAwait);
+        }
+    }
+}
+
+} // namespace arbutuspier
--- a/src/node/admission.cpp
+++ b/src/node/admission.cpp
@@ -73,8 +73,8 @@
     request.id = event.request;
     request.spec = event.spec;
     request.lane = lane;
-    request.limits = m_context.service<LimitsTable>(service::kLimits)
-                         .row(event.spec.team, event.spec.className);
+    request.limits =
+        m_context.service<LimitsTable>(service::kLimits).row(event.spec.team, event.spec.className);
     request.arrival = m_context.now;
     request.deadline = m_context.now + timeAllowed(event.spec, request.limits, lane);
     const auto &router = m_context.service<Router>(service::kRouter);
@@ -83,8 +83,8 @@
         return request;
     }
     const std::size_t engines = std::max<std::size_t>(router.gangSize(event.spec), 1);
-    const Duration prefill
-        = router.typicalPrefill(event.spec) / static_cast<Duration::rep>(engines);
+    const Duration prefill =
+        router.typicalPrefill(event.spec) / static_cast<Duration::rep>(engines);
     const Duration decode = CostModel().decode(event.spec.maxTokens);
     request.latestStart = request.deadline - prefill - decode;
     if (lane == Lane::Short) {
@@ -102,16 +102,16 @@
     if (request.lane != Lane::Gang) {
         const auto &router = m_context.service<Router>(service::kRouter);
         const Duration alone = router.typicalPrefill(request.spec);
-        const Duration predicted
-            = router.predict(request.spec, request.lane, m_context.now).value_or(alone);
+        const Duration predicted =
+            router.predict(request.spec, request.lane, m_context.now).value_or(alone);
         start += std::max(Duration::zero(), predicted - alone);
     }
     const TimePoint predictedStart = m_context.now + start;
     if (predictedStart <= request.latestStart)
         return false;
     const Duration excess = predictedStart - request.latestStart;
-    const Duration retryAfter
-        = jittered(m_context.random, std::max<Duration>(excess, kMinRetryAfter));
+    const Duration retryAfter =
+        jittered(m_context.random, std::max<Duration>(excess, kMinRetryAfter));
     m_answers.refuseAtDoor(event, Verdict::NotRun, Reason::CannotMeetDeadline, retryAfter);
     return true;
 }
--- a/src/node/admission.h
+++ b/src/node/admission.h
@@ -15,8 +15,12 @@
 public:
     Admission(NodeContext &context, RequestStore &store, Answers &answers, Dispatcher &dispatcher,
               AttemptFlow &attempts, OnceFlow &once)
-        : m_context(context), m_store(store), m_answers(answers), m_dispatcher(dispatcher),
-          m_attempts(attempts), m_once(once)
+        : m_context(context)
+        , m_store(store)
+        , m_answers(answers)
+        , m_dispatcher(dispatcher)
+        , m_attempts(attempts)
+        , m_once(once)
     {
     }
 
--- a/src/node/answers.h
+++ b/src/node/answers.h
@@ -9,7 +9,11 @@
 class Answers
 {
 public:
-    Answers(NodeContext &context, RequestStore &store) : m_context(context), m_store(store) { }
+    Answers(NodeContext &context, RequestStore &store)
+        : m_context(context)
+        , m_store(store)
+    {
+    }
 
     /// A request that was not admitted; it is in no store.
     void refuseAtDoor(const CallerRequest &event, Verdict verdict, Reason reason,
--- a/src/node/attemptflow.cpp
+++ b/src/node/attemptflow.cpp
@@ -15,8 +15,7 @@
 RetryBudget &AttemptFlow::budget(const std::string &className)
 {
     const AdmissionOptions &options = m_context.settings.admission;
-    return m_budgets
-        .try_emplace(className, options.retriesPerRequest, options.maxSavedRetries)
+    return m_budgets.try_emplace(className, options.retriesPerRequest, options.maxSavedRetries)
         .first->second;
 }
 
@@ -92,8 +91,7 @@
             inFlight.push_back(request->spec.fingerprint);
     }
     auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
-    const auto notices
-        = quarantine.onUpstreamDeath(upstream, life, inFlight, m_context.now);
+    const auto notices = quarantine.onUpstreamDeath(upstream, life, inFlight, m_context.now);
     for (const SuspectNotice &notice : notices)
         m_context.broadcast(notice);
     if (notices.empty())
@@ -170,8 +168,8 @@
 void AttemptFlow::retry(Request &request)
 {
     const Verdict verdict = request.mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun;
-    const bool isAllowed
-        = request.attempts < kMaxAttempts && budget(request.spec.className).trySpend();
+    const bool isAllowed =
+        request.attempts < kMaxAttempts && budget(request.spec.className).trySpend();
     if (!isAllowed) {
         m_answers.refuse(request, verdict, Reason::UpstreamLost, kRefusedRetryAfter);
         return;
--- a/src/node/attemptflow.h
+++ b/src/node/attemptflow.h
@@ -16,10 +16,13 @@
 class AttemptFlow
 {
 public:
-    AttemptFlow(NodeContext &context, RequestStore &store, Answers &answers,
-                Dispatcher &dispatcher, GangFlow &gangs)
-        : m_context(context), m_store(store), m_answers(answers), m_dispatcher(dispatcher),
-          m_gangs(gangs)
+    AttemptFlow(NodeContext &context, RequestStore &store, Answers &answers, Dispatcher &dispatcher,
+                GangFlow &gangs)
+        : m_context(context)
+        , m_store(store)
+        , m_answers(answers)
+        , m_dispatcher(dispatcher)
+        , m_gangs(gangs)
     {
     }
 
--- a/src/node/controlflow.cpp
+++ b/src/node/controlflow.cpp
@@ -26,8 +26,12 @@
 
 ControlFlow::ControlFlow(NodeContext &context, RequestStore &store, Dispatcher &dispatcher,
                          AttemptFlow &attempts, GangFlow &gangs, TableOpId firstOp)
-    : m_context(context), m_store(store), m_dispatcher(dispatcher), m_attempts(attempts),
-      m_gangs(gangs), m_nextOp(firstOp)
+    : m_context(context)
+    , m_store(store)
+    , m_dispatcher(dispatcher)
+    , m_attempts(attempts)
+    , m_gangs(gangs)
+    , m_nextOp(firstOp)
 {
 }
 
@@ -98,8 +102,8 @@
         void operator()(const ShareRequest &body) const { shares.onRequest(from, body); }
         void operator()(const LeavingNotice &body) const
         {
-            const Incarnation known = flow.m_context.service<Router>(service::kRouter)
-                                          .incarnation(body.upstream);
+            const Incarnation known =
+                flow.m_context.service<Router>(service::kRouter).incarnation(body.upstream);
             if (!known.isValid() || known == body.incarnation)
                 flow.markLeaving(body.upstream, "peer");
         }
@@ -200,8 +204,8 @@
     auto &holdings = m_context.service<Holdings>(service::kHoldings);
     const auto changes = membership.takeChanges();
     for (const Membership::Change &change : changes) {
-        constexpr std::string_view kNames[]
-            = {"alive", "suspect", "unreachable", "leaving", "gone"};
+        constexpr std::string_view kNames[] = {"alive", "suspect", "unreachable", "leaving",
+                                               "gone"};
         m_context.log(LogLine("vm_state")
                           .add("vm", change.vm.value)
                           .add("incarnation", change.incarnation.value)
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -39,8 +39,8 @@
     request.phase = Phase::Queued;
     Target &target = m_targets[request.spec.target];
     const auto [className, team] = queueKey(request);
-    const LimitRow classRow
-        = m_context.service<LimitsTable>(service::kLimits).row("*", request.spec.className);
+    const LimitRow classRow =
+        m_context.service<LimitsTable>(service::kLimits).row("*", request.spec.className);
     target.queue.setClassWeight(className, classRow.weight);
     target.queue.push(request.id, className, team, request.lane, request.cost(),
                       request.limits.weight);
@@ -96,13 +96,13 @@
         return {};
     const Target &target = it->second;
     const auto [className, team] = queueKey(request);
-    const std::uint64_t ahead
-        = target.queue.costAhead(className, team, request.lane, request.limits.weight);
+    const std::uint64_t ahead =
+        target.queue.costAhead(className, team, request.lane, request.limits.weight);
     if (ahead == 0)
         return {};
     const DrainRate &drain = target.drain[laneIndex(request.lane)];
-    const bool isMeasured
-        = drain.isBacklogged && m_context.now - drain.backlogSince >= kDrainTrustAfter;
+    const bool isMeasured =
+        drain.isBacklogged && m_context.now - drain.backlogSince >= kDrainTrustAfter;
     if (isMeasured) {
         const double elapsed = toSeconds(m_context.now - drain.at);
         const double rate = drain.perSecond * std::exp(-elapsed / kDrainWindowSeconds);
@@ -114,8 +114,8 @@
     const std::size_t engines = isLong
         ? router.longSet(request.spec.target, m_context.now).size()
         : router.usableCount(request.spec.kind, request.spec.target, m_context.now);
-    const auto sharing = static_cast<double>(
-        m_context.service<Membership>(service::kMembership).aliveCount());
+    const auto sharing =
+        static_cast<double>(m_context.service<Membership>(service::kMembership).aliveCount());
     const double share = std::max(1.0, static_cast<double>(engines)) / sharing;
     const double each = toSeconds(router.typicalPrefill(request.spec));
     const double perCost = each / static_cast<double>(std::max<std::uint64_t>(request.cost(), 1));
@@ -148,8 +148,8 @@
             continue;
         }
         const auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
-        const bool isSuspect
-            = quarantine.standing(request->spec.fingerprint) == Quarantine::Standing::Suspect;
+        const bool isSuspect =
+            quarantine.standing(request->spec.fingerprint) == Quarantine::Standing::Suspect;
         const bool isOpened = isSuspect ? tryOpenTrial(*request) : tryOpen(*request);
         if (isOpened)
             std::erase(target.first, id);
@@ -160,8 +160,7 @@
 {
     if (request.isCounted)
         return false;
-    return !m_context.service<LimitGate>(service::kGate)
-                .mayStart(request.limits, m_context.now);
+    return !m_context.service<LimitGate>(service::kGate).mayStart(request.limits, m_context.now);
 }
 
 void Dispatcher::pumpLane(Target &target, Lane lane)
@@ -193,8 +192,8 @@
 bool Dispatcher::tryOpen(Request &request)
 {
     auto &router = m_context.service<Router>(service::kRouter);
-    auto route
-        = router.choose(request.spec, request.lane, request.avoid, m_context.now, m_context.random);
+    auto route =
+        router.choose(request.spec, request.lane, request.avoid, m_context.now, m_context.random);
     if (!route && !request.avoid.empty()) {
         // Everything else is full or gone: better where it failed before than not at all.
         route = router.choose(request.spec, request.lane, {}, m_context.now, m_context.random);
@@ -212,15 +211,15 @@
     const auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
     std::vector<UpstreamId> busy = request.avoid;
     for (const auto &[id, other] : m_store.all()) {
-        const bool isOnTrial = other.phase == Phase::Running && other.trialUntil
-            && m_context.now < *other.trialUntil;
+        const bool isOnTrial =
+            other.phase == Phase::Running && other.trialUntil && m_context.now < *other.trialUntil;
         const bool isTwin = other.spec.fingerprint == request.spec.fingerprint;
         // A copy of the same body belongs on the same upstream: one death then counts for both.
         if (isOnTrial && !isTwin)
             busy.push_back(other.upstream);
     }
-    const std::vector<UpstreamId> usable
-        = router.withRoom(request.spec, request.lane, busy, m_context.now);
+    const std::vector<UpstreamId> usable =
+        router.withRoom(request.spec, request.lane, busy, m_context.now);
     const UpstreamId chosen = quarantine.trialUpstream(request.spec.fingerprint, usable);
     if (!chosen.isValid())
         return false;
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -18,7 +18,11 @@
 class Dispatcher
 {
 public:
-    Dispatcher(NodeContext &context, RequestStore &store) : m_context(context), m_store(store) { }
+    Dispatcher(NodeContext &context, RequestStore &store)
+        : m_context(context)
+        , m_store(store)
+    {
+    }
 
     void setGangFlow(GangFlow *gangs) { m_gangs = gangs; }
 
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -69,12 +69,14 @@
 };
 
 EntryNode::Impl::Impl(NodeSettings settings)
-    : context(std::move(settings), kernel), answers(context, store), dispatcher(context, store),
-      gangs(context, store, dispatcher, firstOp(context.idBase(), OpRange::Gangs)),
-      attempts(context, store, answers, dispatcher, gangs),
-      once(context, store, answers, dispatcher),
-      admission(context, store, answers, dispatcher, attempts, once),
-      control(context, store, dispatcher, attempts, gangs,
+    : context(std::move(settings), kernel)
+    , answers(context, store)
+    , dispatcher(context, store)
+    , gangs(context, store, dispatcher, firstOp(context.idBase(), OpRange::Gangs))
+    , attempts(context, store, answers, dispatcher, gangs)
+    , once(context, store, answers, dispatcher)
+    , admission(context, store, answers, dispatcher, attempts, once)
+    , control(context, store, dispatcher, attempts, gangs,
               firstOp(context.idBase(), OpRange::Control))
 {
     const NodeSettings &s = context.settings;
@@ -108,8 +110,7 @@
 {
     if (!isDraining || isExitReady || store.size() != 0)
         return;
-    const bool isSettled
-        = context.service<OnceLedger>(service::kOnce).unsettled() == 0
+    const bool isSettled = context.service<OnceLedger>(service::kOnce).unsettled() == 0
         && context.service<Holdings>(service::kHoldings).releasingCount() == 0;
     if (!isSettled)
         return;
@@ -136,10 +137,7 @@
         {
             node.context.service<Router>(service::kRouter).onCacheEvents(e);
         }
-        void operator()(const ReserveReply &e) const
-        {
-            node.gangs.onReserveReply(e);
-        }
+        void operator()(const ReserveReply &e) const { node.gangs.onReserveReply(e); }
         void operator()(const ReleaseReply &e) const
         {
             if (e.isAcknowledged)
@@ -153,14 +151,13 @@
         }
         void operator()(const OrderReply &e) const
         {
-            node.context.service<OrderService>(service::kOrders)
-                .onOrderReply(e, node.context.now);
+            node.context.service<OrderService>(service::kOrders).onOrderReply(e, node.context.now);
         }
         void operator()(const TableReply &e) const
         {
-            const bool isOnce
-                = node.context.service<OnceLedger>(service::kOnce)
-                      .onTableReply(e.op, e.outcome, node.context.now, node.context.random);
+            const bool isOnce =
+                node.context.service<OnceLedger>(service::kOnce)
+                    .onTableReply(e.op, e.outcome, node.context.now, node.context.random);
             if (!isOnce)
                 node.control.onTableReply(e);
         }
@@ -179,8 +176,8 @@
             node.isDraining = true;
             node.admission.stop();
             node.context.service<Membership>(service::kMembership).announceLeaving();
-            node.context.log(LogLine("drain_started")
-                                 .add("in_flight", std::uint64_t{node.store.size()}));
+            node.context.log(
+                LogLine("drain_started").add("in_flight", std::uint64_t{node.store.size()}));
         }
         void operator()(const UpstreamDrainRequest &e) const
         {
@@ -205,11 +202,13 @@
 {
     if (!areConsistent(settings))
         return nullptr;
-    return std::unique_ptr<EntryNode>(
-        new EntryNode(std::make_unique<Impl>(std::move(settings))));
+    return std::unique_ptr<EntryNode>(new EntryNode(std::make_unique<Impl>(std::move(settings))));
 }
 
-EntryNode::EntryNode(std::unique_ptr<Impl> impl) : m_impl(std::move(impl)) { }
+EntryNode::EntryNode(std::unique_ptr<Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
 
 EntryNode::~EntryNode() = default;
 
@@ -233,6 +232,11 @@
     return m_impl->context.service<LimitsTable>(service::kLimits).snapshot();
 }
 
+std::vector<LimitsDelta> EntryNode::limitsHistory() const
+{
+    return m_impl->context.service<LimitsTable>(service::kLimits).history();
+}
+
 NodeStatus EntryNode::status(TimePoint now) const
 {
     const NodeContext &context = m_impl->context;
@@ -255,17 +259,16 @@
         upstream.info = info;
         upstream.isUsable = router.isUsable(info.id, now);
         upstream.isLeaving = router.isLeaving(info.id);
-        upstream.isLongSet
-            = std::find(longSet.begin(), longSet.end(), info.id) != longSet.end();
+        upstream.isLongSet = std::find(longSet.begin(), longSet.end(), info.id) != longSet.end();
         upstream.inFlight = router.inFlight(info.id);
         upstream.state = orders.reported(info.id).value_or("");
         status.upstreams.push_back(std::move(upstream));
     }
-    status.members.push_back({context.settings.self, membership.state(context.settings.self.id),
-                              status.limitsVersion});
+    status.members.push_back(
+        {context.settings.self, membership.state(context.settings.self.id), status.limitsVersion});
     for (const VmInfo &peer : context.settings.peers) {
-        status.members.push_back({peer, membership.state(peer.id),
-                                  m_impl->control.confirmedVersion(peer.id)});
+        status.members.push_back(
+            {peer, membership.state(peer.id), m_impl->control.confirmedVersion(peer.id)});
     }
     status.suspects = context.service<Quarantine>(service::kQuarantine).records();
     return status;
--- a/src/node/gangflow.cpp
+++ b/src/node/gangflow.cpp
@@ -53,8 +53,8 @@
             && item[1].is_number_unsigned();
         if (!isPair)
             return std::nullopt;
-        row.members.push_back({UpstreamId{item[0].get<std::uint64_t>()},
-                               HoldingId{item[1].get<std::uint64_t>()}});
+        row.members.push_back(
+            {UpstreamId{item[0].get<std::uint64_t>()}, HoldingId{item[1].get<std::uint64_t>()}});
     }
     return row;
 }
@@ -63,7 +63,10 @@
 
 GangFlow::GangFlow(NodeContext &context, RequestStore &store, Dispatcher &dispatcher,
                    TableOpId firstOp)
-    : m_context(context), m_store(store), m_dispatcher(dispatcher), m_nextOp(firstOp)
+    : m_context(context)
+    , m_store(store)
+    , m_dispatcher(dispatcher)
+    , m_nextOp(firstOp)
 {
 }
 
@@ -99,8 +102,8 @@
 {
     forming.rowKey = std::string(kRowPrefix) + std::to_string(m_context.newAttempt().value);
     m_rows[request.id] = forming.rowKey;
-    const std::string row = encodeGang(m_context.settings.self.id,
-                                       m_context.settings.incarnation, request.gang);
+    const std::string row =
+        encodeGang(m_context.settings.self.id, m_context.settings.incarnation, request.gang);
     const TableOpId op = call(TableTransaction{{{forming.rowKey, 0, row, false}}});
     m_recordOps[op] = request.id;
 }
@@ -148,8 +151,8 @@
         forming.unanswered.push_back(member.holding);
         m_byHolding[member.holding] = request.id;
         holdings.add(member.holding, member.upstream, request.deadline);
-        m_context.emit(Reserve{member.holding, member.upstream, each,
-                               request.deadline - m_context.now});
+        m_context.emit(
+            Reserve{member.holding, member.upstream, each, request.deadline - m_context.now});
     }
 }
 
@@ -176,9 +179,8 @@
             holdings.forget(reply.holding);
         else
             holdings.release(reply.holding, m_context.now);
-        std::erase_if(request->gang, [&](const GangMember &member) {
-            return member.holding == reply.holding;
-        });
+        std::erase_if(request->gang,
+                      [&](const GangMember &member) { return member.holding == reply.holding; });
     }
     if (forming->second.unanswered.empty())
         decide(*request);
@@ -189,10 +191,9 @@
     const bool isWhole = m_forming[request.id].refused == 0;
     m_forming.erase(request.id);
     const auto &router = m_context.service<Router>(service::kRouter);
-    const bool isStaying
-        = std::none_of(request.gang.begin(), request.gang.end(), [&](const GangMember &member) {
-              return router.isLeaving(member.upstream);
-          });
+    const bool isStaying =
+        std::none_of(request.gang.begin(), request.gang.end(),
+                     [&](const GangMember &member) { return router.isLeaving(member.upstream); });
     if (isWhole && isStaying) {
         m_waiting.erase(request.id);
         const UpstreamId leader = request.gang.front().upstream;
@@ -207,8 +208,8 @@
 void GangFlow::backOff(const Request &request)
 {
     Waiting &waiting = m_waiting[request.id];
-    waiting.wait = waiting.wait == Duration::zero() ? kFirstWait
-                                                    : std::min(waiting.wait * 2, kMaxWait);
+    waiting.wait =
+        waiting.wait == Duration::zero() ? kFirstWait : std::min(waiting.wait * 2, kMaxWait);
     waiting.retryAt = m_context.now + jittered(m_context.random, waiting.wait);
 }
 
@@ -270,8 +271,8 @@
             continue;
         const Incarnation known = membership.incarnation(gang->owner);
         const bool isReplaced = known.isValid() && gang->incarnation < known;
-        const bool isGone = membership.state(gang->owner) == MemberState::Gone
-            && known == gang->incarnation;
+        const bool isGone =
+            membership.state(gang->owner) == MemberState::Gone && known == gang->incarnation;
         if (!isReplaced && !isGone)
             continue;
         for (const GangMember &member : gang->members)
--- a/src/node/nodecontext.cpp
+++ b/src/node/nodecontext.cpp
@@ -20,8 +20,10 @@
 } // namespace
 
 NodeContext::NodeContext(NodeSettings nodeSettings, Kernel &nodeKernel)
-    : settings(std::move(nodeSettings)), random(settings.seed), m_kernel(nodeKernel),
-      m_idBase(makeIdBase(settings.self.id, settings.incarnation))
+    : settings(std::move(nodeSettings))
+    , random(settings.seed)
+    , m_kernel(nodeKernel)
+    , m_idBase(makeIdBase(settings.self.id, settings.incarnation))
 {
 }
 
--- a/src/node/onceflow.cpp
+++ b/src/node/onceflow.cpp
@@ -66,8 +66,7 @@
     switch (request.phase) {
     case Phase::Running:
         m_answers.forgetCaller(request);
-        m_store.setDeadline(request,
-                            request.deadline + m_context.settings.admission.recordGrace);
+        m_store.setDeadline(request, request.deadline + m_context.settings.admission.recordGrace);
         return true;
     case Phase::FirstInLine:
         once.onNotRun(request.onceAttempt);
@@ -92,8 +91,7 @@
             return;
         }
         m_answers.answerAndKeep(request, Verdict::MayHaveRun, Reason::DeadlinePassed);
-        m_store.setDeadline(request,
-                            request.deadline + m_context.settings.admission.recordGrace);
+        m_store.setDeadline(request, request.deadline + m_context.settings.admission.recordGrace);
         return;
     case Phase::FirstInLine:
         once.onNotRun(request.onceAttempt);
@@ -103,8 +101,8 @@
     case Phase::Queued:
     case Phase::Reserving: {
         const Verdict verdict = once.abandon(request.id);
-        const Reason reason = verdict == Verdict::NotRun ? Reason::StoreUnavailable
-                                                         : Reason::KeyOutcomeUnknown;
+        const Reason reason =
+            verdict == Verdict::NotRun ? Reason::StoreUnavailable : Reason::KeyOutcomeUnknown;
         m_answers.refuse(request, verdict, reason);
         return;
     }
--- a/src/node/onceflow.h
+++ b/src/node/onceflow.h
@@ -12,7 +12,10 @@
 {
 public:
     OnceFlow(NodeContext &context, RequestStore &store, Answers &answers, Dispatcher &dispatcher)
-        : m_context(context), m_store(store), m_answers(answers), m_dispatcher(dispatcher)
+        : m_context(context)
+        , m_store(store)
+        , m_answers(answers)
+        , m_dispatcher(dispatcher)
     {
     }
 
--- a/src/policy/costmodel.cpp
+++ b/src/policy/costmodel.cpp
@@ -25,7 +25,11 @@
 
 } // namespace
 
-CostModel::CostModel(CostParameters prior) : m_prior(prior), m_now(prior) { }
+CostModel::CostModel(CostParameters prior)
+    : m_prior(prior)
+    , m_now(prior)
+{
+}
 
 Duration CostModel::prefill(std::uint64_t uncached, std::uint64_t context) const
 {
@@ -49,8 +53,8 @@
     const double linearPart = static_cast<double>(uncached) * m_now.perToken / predicted;
     const double step = kLearningRate * error;
     m_now.perToken = clampAround(m_now.perToken * (1 + step * linearPart), m_prior.perToken);
-    m_now.perTokenPair
-        = clampAround(m_now.perTokenPair * (1 + step * (1 - linearPart)), m_prior.perTokenPair);
+    m_now.perTokenPair =
+        clampAround(m_now.perTokenPair * (1 + step * (1 - linearPart)), m_prior.perTokenPair);
 }
 
 void CostModel::learnDecode(std::uint64_t tokens, Duration measured)
--- a/src/policy/fairqueue.cpp
+++ b/src/policy/fairqueue.cpp
@@ -84,6 +84,7 @@
     team.weight = std::max<std::uint32_t>(weight, 1);
     team.lanes[index(lane)].push_back({request, cost});
     team.cost[index(lane)] += cost;
+    ++owner.queued;
     link(owner, team);
     m_where[request] = {&owner, &team, lane};
     m_queuedCost[index(lane)] += cost;
@@ -123,6 +124,7 @@
     unlink(*owner, team);
     team.lanes[index(lane)].pop_front();
     team.cost[index(lane)] -= entry.cost;
+    --owner->queued;
     charge(*owner, team, entry.cost);
     link(*owner, team);
     m_where.erase(entry.request);
@@ -151,6 +153,7 @@
     assert(entry != lane.end());
     unlink(*place.owner, *place.team);
     place.team->cost[index(place.lane)] -= entry->cost;
+    --place.owner->queued;
     m_queuedCost[index(place.lane)] -= entry->cost;
     --m_queuedCount[index(place.lane)];
     lane.erase(entry);
@@ -197,6 +200,9 @@
 
 void FairQueue::forgetCaughtUp(Class &owner)
 {
+    // A busy period ends: whatever lead a team had is of no more account.
+    if (owner.queued == 0 && !owner.idle.empty())
+        owner.virtualTime = std::max(owner.virtualTime, owner.idle.rbegin()->first);
     while (!owner.idle.empty() && owner.idle.begin()->first <= owner.virtualTime) {
         const Team *team = owner.idle.begin()->second;
         owner.idle.erase(owner.idle.begin());
@@ -217,14 +223,13 @@
             classWeights += other.weight;
     }
     auto team = owner->second.teams.find(teamName);
-    const bool isActive
-        = team != owner->second.teams.end() && !team->second.lanes[index(lane)].empty();
+    const bool isActive =
+        team != owner->second.teams.end() && !team->second.lanes[index(lane)].empty();
     const std::uint64_t own = isActive ? team->second.cost[index(lane)] : 0;
-    const std::uint64_t weights
-        = owner->second.activeWeight[index(lane)] + (isActive ? 0 : weight);
+    const std::uint64_t weights = owner->second.activeWeight[index(lane)] + (isActive ? 0 : weight);
     const double inClass = static_cast<double>(weights) / std::max<std::uint32_t>(weight, 1);
-    const double amongClasses
-        = static_cast<double>(classWeights) / static_cast<double>(owner->second.weight);
+    const double amongClasses =
+        static_cast<double>(classWeights) / static_cast<double>(owner->second.weight);
     const double ahead = static_cast<double>(own) * inClass * amongClasses;
     return std::min(total, static_cast<std::uint64_t>(ahead));
 }
@@ -244,8 +249,8 @@
         for (const auto &[teamName, team] : owner.teams) {
             for (std::size_t lane = 0; lane < kLaneCount; ++lane) {
                 queued += team.lanes[lane].size();
-                const bool isListed
-                    = owner.order[lane].contains({team.tag, const_cast<Team *>(&team)});
+                const bool isListed =
+                    owner.order[lane].contains({team.tag, const_cast<Team *>(&team)});
                 const bool shouldBeListed = !team.isPaused && !team.lanes[lane].empty();
                 if (isListed != shouldBeListed)
                     return false;
--- a/src/policy/limitgate.cpp
+++ b/src/policy/limitgate.cpp
@@ -50,8 +50,7 @@
 void LimitGate::refill(State &state, TimePoint now)
 {
     const double elapsed = std::max(0.0, toSeconds(now - state.at));
-    const auto rate
-        = static_cast<double>(m_shares.share(rateKey(key(state.row))).value_or(0));
+    const auto rate = static_cast<double>(m_shares.share(rateKey(key(state.row))).value_or(0));
     state.tokens = std::min(rate * kBurstSeconds, state.tokens + rate * elapsed);
     state.recentRate *= std::exp(-elapsed / kRateWindowSeconds);
     state.at = now;
@@ -109,8 +108,9 @@
         m_shares.noteDemand(concurrencyKey(name), state.running, state.running + state.waiting);
         const auto used = static_cast<std::uint64_t>(state.recentRate);
         const bool isShort = state.waiting > 0 && state.tokens <= 0;
-        const auto wanted = static_cast<std::uint64_t>(
-            isShort ? static_cast<double>(state.row.tokenRate) : state.recentRate * kDemandHeadroom);
+        const auto wanted =
+            static_cast<std::uint64_t>(isShort ? static_cast<double>(state.row.tokenRate)
+                                               : state.recentRate * kDemandHeadroom);
         m_shares.noteDemand(rateKey(name), used, wanted);
     }
 }
--- a/src/policy/prefixindex.cpp
+++ b/src/policy/prefixindex.cpp
@@ -68,8 +68,7 @@
 {
     if (believed == 0)
         return;
-    const double ratio
-        = std::min(1.0, static_cast<double>(actual) / static_cast<double>(believed));
+    const double ratio = std::min(1.0, static_cast<double>(actual) / static_cast<double>(believed));
     m_trust = std::clamp(m_trust + kTrustRate * (ratio - m_trust), 0.0, 1.0);
 }
 
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -46,12 +46,14 @@
 } // namespace
 
 Router::State::State(const UpstreamInfo &i)
-    : info(i), cache(std::max<std::uint64_t>(i.memoryTokens / kPrefixBlockTokens, 1))
+    : info(i)
+    , cache(std::max<std::uint64_t>(i.memoryTokens / kPrefixBlockTokens, 1))
 {
 }
 
 Router::Router(std::string zone, std::span<const UpstreamInfo> upstreams, RouterOptions options)
-    : m_zone(std::move(zone)), m_options(options)
+    : m_zone(std::move(zone))
+    , m_options(options)
 {
     for (const UpstreamInfo &upstream : upstreams) {
         m_index[upstream.id] = m_states.size();
@@ -130,9 +132,8 @@
     const std::uint64_t ownFree = total > state.ownHeld ? total - state.ownHeld : 0;
     if (!state.hasReport)
         return ownFree;
-    const std::uint64_t free = state.reportedFree > state.heldSinceReport
-        ? state.reportedFree - state.heldSinceReport
-        : 0;
+    const std::uint64_t free =
+        state.reportedFree > state.heldSinceReport ? state.reportedFree - state.heldSinceReport : 0;
     return std::min(free, ownFree);
 }
 
@@ -146,8 +147,8 @@
         *cachedOut = cached;
     const bool isUrgent = lane == Lane::Short;
     const double wait = backlog(state, isUrgent, now);
-    Duration predicted
-        = fromSeconds(wait) + state.cost.prefill(spec.promptTokens - cached, spec.promptTokens);
+    Duration predicted =
+        fromSeconds(wait) + state.cost.prefill(spec.promptTokens - cached, spec.promptTokens);
     if (state.info.zone != m_zone)
         predicted += m_options.otherZonePenalty;
     return predicted;
@@ -161,10 +162,8 @@
         rampUp = std::max(kSlowStartFloor, age);
     }
     const auto limit = static_cast<std::size_t>(std::ceil(m_options.maxStreams * rampUp));
-    const std::size_t streams
-        = std::max<std::size_t>(state.ownStreams,
-                                state.hasReport ? state.reportedRunning + state.streamsSinceReport
-                                                : 0);
+    const std::size_t streams = std::max<std::size_t>(
+        state.ownStreams, state.hasReport ? state.reportedRunning + state.streamsSinceReport : 0);
     if (streams >= limit)
         return false;
     if (spec.kind == RequestKind::ServiceCall)
@@ -223,8 +222,8 @@
         return found;
     for (std::size_t i : it->second) {
         const State &state = m_states[i];
-        const bool isCandidate = state.info.kind == spec.kind && isUsable(state, now)
-            && !contains(avoid, state.info.id);
+        const bool isCandidate =
+            state.info.kind == spec.kind && isUsable(state, now) && !contains(avoid, state.info.id);
         if (isCandidate && hasRoom(state, spec, lane, now))
             found.push_back(state.info.id);
     }
@@ -257,10 +256,10 @@
         chosen = usable[m_roundRobin++ % usable.size()];
         break;
     case RoutingMode::LeastOutstanding:
-        chosen = *std::min_element(usable.begin(), usable.end(),
-                                   [&](const State *a, const State *b) {
-                                       return outstanding(a) < outstanding(b);
-                                   });
+        chosen =
+            *std::min_element(usable.begin(), usable.end(), [&](const State *a, const State *b) {
+                return outstanding(a) < outstanding(b);
+            });
         break;
     case RoutingMode::TwoChoices:
     case RoutingMode::Predicted: {
@@ -317,11 +316,11 @@
     if (smallest == 0)
         return 0;
     const double usable = static_cast<double>(smallest) * kUsableMemory;
-    const auto needed
-        = static_cast<std::size_t>(std::ceil(static_cast<double>(neededTokens(spec)) / usable));
-    const bool fitsSomeZone
-        = std::any_of(enginesByZone.begin(), enginesByZone.end(),
-                      [&](const auto &entry) { return entry.second >= needed; });
+    const auto needed =
+        static_cast<std::size_t>(std::ceil(static_cast<double>(neededTokens(spec)) / usable));
+    const bool fitsSomeZone =
+        std::any_of(enginesByZone.begin(), enginesByZone.end(),
+                    [&](const auto &entry) { return entry.second >= needed; });
     return fitsSomeZone ? needed : 0;
 }
 
@@ -588,10 +587,10 @@
         return usable;
     const double elapsed = toSeconds(now - rate->at);
     const auto fleet = static_cast<double>(m_fleetSize);
-    const double longNeed
-        = fleet * rate->longWork * std::exp(-elapsed / kLongRateWindowSeconds) * kLongHeadroom;
-    const double shortNeed
-        = fleet * rate->shortWork * std::exp(-elapsed / kShortRateWindowSeconds) * kShortHeadroom;
+    const double longNeed =
+        fleet * rate->longWork * std::exp(-elapsed / kLongRateWindowSeconds) * kLongHeadroom;
+    const double shortNeed =
+        fleet * rate->shortWork * std::exp(-elapsed / kShortRateWindowSeconds) * kShortHeadroom;
     const auto count = static_cast<double>(usable.size());
     const double spare = std::max(1.0, count - std::ceil(shortNeed));
     const double size = std::clamp(std::ceil(longNeed), 1.0, spare);
--- a/src/policy/shareallocator.cpp
+++ b/src/policy/shareallocator.cpp
@@ -7,7 +7,8 @@
 namespace arbutuspier {
 
 ShareAllocator::ShareAllocator(Member self, std::uint64_t firstTransferId)
-    : m_self(self), m_nextTransferId(firstTransferId)
+    : m_self(self)
+    , m_nextTransferId(firstTransferId)
 {
 }
 
--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,480 @@
+// One table of rules drives the checks, the defaults and the reference page.
+#include "settings/settings.h"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <limits>
+#include <set>
+#include <sstream>
+
+namespace arbutuspier {
+
+namespace {
+
+enum class Type { Integer, Text, Bool, IpAddress, TextList };
+
+struct Rule
+{
+    std::string_view section;
+    std::string_view key;
+    Type type;
+    bool isRequired;
+    std::int64_t minimum;
+    std::int64_t maximum;
+    std::string_view fallback;
+    std::string_view description;
+};
+
+constexpr std::int64_t kMaxId = 1'000'000'000;
+constexpr std::int64_t kMaxMs = 86'400'000;
+
+constexpr std::array kRules = {
+    Rule{"vm", "id", Type::Integer, true, 1, kMaxId, "", "Number of this VM, unique in the fleet"},
+    Rule{"vm", "zone", Type::Text, true, 0, 0, "", "Availability zone of this VM"},
+    Rule{"vm", "listen", Type::IpAddress, true, 0, 0, "", "Where callers connect"},
+    Rule{"vm", "admin", Type::IpAddress, true, 0, 0, "", "Where arbutuspierctl connects"},
+    Rule{"vm", "peer", Type::IpAddress, true, 0, 0, "", "Where other entry VMs connect"},
+    Rule{"vm", "traffic_threads", Type::Integer, false, 1, 64, "2", "Threads that move answers"},
+    Rule{"platform", "address", Type::IpAddress, true, 0, 0, "", "Table service and VM list"},
+    Rule{"security", "peer_key", Type::Text, true, 0, 0, "", "Shared key of all entry VMs"},
+    Rule{"security", "ctl_token", Type::Text, true, 0, 0, "", "Token arbutuspierctl must show"},
+    Rule{"http", "max_body_bytes", Type::Integer, false, 1024, 1LL << 32, "67108864",
+         "Largest request body"},
+    Rule{"http", "max_header_bytes", Type::Integer, false, 512, 1 << 20, "16384",
+         "Largest request header"},
+    Rule{"http", "max_connections", Type::Integer, false, 1, 1'000'000, "10000",
+         "Callers connected at once"},
+    Rule{"http", "slow_sender_ms", Type::Integer, false, 100, kMaxMs, "30000",
+         "Time in which a request must have arrived"},
+    Rule{"http", "idle_ms", Type::Integer, false, 100, kMaxMs, "60000",
+         "Time a connection may wait between requests"},
+    Rule{"admission", "short_first_token_ms", Type::Integer, false, 1, kMaxMs, "900",
+         "A short prompt that cannot have its first token by then is refused"},
+    Rule{"admission", "short_deadline_ms", Type::Integer, false, 1, kMaxMs, "30000",
+         "Time a short prompt may take"},
+    Rule{"admission", "long_deadline_ms", Type::Integer, false, 1, kMaxMs, "600000",
+         "Time a longer prompt may take"},
+    Rule{"admission", "call_deadline_ms", Type::Integer, false, 1, kMaxMs, "10000",
+         "Time a call to a plain service may take"},
+    Rule{"admission", "max_queued", Type::Integer, false, 1, 1'000'000, "20000",
+         "Requests in this VM's care at once"},
+    Rule{"peers", "id", Type::Integer, true, 1, kMaxId, "", "Number of the other VM"},
+    Rule{"peers", "zone", Type::Text, true, 0, 0, "", "Its availability zone"},
+    Rule{"peers", "address", Type::IpAddress, true, 0, 0, "", "Its peer address"},
+    Rule{"upstreams", "id", Type::Integer, true, 1, kMaxId, "", "Number of the upstream"},
+    Rule{"upstreams", "name", Type::Text, true, 0, 0, "", "Name for people"},
+    Rule{"upstreams", "kind", Type::Text, true, 0, 0, "", "\"engine\" or \"service\""},
+    Rule{"upstreams", "target", Type::Text, true, 0, 0, "", "Model or service it serves"},
+    Rule{"upstreams", "zone", Type::Text, true, 0, 0, "", "Its availability zone"},
+    Rule{"upstreams", "address", Type::IpAddress, true, 0, 0, "", "Where it listens"},
+    Rule{"upstreams", "memory_tokens", Type::Integer, false, 0, 1LL << 40, "0",
+         "KV cache of an engine, in tokens"},
+    Rule{"upstreams", "checks_fence", Type::Bool, false, 0, 0, "false",
+         "It refuses orders with an old fencing number"},
+    Rule{"upstreams", "not_repeatable", Type::TextList, false, 0, 0, "[]",
+         "Calls that run at most once, as \"METHOD /path-prefix\""},
+    Rule{"teams", "name", Type::Text, true, 0, 0, "", "Team"},
+    Rule{"teams", "class", Type::Text, true, 0, 0, "", "Class of work of this key"},
+    Rule{"teams", "key", Type::Text, true, 0, 0, "", "API key of callers"},
+};
+
+constexpr std::array<std::string_view, 3> kListSections = {"peers", "upstreams", "teams"};
+
+bool isListSection(std::string_view section)
+{
+    return std::find(kListSections.begin(), kListSections.end(), section) != kListSections.end();
+}
+
+std::string_view typeName(Type type)
+{
+    switch (type) {
+    case Type::Integer:
+        return "whole number";
+    case Type::Text:
+        return "text";
+    case Type::Bool:
+        return "true or false";
+    case Type::IpAddress:
+        return "IP:port";
+    case Type::TextList:
+        return "list of text";
+    }
+    return "text";
+}
+
+bool parseAddress(std::string_view text, Address &out)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return false;
+    std::uint32_t port = 0;
+    for (char c : text.substr(colon + 1)) {
+        if (c < '0' || c > '9')
+            return false;
+        port = port * 10 + static_cast<std::uint32_t>(c - '0');
+        if (port > std::numeric_limits<std::uint16_t>::max())
+            return false;
+    }
+    int octets = 1;
+    int value = -1;
+    for (char c : text.substr(0, colon)) {
+        if (c == '.') {
+            if (value < 0)
+                return false;
+            ++octets;
+            value = -1;
+            continue;
+        }
+        if (c < '0' || c > '9')
+            return false;
+        value = (value < 0 ? 0 : value * 10) + (c - '0');
+        if (value > std::numeric_limits<std::uint8_t>::max())
+            return false;
+    }
+    constexpr int kOctets = 4;
+    if (octets != kOctets || value < 0 || port == 0)
+        return false;
+    out = {std::string(text.substr(0, colon)), static_cast<std::uint16_t>(port)};
+    return true;
+}
+
+/// Walks the document by the rules and collects every mistake.
+class Reader
+{
+public:
+    explicit Reader(std::string fileName)
+        : m_fileName(std::move(fileName))
+    {
+    }
+
+    Settings read(const toml::table &document)
+    {
+        checkSections(document);
+        for (std::string_view section : {"vm", "platform", "security", "http", "admission"})
+            readSingle(document, section);
+        for (std::string_view section : kListSections)
+            readList(document, section);
+        checkWhole();
+        return std::move(m_settings);
+    }
+
+    void add(const toml::source_region &where, std::string_view key, std::string_view what)
+    {
+        if (!m_errors.empty())
+            m_errors += '\n';
+        m_errors += m_fileName + ':' + std::to_string(where.begin.line) + ": " + std::string(key)
+            + ": " + std::string(what);
+    }
+    const std::string &errors() const { return m_errors; }
+
+private:
+    void checkSections(const toml::table &document)
+    {
+        for (const auto &[key, node] : document) {
+            const bool isKnown = std::any_of(kRules.begin(), kRules.end(), [&](const Rule &rule) {
+                return rule.section == key.str();
+            });
+            if (!isKnown)
+                add(node.source(), key.str(), "unknown section");
+        }
+    }
+
+    void readSingle(const toml::table &document, std::string_view section)
+    {
+        static const toml::table kEmpty;
+        const toml::node *node = document.get(section);
+        if (node && !node->is_table()) {
+            add(node->source(), section, "expected a section [" + std::string(section) + "]");
+            return;
+        }
+        const toml::table &table = node ? *node->as_table() : kEmpty;
+        checkTable(table, section);
+        apply(table, section);
+    }
+
+    void readList(const toml::table &document, std::string_view section)
+    {
+        const toml::node *node = document.get(section);
+        if (!node)
+            return;
+        if (!node->is_array_of_tables()) {
+            add(node->source(), section, "expected [[" + std::string(section) + "]] entries");
+            return;
+        }
+        for (const toml::node &item : *node->as_array()) {
+            checkTable(*item.as_table(), section);
+            apply(*item.as_table(), section);
+        }
+    }
+
+    void checkTable(const toml::table &table, std::string_view section)
+    {
+        for (const auto &[key, node] : table) {
+            if (!ruleFor(section, key.str()))
+                add(node.source(), std::string(section) + '.' + std::string(key.str()),
+                    "unknown key");
+        }
+        for (const Rule &rule : kRules) {
+            if (rule.section != section)
+                continue;
+            const std::string name = std::string(section) + '.' + std::string(rule.key);
+            const toml::node *node = table.get(rule.key);
+            if (!node) {
+                if (rule.isRequired)
+                    add(table.source(), name,
+                        "missing, expected " + std::string(typeName(rule.type)));
+                continue;
+            }
+            checkValue(rule, *node, name);
+        }
+    }
+
+    static const Rule *ruleFor(std::string_view section, std::string_view key)
+    {
+        for (const Rule &rule : kRules) {
+            if (rule.section == section && rule.key == key)
+                return &rule;
+        }
+        return nullptr;
+    }
+
+    void checkValue(const Rule &rule, const toml::node &node, const std::string &name)
+    {
+        bool isGood = false;
+        std::string expected(typeName(rule.type));
+        switch (rule.type) {
+        case Type::Integer: {
+            const auto value = node.value_exact<std::int64_t>();
+            isGood = value && *value >= rule.minimum && *value <= rule.maximum;
+            expected +=
+                " from " + std::to_string(rule.minimum) + " to " + std::to_string(rule.maximum);
+            break;
+        }
+        case Type::Text: {
+            const auto value = node.value_exact<std::string>();
+            isGood = value && !value->empty();
+            break;
+        }
+        case Type::Bool:
+            isGood = node.is_boolean();
+            break;
+        case Type::IpAddress: {
+            const auto value = node.value_exact<std::string>();
+            Address address;
+            isGood = value && parseAddress(*value, address);
+            break;
+        }
+        case Type::TextList:
+            isGood = node.is_array()
+                && (node.as_array()->empty()
+                    || node.as_array()->is_homogeneous(toml::node_type::string));
+            break;
+        }
+        if (!isGood)
+            add(node.source(), name, "expected " + expected);
+    }
+
+    static std::string text(const toml::table &table, std::string_view key)
+    {
+        return table[key].value_or(std::string());
+    }
+    template <class T>
+    static T number(const toml::table &table, std::string_view key, T fallback)
+    {
+        return static_cast<T>(table[key].value_or(static_cast<std::int64_t>(fallback)));
+    }
+    static Duration milliseconds(const toml::table &table, std::string_view key, Duration fallback)
+    {
+        const auto value = table[key].value<std::int64_t>();
+        return value ? Duration(std::chrono::milliseconds{*value}) : fallback;
+    }
+    static Address address(const toml::table &table, std::string_view key)
+    {
+        Address found;
+        parseAddress(text(table, key), found);
+        return found;
+    }
+
+    void apply(const toml::table &table, std::string_view section)
+    {
+        if (section == "vm")
+            applyVm(table);
+        else if (section == "platform")
+            m_settings.platform = address(table, "address");
+        else if (section == "security")
+            applySecurity(table);
+        else if (section == "http")
+            applyHttp(table);
+        else if (section == "admission")
+            applyAdmission(table);
+        else if (section == "peers")
+            applyPeer(table);
+        else if (section == "upstreams")
+            applyUpstream(table);
+        else if (section == "teams")
+            applyTeam(table);
+    }
+
+    void applyVm(const toml::table &table)
+    {
+        m_settings.self = {VmId{number<std::uint64_t>(table, "id", 0)}, text(table, "zone")};
+        m_settings.listen = address(table, "listen");
+        m_settings.admin = address(table, "admin");
+        m_settings.peer = address(table, "peer");
+        m_settings.trafficThreads = number(table, "traffic_threads", m_settings.trafficThreads);
+    }
+
+    void applySecurity(const toml::table &table)
+    {
+        m_settings.peerKey = text(table, "peer_key");
+        m_settings.ctlToken = text(table, "ctl_token");
+    }
+
+    void applyHttp(const toml::table &table)
+    {
+        HttpLimits &http = m_settings.http;
+        http.maxBodyBytes = number(table, "max_body_bytes", http.maxBodyBytes);
+        http.maxHeaderBytes = number(table, "max_header_bytes", http.maxHeaderBytes);
+        http.maxConnections = number(table, "max_connections", http.maxConnections);
+        http.slowSender = milliseconds(table, "slow_sender_ms", http.slowSender);
+        http.idle = milliseconds(table, "idle_ms", http.idle);
+    }
+
+    void applyAdmission(const toml::table &table)
+    {
+        AdmissionOptions &a = m_settings.admission;
+        a.shortFirstTokenLimit =
+            milliseconds(table, "short_first_token_ms", a.shortFirstTokenLimit);
+        a.shortDeadline = milliseconds(table, "short_deadline_ms", a.shortDeadline);
+        a.longDeadline = milliseconds(table, "long_deadline_ms", a.longDeadline);
+        a.callDeadline = milliseconds(table, "call_deadline_ms", a.callDeadline);
+        a.maxQueued = number(table, "max_queued", a.maxQueued);
+    }
+
+    void applyPeer(const toml::table &table)
+    {
+        const VmId id{number<std::uint64_t>(table, "id", 0)};
+        m_settings.peers.push_back({id, text(table, "zone")});
+        m_settings.peerAddresses[id] = address(table, "address");
+        if (!m_vmIds.insert(id.value).second)
+            add(table.source(), "peers.id", "stands twice");
+    }
+
+    void applyUpstream(const toml::table &table)
+    {
+        UpstreamInfo info;
+        info.id = UpstreamId{number<std::uint64_t>(table, "id", 0)};
+        info.name = text(table, "name");
+        const std::string kind = text(table, "kind");
+        if (kind != "engine" && kind != "service")
+            add(table.source(), "upstreams.kind", "expected \"engine\" or \"service\"");
+        info.kind = kind == "service" ? RequestKind::ServiceCall : RequestKind::Prompt;
+        info.target = text(table, "target");
+        info.zone = text(table, "zone");
+        info.memoryTokens = number<std::uint64_t>(table, "memory_tokens", 0);
+        info.checksFence = table["checks_fence"].value_or(false);
+        if (info.kind == RequestKind::Prompt && info.memoryTokens == 0)
+            add(table.source(), "upstreams.memory_tokens", "an engine needs its memory in tokens");
+        if (!m_upstreamIds.insert(info.id.value).second)
+            add(table.source(), "upstreams.id", "stands twice");
+        m_settings.upstreamAddresses[info.id] = address(table, "address");
+        applyNotRepeatable(table, info.target);
+        m_settings.upstreams.push_back(std::move(info));
+    }
+
+    void applyNotRepeatable(const toml::table &table, const std::string &target)
+    {
+        const toml::array *list = table["not_repeatable"].as_array();
+        if (!list)
+            return;
+        for (const toml::node &item : *list) {
+            const std::string pattern = item.value_or(std::string());
+            const auto blank = pattern.find(' ');
+            const bool isWhole = blank != std::string::npos && blank + 1 < pattern.size()
+                && pattern[blank + 1] == '/';
+            if (!isWhole) {
+                add(item.source(), "upstreams.not_repeatable", "expected \"METHOD /path-prefix\"");
+                continue;
+            }
+            m_settings.notRepeatable[target].push_back(
+                {pattern.substr(0, blank), pattern.substr(blank + 1)});
+        }
+    }
+
+    void applyTeam(const toml::table &table)
+    {
+        const TeamSettings team{text(table, "name"), text(table, "class")};
+        if (!m_settings.teamsByKey.emplace(text(table, "key"), team).second)
+            add(table.source(), "teams.key", "stands twice");
+    }
+
+    void checkWhole()
+    {
+        if (m_vmIds.contains(m_settings.self.id.value))
+            add({}, "vm.id", "is also the id of a peer");
+        if (m_settings.upstreams.empty())
+            add({}, "upstreams", "expected at least one [[upstreams]] entry");
+    }
+
+    std::string m_fileName;
+    std::string m_errors;
+    Settings m_settings;
+    std::set<std::uint64_t> m_vmIds;
+    std::set<std::uint64_t> m_upstreamIds;
+};
+
+} // namespace
+
+Result<Settings> parseSettings(std::string_view text, const std::string &fileName)
+{
+    toml::table document;
+    try {
+        document = toml::parse(text, fileName);
+    } catch (const toml::parse_error &error) {
+        return Error(fileName + ':' + std::to_string(error.source().begin.line) + ": "
+                     + std::string(error.description()));
+    }
+    Reader reader(fileName);
+    Settings settings = reader.read(document);
+    if (!reader.errors().empty())
+        return Error(reader.errors());
+    return settings;
+}
+
+Result<Settings> loadSettings(const std::string &fileName)
+{
+    std::ifstream file(fileName, std::ios::binary);
+    if (!file)
+        return Error(fileName + ": cannot be read");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseSettings(text.str(), fileName);
+}
+
+std::vector<SettingRule> settingRules()
+{
+    std::vector<SettingRule> rules;
+    for (const Rule &rule : kRules)
+        rules.push_back({rule.section, rule.key, typeName(rule.type), rule.isRequired,
+                         rule.fallback, rule.description});
+    return rules;
+}
+
+std::string settingsReference()
+{
+    std::string text = "| key | value | default | meaning |\n|---|---|---|---|\n";
+    for (const SettingRule &rule : settingRules()) {
+        const std::string section = isListSection(rule.section)
+            ? "[[" + std::string(rule.section) + "]] "
+            : "[" + std::string(rule.section) + "] ";
+        const std::string fallback = rule.isRequired ? "required" : std::string(rule.fallback);
+        text += "| `" + section + std::string(rule.key) + "` | " + std::string(rule.type) + " | "
+            + fallback + " | " + std::string(rule.description) + " |\n";
+    }
+    return text;
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/tools/standin/engineserver.cpp
@@ -0,0 +1,283 @@
+// Steps run when the model says they end; tokens go out as server-sent events with their number.
+#include "engineserver.h"
+
+#include "net/promptreader.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <array>
+#include <cstdlib>
+#include <iostream>
+
+namespace arbutuspier::standin {
+
+namespace http = boost::beast::http;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr Duration kReportInterval = std::chrono::milliseconds{20};
+constexpr std::size_t kMaxCacheBatches = 1'000;
+constexpr std::uint64_t kVocabulary = 10'000;
+constexpr int kKilledExit = 70;
+
+std::vector<std::pair<std::string, std::string>> refusalHeaders()
+{
+    return {{"X-Not-Run", "1"}};
+}
+
+TimePoint now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::uint64_t headerNumber(const Request &request, std::string_view name)
+{
+    const auto value = request[std::string(name)];
+    return numberAfter({value.data(), value.size()}, "");
+}
+
+/// The same prompt gives the same answer on each engine, so that a resumed answer fits.
+std::string tokenText(std::uint64_t seed, std::uint64_t index)
+{
+    return 'w' + std::to_string(XXH64(&index, sizeof(index), seed) % kVocabulary) + ' ';
+}
+
+std::string eventText(std::uint64_t seed, std::uint64_t index)
+{
+    const Json json = {{"choices", {{{"index", 0}, {"text", tokenText(seed, index)}}}}};
+    return "id: " + std::to_string(index) + "\ndata: " + json.dump() + "\n\n";
+}
+
+std::string chunk(const std::string &text)
+{
+    std::array<char, 20> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    return size.data() + text + "\r\n";
+}
+
+} // namespace
+
+EngineServer::EngineServer(asio::io_context &context, EngineServerOptions options)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_engine(m_options.engine,
+               Incarnation{static_cast<std::uint64_t>(
+                   std::chrono::system_clock::now().time_since_epoch().count())})
+    , m_wake(context)
+{
+}
+
+bool EngineServer::start()
+{
+    const bool isListening =
+        serve(m_context, m_options.listen, [this](beast::tcp_stream &stream, Request request) {
+            return handle(stream, std::move(request));
+        });
+    asio::co_spawn(m_context, runSteps(), asio::detached);
+    asio::co_spawn(m_context, keepReports(), asio::detached);
+    return isListening;
+}
+
+Task<void> EngineServer::runSteps()
+{
+    while (true) {
+        const auto next = m_engine.nextStepAt();
+        m_wake.expires_at(next ? *next : TimePoint::max());
+        co_await m_wake.async_wait(kAwait);
+        for (const model::EngineOutput &output : m_engine.advance(now()))
+            onOutput(output);
+    }
+}
+
+void EngineServer::onOutput(const model::EngineOutput &output)
+{
+    auto it = m_outputs.find(output.attempt);
+    if (it == m_outputs.end())
+        return;
+    Output &out = *it->second;
+    if (output.kind == model::EngineOutput::Kind::Token) {
+        out.pending += eventText(out.seed, output.tokens);
+    } else {
+        const Json usage = {
+            {"usage",
+             {{"completion_tokens", output.tokens}, {"cached_tokens", output.cachedTokens}}}};
+        out.pending += "data: " + usage.dump() + "\n\ndata: [DONE]\n\n";
+        out.isDone = true;
+    }
+    out.signal.cancel();
+    if (out.isDone)
+        m_outputs.erase(it);
+}
+
+Task<void> EngineServer::keepReports()
+{
+    asio::steady_timer timer(m_context);
+    while (true) {
+        m_reports.emplace_back(now(), m_engine.report({}));
+        while (m_reports.size() > 1 && m_reports[1].first + m_options.reportLag <= now())
+            m_reports.pop_front();
+        CacheEvents events = m_engine.takeCacheEvents({});
+        if (!events.added.empty() || !events.removed.empty()) {
+            events.sequence = m_cacheEvents.empty() ? 1 : m_cacheEvents.back().sequence + 1;
+            m_cacheEvents.push_back(std::move(events));
+        }
+        if (m_cacheEvents.size() > kMaxCacheBatches)
+            m_cacheEvents.pop_front();
+        timer.expires_after(kReportInterval);
+        co_await timer.async_wait(kAwait);
+    }
+}
+
+std::string EngineServer::loadJson() const
+{
+    const auto &[at, report] = m_reports.front();
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now() - at).count();
+    Json json = {{"incarnation", report.incarnation.value},
+                 {"age_ms", static_cast<std::uint64_t>(age)},
+                 {"queued_tokens", report.queuedTokens},
+                 {"urgent_tokens", report.urgentTokens},
+                 {"running", report.running},
+                 {"free_tokens", report.freeTokens},
+                 {"used_tokens", m_engine.usedTokens()},
+                 {"leaving", report.isLeaving},
+                 {"state", m_engine.state()},
+                 {"expired_holdings", Json::array()}};
+    for (HoldingId holding : m_engine.expiredReservations(now()))
+        json["expired_holdings"].push_back(holding.value);
+    return json.dump();
+}
+
+Task<bool> EngineServer::handle(beast::tcp_stream &stream, Request request)
+{
+    const std::string target(request.target());
+    if (target.rfind("/v1/", 0) == 0)
+        co_return co_await complete(stream, std::move(request));
+    if (target.rfind("/holdings/", 0) == 0)
+        co_return co_await holdings(stream, std::move(request));
+    if (target.rfind("/load", 0) == 0)
+        co_return co_await reply(stream, request, 200, loadJson());
+    if (target.rfind("/cache-events", 0) == 0) {
+        const std::uint64_t after = numberAfter(target, "after=");
+        Json json = {{"sequence", after}, {"added", Json::array()}, {"removed", Json::array()}};
+        for (const CacheEvents &events : m_cacheEvents) {
+            if (events.sequence <= after)
+                continue;
+            json["sequence"] = events.sequence;
+            for (std::uint64_t block : events.added)
+                json["added"].push_back(block);
+            for (std::uint64_t block : events.removed)
+                json["removed"].push_back(block);
+        }
+        co_return co_await reply(stream, request, 200, json.dump());
+    }
+    if (target == "/leave") {
+        m_engine.setLeaving();
+        co_return co_await reply(stream, request, 200, "{}");
+    }
+    if (target == "/orders") {
+        const Json json = Json::parse(request.body(), nullptr, false);
+        if (!json.is_object() || !json.contains("fence") || !json.contains("state"))
+            co_return co_await reply(stream, request, 400, "{}");
+        asio::steady_timer timer(m_context, m_options.engine.orderTime);
+        co_await timer.async_wait(kAwait);
+        const OrderOutcome outcome =
+            m_engine.order(json["fence"].get<std::uint64_t>(), json["state"].get<std::string>());
+        const bool isDone = outcome == OrderOutcome::Done;
+        const Json state = {{"state", m_engine.state()}};
+        co_return co_await reply(stream, request, isDone ? 200 : 409, state.dump());
+    }
+    co_return co_await reply(stream, request, 404, "{}");
+}
+
+Task<bool> EngineServer::holdings(beast::tcp_stream &stream, Request request)
+{
+    const HoldingId holding{numberAfter(std::string(request.target()), "/holdings/")};
+    if (request.method() == http::verb::delete_) {
+        m_engine.release(holding);
+        if (auto it = m_outputs.find(AttemptId{holding.value}); it != m_outputs.end()) {
+            it->second->isDone = true;
+            it->second->signal.cancel();
+            m_outputs.erase(it);
+        }
+        m_wake.cancel();
+        co_return co_await reply(stream, request, 200, "{}");
+    }
+    const Json json = Json::parse(request.body(), nullptr, false);
+    if (!json.is_object() || !json.contains("tokens") || !json.contains("limit_ms"))
+        co_return co_await reply(stream, request, 400, "{}");
+    const TimePoint deadline =
+        now() + std::chrono::milliseconds{json["limit_ms"].get<std::uint64_t>()};
+    const bool isGranted =
+        m_engine.reserve(holding, json["tokens"].get<std::uint64_t>(), deadline, now());
+    co_return co_await reply(stream, request, isGranted ? 201 : 409, "{}");
+}
+
+Task<bool> EngineServer::complete(beast::tcp_stream &stream, Request request)
+{
+    auto prompt = readPrompt(request.body());
+    if (!prompt)
+        co_return co_await reply(stream, request, 400, "{}", refusalHeaders());
+    if (request.body().find(m_options.killerText) != std::string::npos) {
+        std::cerr << "standin: engine killed by a request\n";
+        std::_Exit(kKilledExit);
+    }
+    model::EngineRequest engineRequest;
+    engineRequest.attempt = AttemptId{headerNumber(request, "X-Attempt")};
+    engineRequest.promptTokens = prompt->promptTokens;
+    engineRequest.maxTokens = prompt->maxTokens;
+    engineRequest.prefixBlocks = prompt->prefixBlocks;
+    engineRequest.resumeOffset = headerNumber(request, "X-Resume-Offset");
+    engineRequest.priority = static_cast<int>(headerNumber(request, "X-Priority"));
+    engineRequest.gangSize = std::max<std::uint64_t>(1, headerNumber(request, "X-Gang-Size"));
+    engineRequest.reservation = HoldingId{headerNumber(request, "X-Reservation")};
+    if (const std::uint64_t limit = headerNumber(request, "X-Time-Limit-Ms"); limit > 0)
+        engineRequest.deadline = now() + std::chrono::milliseconds{limit};
+    if (!engineRequest.attempt.isValid())
+        engineRequest.attempt =
+            AttemptId{static_cast<std::uint64_t>(now().time_since_epoch().count())};
+    const AttemptId attempt = engineRequest.attempt;
+    auto output = std::make_shared<Output>(m_context);
+    output->seed = fingerprintOf(request.body()).value;
+    output->signal.expires_at(TimePoint::max());
+    request.body().clear();
+    request.body().shrink_to_fit();
+    if (!m_engine.open(std::move(engineRequest), now()))
+        co_return co_await reply(stream, request, 409, "{}", refusalHeaders());
+    m_outputs[attempt] = output;
+    m_wake.cancel();
+    co_return co_await writeEvents(stream, output);
+}
+
+Task<bool> EngineServer::writeEvents(beast::tcp_stream &stream, std::shared_ptr<Output> output)
+{
+    std::string out = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                      "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    bool isConnected = true;
+    while (isConnected) {
+        if (!output->pending.empty())
+            out += chunk(std::exchange(output->pending, {}));
+        const bool isLast = output->isDone;
+        if (isLast)
+            out += "0\r\n\r\n";
+        if (!out.empty()) {
+            const std::string bytes = std::exchange(out, {});
+            const auto [error, size] =
+                co_await asio::async_write(stream, asio::buffer(bytes), kAwait);
+            // A caller that went away is not noticed by the engine: the stream runs on.
+            isConnected = !error;
+        }
+        if (isLast)
+            break;
+        if (output->pending.empty() && !output->isDone && isConnected)
+            co_await output->signal.async_wait(kAwait);
+    }
+    co_return false;
+}
+
+} // namespace arbutuspier::standin
--- /dev/null
+++ b/tools/standin/platformserver.cpp
@@ -0,0 +1,158 @@
+// Faults are switched by POST /faults: down, delay_ms, lose_replies.
+#include "platformserver.h"
+
+#include "net/tablejson.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace arbutuspier::standin {
+
+namespace http = boost::beast::http;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::string_view kObjects = "/objects/";
+
+TimePoint now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+PlatformServer::PlatformServer(asio::io_context &context, PlatformServerOptions options)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_table(m_options.table)
+{
+}
+
+bool PlatformServer::start()
+{
+    return serve(m_context, m_options.listen, [this](beast::tcp_stream &stream, Request request) {
+        return handle(stream, std::move(request));
+    });
+}
+
+Task<void> PlatformServer::pause(Duration duration)
+{
+    asio::steady_timer timer(m_context, duration);
+    co_await timer.async_wait(kAwait);
+}
+
+Task<bool> PlatformServer::handle(beast::tcp_stream &stream, Request request)
+{
+    const std::string target(request.target());
+    if (target == "/faults") {
+        const bool isGood = setFaults(request.body());
+        co_return co_await reply(stream, request, isGood ? 200 : 400, "{}");
+    }
+    if (target == "/counters") {
+        const Json json = {
+            {"writes", m_table.writes()}, {"reads", m_table.reads()}, {"rows", m_table.rowCount()}};
+        co_return co_await reply(stream, request, 200, json.dump());
+    }
+    if (m_faults.isDown)
+        co_return co_await reply(stream, request, 503, "{\"outcome\":\"unavailable\"}");
+    if (target.rfind("/table/", 0) == 0)
+        co_return co_await table(stream, std::move(request));
+    if (target == "/vms")
+        co_return co_await reply(stream, request, 200, vmList(request.body()));
+    if (target.rfind(kObjects, 0) == 0)
+        co_return co_await object(stream, std::move(request));
+    if (target.rfind("/weights/", 0) == 0)
+        co_return co_await weights(stream, std::move(request));
+    co_return co_await reply(stream, request, 404, "{}");
+}
+
+Task<bool> PlatformServer::table(beast::tcp_stream &stream, Request request)
+{
+    const auto call = decodeTableRequest(request.body());
+    if (!call)
+        co_return co_await reply(stream, request, 400, "{}");
+    if (m_faults.delay > Duration::zero())
+        co_await pause(m_faults.delay);
+    const TableOutcome outcome = m_table.apply(*call, now());
+    const bool isWrite = std::holds_alternative<TableTransaction>(*call);
+    if (isWrite && m_faults.lostReplies > 0) {
+        --m_faults.lostReplies;
+        co_return false;
+    }
+    co_return co_await reply(stream, request, 200, encodeTableOutcome(outcome));
+}
+
+Task<bool> PlatformServer::object(beast::tcp_stream &stream, Request request)
+{
+    const std::string key = std::string(request.target()).substr(kObjects.size());
+    if (request.method() == http::verb::put) {
+        m_objects[key] = request.body();
+        co_return co_await reply(stream, request, 200, "{}");
+    }
+    auto it = m_objects.find(key);
+    if (it == m_objects.end())
+        co_return co_await reply(stream, request, 404, "{}");
+    co_return co_await reply(stream, request, 200, it->second);
+}
+
+Task<bool> PlatformServer::weights(beast::tcp_stream &stream, Request request)
+{
+    m_nextWeights = std::max(m_nextWeights, now()) + fromSeconds(1.0 / m_options.weightsPerSecond);
+    co_await pause(m_nextWeights - now());
+    co_return co_await reply(stream, request, 200, "{}");
+}
+
+bool PlatformServer::setFaults(const std::string &body)
+{
+    const Json json = Json::parse(body, nullptr, false);
+    if (!json.is_object())
+        return false;
+    Faults faults;
+    for (const auto &[key, value] : json.items()) {
+        if (key == "down" && value.is_boolean())
+            faults.isDown = value.get<bool>();
+        else if (key == "delay_ms" && value.is_number_unsigned())
+            faults.delay = std::chrono::milliseconds{value.get<std::uint64_t>()};
+        else if (key == "lose_replies" && value.is_number_unsigned())
+            faults.lostReplies = value.get<std::uint64_t>();
+        else
+            return false;
+    }
+    m_faults = faults;
+    return true;
+}
+
+void PlatformServer::updateList()
+{
+    std::erase_if(m_vms, [&](const auto &entry) {
+        return entry.second.heardAt + m_options.vmTimeout < now();
+    });
+    Json vms = Json::array();
+    for (const auto &[id, vm] : m_vms)
+        vms.push_back({{"id", id}, {"incarnation", vm.incarnation}});
+    const bool isSame = !m_lists.empty() && Json::parse(m_lists.back().json)["vms"] == vms;
+    if (isSame)
+        return;
+    const Json json = {
+        {"revision", ++m_revision}, {"vms", std::move(vms)}, {"leaving_upstreams", Json::array()}};
+    m_lists.push_back({now(), m_revision, json.dump()});
+}
+
+std::string PlatformServer::vmList(const std::string &body)
+{
+    const Json json = Json::parse(body, nullptr, false);
+    const bool isVm = json.is_object() && json.contains("id") && json["id"].is_number_unsigned()
+        && json.contains("incarnation") && json["incarnation"].is_number_unsigned();
+    if (isVm)
+        m_vms[json["id"].get<std::uint64_t>()] = {json["incarnation"].get<std::uint64_t>(), now()};
+    updateList();
+    while (m_lists.size() > 1 && m_lists[1].at + m_options.listLag <= now())
+        m_lists.pop_front();
+    return m_lists.front().json;
+}
+
+} // namespace arbutuspier::standin
