--- a/include/arbutuspier/holdings.h
+++ b/include/arbutuspier/holdings.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace arbutuspier {
@@ -18,7 +19,7 @@
 struct HoldingsOptions
 {
     /// Time between copies to peers; holdings opened and closed in between are never sent.
-    Duration noticeInterval = std::chrono::milliseconds{250};
+    Duration noticeInterval = std::chrono::milliseconds{40};
     Duration releaseRetry = std::chrono::milliseconds{500};
     Duration maxReleaseRetry = std::chrono::seconds{10};
     /// Time past its deadline after which a peer's holding is released by this VM.
@@ -37,7 +38,7 @@
     Holdings(VmId self, Incarnation incarnation, HoldingsOptions options);
 
     /// This VM now holds, or may hold, memory on an upstream.
-    void add(HoldingId holding, UpstreamId upstream, TimePoint deadline);
+    void add(HoldingId holding, UpstreamId upstream, TimePoint deadline, Fingerprint body);
     /// The holding ended by itself (answer done, upstream refused): nothing is to be released.
     void forget(HoldingId holding);
     /// Starts the release of a holding.
@@ -48,12 +49,18 @@
     /// The upstream's process ended: what it held is gone.
     void onUpstreamDead(UpstreamId upstream);
 
+    /// Bodies that may be running on an upstream for this VM, or for one of `lostOwners`.
+    std::vector<Fingerprint> bodiesOn(UpstreamId upstream,
+                                      std::span<const VmId> lostOwners) const;
+
     void onNotices(const HoldingNotices &notices, TimePoint now);
     /// The owner's life is over for certain: its holdings are released.
     void onOwnerGone(VmId owner, Incarnation incarnation, TimePoint now);
 
+    /// Takes over the release of peers' holdings that are past their deadline.
+    void tick(TimePoint now);
     /// Releases that are due now.
-    std::vector<ReleaseNow> tick(TimePoint now);
+    std::vector<ReleaseNow> dueReleases(TimePoint now);
     /// News of own holdings for the copy holders, if the interval has passed.
     std::optional<HoldingNotices> takeNotices(TimePoint now);
     /// All own holdings, for a new copy holder.
@@ -70,6 +77,7 @@
     {
         UpstreamId upstream;
         TimePoint deadline;
+        Fingerprint body;
         bool isNoticed = false;
     };
     struct Peer
@@ -78,16 +86,18 @@
         VmId owner;
         Incarnation incarnation;
         TimePoint deadline;
+        Fingerprint body;
     };
     struct Releasing
     {
         UpstreamId upstream;
         TimePoint dueAt;
         Duration wait{};
+        Fingerprint body;
     };
 
     HoldingNotice notice(HoldingId id, const Own &own, TimePoint now) const;
-    void startRelease(HoldingId holding, UpstreamId upstream, TimePoint now);
+    void startRelease(HoldingId holding, UpstreamId upstream, Fingerprint body, TimePoint now);
 
     VmId m_self;
     Incarnation m_incarnation;
--- a/include/arbutuspier/membership.h
+++ b/include/arbutuspier/membership.h
@@ -72,6 +72,8 @@
     std::size_t aliveCount() const;
     /// Reachable members other than this VM, in id order.
     std::vector<VmId> reachable() const;
+    /// Members not heard of now: dead, cut off or paused.
+    std::vector<VmId> unreachable() const;
     /// Up to `count` reachable members for copies: one of the own zone, the rest of others first.
     std::vector<VmId> copyHolders(std::size_t count) const;
     std::uint64_t listRevision() const { return m_listRevision; }
--- a/include/arbutuspier/peer.h
+++ b/include/arbutuspier/peer.h
@@ -58,6 +58,8 @@
     UpstreamId upstream;
     VmId owner;
     Incarnation ownerIncarnation;
+    /// The body that runs there.
+    Fingerprint body;
     /// How long the holding may still live, from the time of the message.
     Duration remaining{};
     bool isReleased = false;
--- a/include/arbutuspier/quarantine.h
+++ b/include/arbutuspier/quarantine.h
@@ -54,10 +54,11 @@
     std::vector<SuspectNotice> clear(Fingerprint fingerprint);
     void tick(TimePoint now);
 
-    /// The upstream on which every VM tries this suspect, out of `usable`; it is never one that
-    /// died with it. Returns an invalid id if there is none.
-    UpstreamId trialUpstream(Fingerprint fingerprint, std::span<const UpstreamId> usable) const;
+    /// The upstream on which every VM tries this suspect, out of those present. It depends on
+    /// nothing else, so that VMs with the same list agree. Invalid if the list is empty.
+    static UpstreamId trialUpstream(Fingerprint fingerprint, std::span<const UpstreamId> present);
 
+    std::vector<std::uint64_t> deathsOf(Fingerprint fingerprint) const;
     std::vector<SuspectNotice> records() const;
     std::size_t size() const { return m_records.size(); }
 
@@ -67,7 +68,6 @@
         /// Digests of (upstream, life).
         std::set<std::uint64_t> deaths;
         std::set<std::uint64_t> cleared;
-        std::set<UpstreamId> upstreams;
         TimePoint touchedAt;
     };
 
--- a/include/arbutuspier/router.h
+++ b/include/arbutuspier/router.h
@@ -73,7 +73,9 @@
     /// Prefill seconds of this request on an average engine without cache.
     Duration typicalPrefill(const RequestSpec &spec) const;
     /// Engines of one zone for a prompt larger than one engine; empty if too few are usable.
-    std::vector<UpstreamId> chooseGang(const RequestSpec &spec, TimePoint now) const;
+    /// For a suspect every VM chooses alike, whatever its zone and the engines' load.
+    std::vector<UpstreamId> chooseGang(const RequestSpec &spec, bool isSuspect,
+                                       TimePoint now) const;
     /// Engines that a prompt of this size needs; zero if all of them are too few.
     std::size_t gangSize(const RequestSpec &spec) const;
 
@@ -90,10 +92,16 @@
     void onReport(const LoadReport &report, TimePoint now);
     /// The process is gone; a new incarnation must report before it is used again.
     void onDead(UpstreamId upstream, TimePoint now);
+    /// No report could be read: the upstream hangs or is cut off from here.
+    void onSilent(UpstreamId upstream, TimePoint now);
+    /// Since when no report could be read, if the last one could not.
+    std::optional<TimePoint> silentSince(UpstreamId upstream) const;
     void onCacheEvents(const CacheEvents &events);
     /// Sticky for the upstream's present incarnation.
     void markLeaving(UpstreamId upstream);
     bool isLeaving(UpstreamId upstream) const;
+    /// True if the upstream is neither leaving, dead, nor silent.
+    bool isPresent(UpstreamId upstream) const;
     /// True if the upstream may be given work at all.
     bool isUsable(UpstreamId upstream, TimePoint now) const;
     Incarnation incarnation(UpstreamId upstream) const;
@@ -141,6 +149,7 @@
         TimePoint startedAt;
         TimePoint ejectedUntil;
         int failures = 0;
+        std::optional<TimePoint> silentSince;
         /// Own work without a first token yet, in seconds of prefill.
         double ownBacklog = 0;
         double ownUrgentBacklog = 0;
--- a/src/coordination/holdings.cpp
+++ b/src/coordination/holdings.cpp
@@ -14,10 +14,10 @@
 {
 }
 
-void Holdings::add(HoldingId holding, UpstreamId upstream, TimePoint deadline)
+void Holdings::add(HoldingId holding, UpstreamId upstream, TimePoint deadline, Fingerprint body)
 {
     assert(!m_releasing.contains(holding));
-    m_own[holding] = {upstream, deadline, false};
+    m_own[holding] = {upstream, deadline, body, false};
 }
 
 void Holdings::forget(HoldingId holding)
@@ -26,7 +26,8 @@
     if (it == m_own.end())
         return;
     if (it->second.isNoticed) {
-        HoldingNotice ended{holding, it->second.upstream, m_self, m_incarnation, {}, true};
+        HoldingNotice ended{holding,          it->second.upstream, m_self, m_incarnation,
+                            it->second.body, {},                   true};
         m_ended.push_back(ended);
     }
     m_own.erase(it);
@@ -37,9 +38,9 @@
     auto it = m_own.find(holding);
     if (it == m_own.end())
         return;
-    const UpstreamId upstream = it->second.upstream;
+    const Own own = it->second;
     forget(holding);
-    startRelease(holding, upstream, now);
+    startRelease(holding, own.upstream, own.body, now);
 }
 
 void Holdings::releaseUnknown(HoldingId holding, UpstreamId upstream, TimePoint now)
@@ -47,13 +48,14 @@
     if (m_own.contains(holding))
         release(holding, now);
     else
-        startRelease(holding, upstream, now);
+        startRelease(holding, upstream, {}, now);
 }
 
-void Holdings::startRelease(HoldingId holding, UpstreamId upstream, TimePoint now)
+void Holdings::startRelease(HoldingId holding, UpstreamId upstream, Fingerprint body,
+                            TimePoint now)
 {
     if (!m_releasing.contains(holding))
-        m_releasing[holding] = {upstream, now, m_options.releaseRetry};
+        m_releasing[holding] = {upstream, now, m_options.releaseRetry, body};
 }
 
 void Holdings::onReleased(HoldingId holding)
@@ -75,6 +77,29 @@
     std::erase_if(m_releasing, isThere);
 }
 
+std::vector<Fingerprint> Holdings::bodiesOn(UpstreamId upstream,
+                                            std::span<const VmId> lostOwners) const
+{
+    std::vector<Fingerprint> bodies;
+    const auto take = [&](const auto &entry) {
+        if (entry.second.upstream == upstream && entry.second.body.isValid())
+            bodies.push_back(entry.second.body);
+    };
+    for (const auto &entry : m_own)
+        take(entry);
+    for (const auto &entry : m_releasing)
+        take(entry);
+    for (const auto &entry : m_peers) {
+        const bool isLost = std::find(lostOwners.begin(), lostOwners.end(), entry.second.owner)
+            != lostOwners.end();
+        if (isLost)
+            take(entry);
+    }
+    std::sort(bodies.begin(), bodies.end());
+    bodies.erase(std::unique(bodies.begin(), bodies.end()), bodies.end());
+    return bodies;
+}
+
 void Holdings::onNotices(const HoldingNotices &notices, TimePoint now)
 {
     for (const HoldingNotice &notice : notices.notices) {
@@ -83,7 +108,7 @@
             continue;
         }
         m_peers[notice.holding] = {notice.upstream, notice.owner, notice.ownerIncarnation,
-                                   now + notice.remaining};
+                                   now + notice.remaining, notice.body};
     }
 }
 
@@ -95,21 +120,25 @@
             ++it;
             continue;
         }
-        startRelease(it->first, it->second.upstream, now);
+        startRelease(it->first, it->second.upstream, it->second.body, now);
         it = m_peers.erase(it);
     }
 }
 
-std::vector<Holdings::ReleaseNow> Holdings::tick(TimePoint now)
+void Holdings::tick(TimePoint now)
 {
     for (auto it = m_peers.begin(); it != m_peers.end();) {
         if (now < it->second.deadline + m_options.grace) {
             ++it;
             continue;
         }
-        startRelease(it->first, it->second.upstream, now);
+        startRelease(it->first, it->second.upstream, it->second.body, now);
         it = m_peers.erase(it);
     }
+}
+
+std::vector<Holdings::ReleaseNow> Holdings::dueReleases(TimePoint now)
+{
     std::vector<ReleaseNow> due;
     for (auto &[holding, releasing] : m_releasing) {
         if (now < releasing.dueAt)
@@ -124,7 +153,7 @@
 HoldingNotice Holdings::notice(HoldingId id, const Own &own, TimePoint now) const
 {
     const Duration remaining = std::max(Duration::zero(), own.deadline - now);
-    return {id, own.upstream, m_self, m_incarnation, remaining, false};
+    return {id, own.upstream, m_self, m_incarnation, own.body, remaining, false};
 }
 
 std::optional<HoldingNotices> Holdings::takeNotices(TimePoint now)
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -303,6 +303,16 @@
     return found;
 }
 
+std::vector<VmId> Membership::unreachable() const
+{
+    std::vector<VmId> found;
+    for (const auto &[vm, member] : m_members) {
+        if (member.state != MemberState::Alive)
+            found.push_back(vm);
+    }
+    return found;
+}
+
 std::vector<VmId> Membership::copyHolders(std::size_t count) const
 {
     std::vector<VmId> inZone;
--- a/src/coordination/orders.cpp
+++ b/src/coordination/orders.cpp
@@ -31,17 +31,7 @@
         if (upstream.kind != RequestKind::Prompt)
             continue;
         Lease lease(rowKey(kLeasePrefix, upstream.id.value), self, incarnation, options.lease);
-        Target target{upstream,
-                      0,
-                      {},
-                      {},
-                      std::nullopt,
-                      std::nullopt,
-                      std::move(lease),
-                      std::nullopt,
-                      0,
-                      std::nullopt,
-                      std::nullopt};
+        Target target{.info = upstream, .lease = std::move(lease)};
         m_targets.emplace(upstream.id, std::move(target));
         m_contended.insert(upstream.id);
     }
@@ -121,7 +111,10 @@
     }
     if (needsOrder(target) && !target.orderSentAt)
         tryOrder(target, now);
-    if (!needsOrder(target) && !target.orderSentAt)
+    // A slot is held only under the upstream's lease: the two are never held by VMs that wait for
+    // each other.
+    const bool hasLease = target.lease.isHeld(now, Duration::zero());
+    if ((!needsOrder(target) || !hasLease) && !target.orderSentAt)
         releaseSlot(target);
 }
 
@@ -162,10 +155,15 @@
     target.slot.reset();
 }
 
-void OrderService::onReported(UpstreamId upstream, std::string_view state)
+void OrderService::onReported(UpstreamId upstream, Incarnation life, std::string_view state)
 {
     auto it = m_targets.find(upstream);
-    if (it != m_targets.end() && !state.empty())
+    if (it == m_targets.end())
+        return;
+    // A new process has whatever it starts with, also if it does not say so.
+    const bool isNewLife = it->second.life != life;
+    it->second.life = life;
+    if (isNewLife || !state.empty())
         it->second.reported = state;
 }
 
--- a/src/coordination/quarantine.cpp
+++ b/src/coordination/quarantine.cpp
@@ -55,7 +55,6 @@
     std::vector<SuspectNotice> notices;
     for (Fingerprint fingerprint : inFlight) {
         Record &record = touch(fingerprint, now);
-        record.upstreams.insert(upstream);
         if (!record.deaths.insert(death).second)
             continue;
         SuspectNotice notice;
@@ -74,7 +73,6 @@
         if (record.deaths.erase(death) == 0)
             continue;
         record.cleared.insert(death);
-        record.upstreams.erase(upstream);
         notices.push_back({fingerprint, {death}, true});
     }
     return notices;
@@ -99,7 +97,6 @@
     notice.isCleared = true;
     record.cleared.insert(record.deaths.begin(), record.deaths.end());
     record.deaths.clear();
-    record.upstreams.clear();
     return {std::move(notice)};
 }
 
@@ -125,22 +122,26 @@
     });
 }
 
-UpstreamId Quarantine::trialUpstream(Fingerprint fingerprint,
-                                     std::span<const UpstreamId> usable) const
+UpstreamId Quarantine::trialUpstream(Fingerprint fingerprint, std::span<const UpstreamId> present)
 {
-    auto it = m_records.find(fingerprint);
     UpstreamId best;
-    for (UpstreamId upstream : usable) {
-        if (it != m_records.end() && it->second.upstreams.contains(upstream))
-            continue;
-        const bool isBetter =
-            !best.isValid() || trialOrder(fingerprint, upstream) < trialOrder(fingerprint, best);
+    for (UpstreamId upstream : present) {
+        const bool isBetter = !best.isValid()
+            || trialOrder(fingerprint, upstream) < trialOrder(fingerprint, best);
         if (isBetter)
             best = upstream;
     }
     return best;
 }
 
+std::vector<std::uint64_t> Quarantine::deathsOf(Fingerprint fingerprint) const
+{
+    auto it = m_records.find(fingerprint);
+    if (it == m_records.end())
+        return {};
+    return {it->second.deaths.begin(), it->second.deaths.end()};
+}
+
 std::vector<SuspectNotice> Quarantine::records() const
 {
     std::vector<SuspectNotice> found;
--- a/src/model/enginemodel.cpp
+++ b/src/model/enginemodel.cpp
@@ -108,9 +108,12 @@
     m_now = m_stepEnd;
     std::vector<AttemptId> ended;
     const auto emitToken = [&](Stream &stream) {
-        ++stream.generated;
-        out.push_back({stream.request.attempt, EngineOutput::Kind::Token, stream.generated,
-                       stream.cached, m_now});
+        // A stream resumed at its very end has only its end left to send.
+        if (stream.generated < stream.request.maxTokens) {
+            ++stream.generated;
+            out.push_back({stream.request.attempt, EngineOutput::Kind::Token, stream.generated,
+                           stream.cached, m_now});
+        }
         if (stream.generated < stream.request.maxTokens)
             return;
         out.push_back({stream.request.attempt, EngineOutput::Kind::Done, stream.generated,
--- a/src/model/world.cpp
+++ b/src/model/world.cpp
@@ -282,7 +282,9 @@
         auto transit = m_transits.find(failed->attempt);
         if (transit == m_transits.end())
             return event;
-        if (failed->kind == FailureKind::Died)
+        const bool hasPieces = failed->kind == FailureKind::Died
+            || failed->kind == FailureKind::Broken;
+        if (hasPieces)
             passOn(transit->second, failed->deliveredTokens);
         StreamFailed read = *failed;
         read.deliveredTokens
@@ -527,9 +529,10 @@
         const Fingerprint killer = spec.fingerprint;
         const UpstreamId victim = transit.upstream;
         const std::uint64_t life = upstream.lives;
-        schedule(kPoisonDelay, [this, killer, victim, life] {
+        schedule(kPoisonDelay, [this, killer, victim, life, attempt = transit.attempt] {
             const Upstream &target = m_upstreams.at(victim);
-            if (!target.isDown && target.lives == life)
+            const bool isThere = !target.isDown && target.lives == life;
+            if (isThere && target.engine->hasStream(attempt))
                 killUpstream(victim, killer);
         });
     }
@@ -802,6 +805,8 @@
 void World::leaveUpstream(UpstreamId id)
 {
     Upstream &upstream = m_upstreams.at(id);
+    if (upstream.isDown)
+        return;
     upstream.isLeaving = true;
     const Incarnation life =
         upstream.engine ? upstream.engine->incarnation() : Incarnation{upstream.lives};
@@ -829,7 +834,7 @@
             broken.push_back(transit);
     }
     for (const Transit &transit : broken)
-        schedule(kConnectTimeout, [this, transit] { fail(transit, FailureKind::Died); });
+        schedule(kConnectTimeout, [this, transit] { fail(transit, FailureKind::Broken); });
 }
 
 void World::cutPlatform(const std::string &zone, bool isCutNow)
--- a/src/net/peercodec.cpp
+++ b/src/net/peercodec.cpp
@@ -101,7 +101,7 @@
         Json out = Json::array();
         for (const HoldingNotice &n : b.notices)
             out.push_back({n.holding.value, n.upstream.value, n.owner.value,
-                           n.ownerIncarnation.value,
+                           n.ownerIncarnation.value, n.body.value,
                            static_cast<std::uint64_t>(n.remaining.count()), n.isReleased});
         return out;
     }
@@ -133,14 +133,15 @@
 
 PeerBody decodeHoldings(const Json &json)
 {
-    constexpr std::size_t kNoticeFields = 6;
+    constexpr std::size_t kNoticeFields = 7;
     HoldingNotices notices;
     for (const Json &item : list(json, 0)) {
         list(item, kNoticeFields);
         notices.notices.push_back({HoldingId{number(item[0])}, UpstreamId{number(item[1])},
                                    VmId{number(item[2])}, Incarnation{number(item[3])},
-                                   Duration(static_cast<Duration::rep>(number(item[4]))),
-                                   flag(item[5])});
+                                   Fingerprint{number(item[4])},
+                                   Duration(static_cast<Duration::rep>(number(item[5]))),
+                                   flag(item[6])});
     }
     return notices;
 }
--- a/src/node/attemptflow.cpp
+++ b/src/node/attemptflow.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr int kMaxAttempts = 4;
-constexpr Duration kSuspectPause = std::chrono::milliseconds{100};
+constexpr Duration kSuspectPause = std::chrono::milliseconds{400};
 constexpr Duration kRefusedRetryAfter = std::chrono::seconds{1};
 
 } // namespace
@@ -47,8 +47,10 @@
         m_context.service<OnceLedger>(service::kOnce)
             .onRan(event.attempt, event.status, event.result);
     auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
-    for (const SuspectNotice &notice : quarantine.onCompleted(request->spec.fingerprint))
+    for (const SuspectNotice &notice : quarantine.onCompleted(request->spec.fingerprint)) {
         m_context.broadcast(notice);
+        m_suspects.note(notice.fingerprint);
+    }
     m_answers.finish(*request, event.tokens);
 }
 
@@ -73,34 +75,41 @@
         return;
     request->delivered = std::max(request->delivered, event.deliveredTokens);
     const UpstreamId upstream = request->upstream;
+    std::vector<Fingerprint> suspects;
     if (event.kind == FailureKind::Died)
-        presumeDead(upstream);
+        suspects = presumeDead(upstream);
     if (event.kind != FailureKind::Refused)
         m_context.service<Router>(service::kRouter).onFailure(upstream, m_context.now);
     endAttempt(*request, event.kind);
     afterFailure(*request, event.kind);
+    for (Fingerprint body : suspects)
+        onSuspectNews(body);
 }
 
-void AttemptFlow::presumeDead(UpstreamId upstream)
+std::vector<Fingerprint> AttemptFlow::presumeDead(UpstreamId upstream)
 {
     const auto &router = m_context.service<Router>(service::kRouter);
     const Incarnation life = router.incarnation(upstream);
-    std::vector<Fingerprint> inFlight;
-    for (RequestId id : m_store.onUpstream(upstream)) {
-        const Request *request = m_store.find(id);
-        if (request->spec.kind == RequestKind::Prompt || request->spec.repeatable)
-            inFlight.push_back(request->spec.fingerprint);
-    }
+    const std::vector<VmId> lost
+        = m_context.service<Membership>(service::kMembership).unreachable();
+    const std::vector<Fingerprint> inFlight
+        = m_context.service<Holdings>(service::kHoldings).bodiesOn(upstream, lost);
     auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
     const auto notices = quarantine.onUpstreamDeath(upstream, life, inFlight, m_context.now);
-    for (const SuspectNotice &notice : notices)
+    for (const SuspectNotice &notice : notices) {
         m_context.broadcast(notice);
+        m_suspects.note(notice.fingerprint);
+    }
+    std::vector<Fingerprint> suspects;
+    for (const SuspectNotice &notice : notices)
+        suspects.push_back(notice.fingerprint);
     if (notices.empty())
-        return;
+        return suspects;
     m_presumedDead[upstream] = {life, m_context.now};
     m_context.log(LogLine("upstream_presumed_dead")
                       .add("upstream", m_context.upstreamName(upstream))
                       .add("suspects", std::uint64_t{notices.size()}));
+    return suspects;
 }
 
 void AttemptFlow::onUpstreamAlive(UpstreamId upstream, Incarnation incarnation, TimePoint asOf)
@@ -114,8 +123,10 @@
     if (!isSameLife)
         return;
     auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
-    for (const SuspectNotice &notice : quarantine.retract(upstream, incarnation))
+    for (const SuspectNotice &notice : quarantine.retract(upstream, incarnation)) {
         m_context.broadcast(notice);
+        m_suspects.note(notice.fingerprint);
+    }
 }
 
 void AttemptFlow::onSuspectNews(Fingerprint fingerprint)
@@ -140,6 +151,7 @@
             settleSuspect(*request);
             break;
         case Phase::FirstInLine:
+            // It waits already; the news only matters if it ends the waiting.
             if (!isQuarantined)
                 break;
             m_dispatcher.withdraw(*request);
@@ -154,8 +166,7 @@
 void AttemptFlow::onUpstreamDead(UpstreamId upstream)
 {
     const std::vector<RequestId> lost = m_store.onUpstream(upstream);
-    if (!lost.empty())
-        presumeDead(upstream);
+    const std::vector<Fingerprint> suspects = presumeDead(upstream);
     m_context.service<Holdings>(service::kHoldings).onUpstreamDead(upstream);
     m_context.service<Router>(service::kRouter).onDead(upstream, m_context.now);
     for (RequestId id : lost) {
@@ -165,6 +176,20 @@
         endAttempt(*request, FailureKind::Died);
         afterFailure(*request, FailureKind::Died);
     }
+    for (Fingerprint body : suspects)
+        onSuspectNews(body);
+}
+
+void AttemptFlow::onUpstreamSilent(UpstreamId upstream)
+{
+    for (RequestId id : m_store.onUpstream(upstream)) {
+        Request *request = m_store.find(id);
+        // A call that runs at most once can only be waited for.
+        if (!request || request->phase != Phase::Running || request->isOnce())
+            continue;
+        endAttempt(*request, FailureKind::Broken);
+        afterFailure(*request, FailureKind::Broken);
+    }
 }
 
 void AttemptFlow::afterFailure(Request &request, FailureKind kind)
--- a/src/node/attemptflow.h
+++ b/src/node/attemptflow.h
@@ -7,6 +7,7 @@
 #include "node/gangflow.h"
 #include "node/nodecontext.h"
 #include "node/requeststore.h"
+#include "node/suspectledger.h"
 
 #include <map>
 #include <string>
@@ -17,12 +18,13 @@
 {
 public:
     AttemptFlow(NodeContext &context, RequestStore &store, Answers &answers, Dispatcher &dispatcher,
-                GangFlow &gangs)
+                GangFlow &gangs, SuspectLedger &suspects)
         : m_context(context)
         , m_store(store)
         , m_answers(answers)
         , m_dispatcher(dispatcher)
         , m_gangs(gangs)
+        , m_suspects(suspects)
     {
     }
 
@@ -32,13 +34,16 @@
     void onFailed(const StreamFailed &event);
     /// The upstream's process is gone, with whatever ran there.
     void onUpstreamDead(UpstreamId upstream);
+    /// The upstream neither answers nor says how it is: prompts go on elsewhere.
+    void onUpstreamSilent(UpstreamId upstream);
     /// A report came: a death that was presumed for this very process did not happen.
     void onUpstreamAlive(UpstreamId upstream, Incarnation incarnation, TimePoint asOf);
     /// A peer lost an upstream to this body: copies of it that run here become suspects too.
     void onSuspectNews(Fingerprint fingerprint);
 
 private:
-    void presumeDead(UpstreamId upstream);
+    /// Counts the upstream's death for all bodies that ran there; returns them.
+    std::vector<Fingerprint> presumeDead(UpstreamId upstream);
     void endAttempt(Request &request, FailureKind kind);
     void afterFailure(Request &request, FailureKind kind);
     void afterCallFailure(Request &request, FailureKind kind);
@@ -52,6 +57,7 @@
     Answers &m_answers;
     Dispatcher &m_dispatcher;
     GangFlow &m_gangs;
+    SuspectLedger &m_suspects;
     std::map<std::string, RetryBudget> m_budgets;
     struct Presumed
     {
--- a/src/node/controlflow.cpp
+++ b/src/node/controlflow.cpp
@@ -1,11 +1,9 @@
 // Joins the coordination parts to each other and to the platform.
 #include "node/controlflow.h"
 
-#include <nlohmann/json.hpp>
 #include <xxhash.h>
 
 #include <algorithm>
-#include <charconv>
 
 namespace arbutuspier {
 
@@ -15,23 +13,17 @@
 /// VMs that contend for the lease of one upstream.
 constexpr std::size_t kContenders = 2;
 constexpr std::size_t kCopyHolders = 2;
-constexpr std::string_view kDeathPrefix = "poison/";
-
-std::string deathKey(Fingerprint fingerprint)
-{
-    return std::string(kDeathPrefix) + std::to_string(fingerprint.value);
-}
-
+/// An upstream that can't be asked for its load for so long is not waited for.
+constexpr Duration kSilenceLimit = std::chrono::seconds{3};
 } // namespace
 
-ControlFlow::ControlFlow(NodeContext &context, RequestStore &store, Dispatcher &dispatcher,
-                         AttemptFlow &attempts, GangFlow &gangs, TableOpId firstOp)
+ControlFlow::ControlFlow(NodeContext &context, Dispatcher &dispatcher,
+                         AttemptFlow &attempts, GangFlow &gangs, SuspectLedger &suspects)
     : m_context(context)
-    , m_store(store)
     , m_dispatcher(dispatcher)
     , m_attempts(attempts)
     , m_gangs(gangs)
-    , m_nextOp(firstOp)
+    , m_suspects(suspects)
 {
 }
 
@@ -125,23 +117,9 @@
         return;
     if (m_gangs.onTableReply(op, outcome))
         return;
-    if (m_loadOp && *m_loadOp == op) {
-        m_loadOp.reset();
-        if (const auto *rows = std::get_if<TableRows>(&outcome))
-            onDeathRows(*rows);
-        return;
-    }
-    for (auto it = m_persistOps.begin(); it != m_persistOps.end(); ++it) {
-        if (it->second != op)
-            continue;
-        // Without a clear success the row is written anew by the next slow tick.
-        if (!std::holds_alternative<TableCommitted>(outcome))
-            m_persisted.erase(it->first);
-        if (const auto *conflict = std::get_if<TableConflict>(&outcome))
-            onDeathRows({conflict->rows});
-        m_persistOps.erase(it);
-        return;
-    }
+    m_suspects.onTableReply(op, outcome);
+    for (Fingerprint body : m_suspects.takeNews())
+        m_attempts.onSuspectNews(body);
 }
 
 void ControlFlow::carryOutLimits()
@@ -257,15 +235,20 @@
     router.onReport(report, m_context.now);
     if (report.isLeaving && !wasLeaving)
         markLeaving(report.upstream, "upstream");
-    m_context.service<OrderService>(service::kOrders).onReported(report.upstream, report.state);
+    m_context.service<OrderService>(service::kOrders).onReported(
+        report.upstream, report.incarnation, report.state);
 }
 
 void ControlFlow::onReportMissing(const LoadReportMissing &missing)
 {
-    if (missing.isDead)
+    if (missing.isDead) {
         m_attempts.onUpstreamDead(missing.upstream);
-    else
-        m_context.service<Router>(service::kRouter).onFailure(missing.upstream, m_context.now);
+        return;
+    }
+    auto &router = m_context.service<Router>(service::kRouter);
+    router.onSilent(missing.upstream, m_context.now);
+    if (m_context.now - *router.silentSince(missing.upstream) >= kSilenceLimit)
+        m_attempts.onUpstreamSilent(missing.upstream);
 }
 
 void ControlFlow::markLeaving(UpstreamId upstream, std::string_view source)
@@ -297,61 +280,9 @@
 void ControlFlow::onQuarantineClear(Fingerprint fingerprint)
 {
     auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
-    for (const SuspectNotice &notice : quarantine.clear(fingerprint))
+    for (const SuspectNotice &notice : quarantine.clear(fingerprint)) {
         m_context.broadcast(notice);
-}
-
-void ControlFlow::persistDeaths()
-{
-    constexpr std::size_t kMaxWritesPerTick = 8;
-    const auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
-    std::size_t writes = 0;
-    for (const SuspectNotice &record : quarantine.records()) {
-        const bool isKnown = m_persisted[record.fingerprint] >= record.deaths.size();
-        if (isKnown || m_persistOps.contains(record.fingerprint) || writes == kMaxWritesPerTick)
-            continue;
-        // A first death of many bodies at once is told to peers only; a second one is kept.
-        if (quarantine.standing(record.fingerprint) != Quarantine::Standing::Quarantined)
-            continue;
-        ++writes;
-        m_persisted[record.fingerprint] = record.deaths.size();
-        const TableOpId op = m_nextOp;
-        ++m_nextOp.value;
-        m_persistOps[record.fingerprint] = op;
-        const std::string value = nlohmann::json(record.deaths).dump();
-        m_context.emit(
-            TableCall{op, TableTransaction{{{deathKey(record.fingerprint), 0, value, false}}}});
-    }
-}
-
-void ControlFlow::loadDeaths()
-{
-    if (m_areDeathsLoaded || m_loadOp)
-        return;
-    m_loadOp = m_nextOp;
-    ++m_nextOp.value;
-    m_context.emit(TableCall{*m_loadOp, TableRead{std::string(kDeathPrefix), true}});
-}
-
-void ControlFlow::onDeathRows(const TableRows &rows)
-{
-    m_areDeathsLoaded = true;
-    auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
-    for (const TableRow &row : rows.rows) {
-        if (row.key.rfind(kDeathPrefix, 0) != 0)
-            continue;
-        SuspectNotice notice;
-        const char *first = row.key.data() + kDeathPrefix.size();
-        std::from_chars(first, row.key.data() + row.key.size(), notice.fingerprint.value);
-        const auto json = nlohmann::json::parse(row.value, nullptr, false);
-        if (!json.is_array())
-            continue;
-        for (const auto &death : json) {
-            if (death.is_number_unsigned())
-                notice.deaths.push_back(death.get<std::uint64_t>());
-        }
-        quarantine.merge(notice, m_context.now);
-        m_persisted[notice.fingerprint] = notice.deaths.size();
+        m_suspects.note(notice.fingerprint);
     }
 }
 
@@ -372,8 +303,7 @@
     membership.tick(m_context.now, m_context.random);
     onMembershipChanges();
     auto &holdings = m_context.service<Holdings>(service::kHoldings);
-    for (const Holdings::ReleaseNow &release : holdings.tick(m_context.now))
-        m_context.emit(Release{release.holding, release.upstream});
+    holdings.tick(m_context.now);
     if (const auto notices = holdings.takeNotices(m_context.now)) {
         for (VmId holder : membership.copyHolders(kCopyHolders))
             m_context.sendPeer(holder, *notices);
@@ -389,8 +319,7 @@
     m_context.service<LimitGate>(service::kGate).tick(m_context.now);
     m_context.service<ShareAllocator>(service::kShares).tick();
     m_context.service<Quarantine>(service::kQuarantine).tick(m_context.now);
-    loadDeaths();
-    persistDeaths();
+    m_suspects.tick();
     if (ServiceDebits debits = m_dispatcher.takeDebits(); !debits.debits.empty())
         m_context.broadcast(std::move(debits));
     sendOutgoing();
--- a/src/node/controlflow.h
+++ b/src/node/controlflow.h
@@ -5,7 +5,7 @@
 #include "node/dispatcher.h"
 #include "node/gangflow.h"
 #include "node/nodecontext.h"
-#include "node/requeststore.h"
+#include "node/suspectledger.h"
 
 #include <map>
 #include <optional>
@@ -17,8 +17,8 @@
 class ControlFlow
 {
 public:
-    ControlFlow(NodeContext &context, RequestStore &store, Dispatcher &dispatcher,
-                AttemptFlow &attempts, GangFlow &gangs, TableOpId firstOp);
+    ControlFlow(NodeContext &context, Dispatcher &dispatcher, AttemptFlow &attempts,
+                GangFlow &gangs, SuspectLedger &suspects);
 
     void onPeer(const PeerMessage &message);
     void onTableReply(const TableReply &reply);
@@ -42,26 +42,16 @@
     void applyBody(VmId from, const PeerMessage &message);
     void onSuspectNotice(const SuspectNotice &notice);
     void markLeaving(UpstreamId upstream, std::string_view source);
-    void persistDeaths();
-    void loadDeaths();
-    void onDeathRows(const TableRows &rows);
     void chooseContenders();
 
     NodeContext &m_context;
-    RequestStore &m_store;
     Dispatcher &m_dispatcher;
     AttemptFlow &m_attempts;
     GangFlow &m_gangs;
-    TableOpId m_nextOp;
+    SuspectLedger &m_suspects;
     VmListRead m_list;
     std::map<VmId, std::uint64_t> m_confirmed;
     std::optional<TimePoint> m_nextSlowTick;
-    std::optional<TimePoint> m_nextHello;
-    /// Suspects whose present deaths are in the table.
-    std::map<Fingerprint, std::size_t> m_persisted;
-    std::map<Fingerprint, TableOpId> m_persistOps;
-    std::optional<TableOpId> m_loadOp;
-    bool m_areDeathsLoaded = false;
 };
 
 } // namespace arbutuspier
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -2,6 +2,7 @@
 #include "node/dispatcher.h"
 
 #include "node/gangflow.h"
+#include "node/suspectledger.h"
 
 #include <algorithm>
 #include <cmath>
@@ -124,6 +125,8 @@
 
 void Dispatcher::pump()
 {
+    if (isHeld())
+        return;
     for (auto &[name, target] : m_targets) {
         pumpFirst(target);
         for (Lane lane : {Lane::Short, Lane::Medium, Lane::Long, Lane::Gang}) {
@@ -144,15 +147,16 @@
         }
         if (m_context.now < request->notBefore)
             continue;
-        if (request->lane == Lane::Gang) {
-            if (m_gangs->tryStart(*request))
-                std::erase(target.first, id);
+        const Fingerprint body = request->spec.fingerprint;
+        const bool isSuspect = m_context.service<Quarantine>(service::kQuarantine).standing(body)
+            == Quarantine::Standing::Suspect;
+        if (isSuspect && !m_suspects->isCleared(body, request->notBefore))
             continue;
-        }
-        const auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
-        const bool isSuspect =
-            quarantine.standing(request->spec.fingerprint) == Quarantine::Standing::Suspect;
-        const bool isOpened = isSuspect ? tryOpenTrial(*request) : tryOpen(*request);
+        bool isOpened = false;
+        if (request->lane == Lane::Gang)
+            isOpened = m_gangs->tryStart(*request);
+        else
+            isOpened = isSuspect ? tryOpenTrial(*request) : tryOpen(*request);
         if (isOpened)
             std::erase(target.first, id);
     }
@@ -191,9 +195,28 @@
     }
 }
 
+std::optional<Route> Dispatcher::routeOfCopy(const Request &request) const
+{
+    const auto &router = m_context.service<Router>(service::kRouter);
+    for (RequestId id : m_store.withFingerprint(request.spec.fingerprint)) {
+        const Request *copy = m_store.find(id);
+        const bool isUnproven = copy->id != request.id && copy->phase == Phase::Running
+            && !copy->firstTokenAt && !copy->isOnce();
+        if (isUnproven && router.isUsable(copy->upstream, m_context.now))
+            return Route{copy->upstream, {}, 0};
+    }
+    return std::nullopt;
+}
+
 bool Dispatcher::tryOpen(Request &request)
 {
     auto &router = m_context.service<Router>(service::kRouter);
+    // Until a body has shown that it does no harm, its copies meet on one upstream: it can take
+    // down only that one, and its prefix is computed once.
+    if (const auto route = request.isOnce() ? std::nullopt : routeOfCopy(request)) {
+        open(request, *route, m_context.newAttempt());
+        return true;
+    }
     auto route =
         router.choose(request.spec, request.lane, request.avoid, m_context.now, m_context.random);
     if (!route && !request.avoid.empty()) {
@@ -210,15 +233,9 @@
 bool Dispatcher::tryOpenTrial(Request &request)
 {
     const auto &router = m_context.service<Router>(service::kRouter);
-    const auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
-    std::vector<UpstreamId> usable;
-    for (UpstreamId upstream : router.upstreamsFor(request.spec.kind, request.spec.target)) {
-        const bool isAvoided = std::find(request.avoid.begin(), request.avoid.end(), upstream)
-            != request.avoid.end();
-        if (!isAvoided && router.isUsable(upstream, m_context.now))
-            usable.push_back(upstream);
-    }
-    const UpstreamId chosen = quarantine.trialUpstream(request.spec.fingerprint, usable);
+    std::vector<UpstreamId> present = router.upstreamsFor(request.spec.kind, request.spec.target);
+    std::erase_if(present, [&](UpstreamId upstream) { return !router.isPresent(upstream); });
+    const UpstreamId chosen = Quarantine::trialUpstream(request.spec.fingerprint, present);
     if (!chosen.isValid() || isOnTrialBesides(chosen, request))
         return false;
     request.trialUntil = m_context.now + kTrialTime;
@@ -256,7 +273,7 @@
     }
     router.onOpened(attempt, route, request.spec, request.lane, m_context.now);
     m_context.service<Holdings>(service::kHoldings)
-        .add(HoldingId{attempt.value}, route.upstream, request.deadline);
+        .add(HoldingId{attempt.value}, route.upstream, request.deadline, request.poisonBody());
     OpenStream command;
     command.attempt = attempt;
     command.request = request.id;
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -14,6 +14,7 @@
 namespace arbutuspier {
 
 class GangFlow;
+class SuspectLedger;
 
 class Dispatcher
 {
@@ -24,7 +25,15 @@
     {
     }
 
-    void setGangFlow(GangFlow *gangs) { m_gangs = gangs; }
+    void setFlows(GangFlow *gangs, SuspectLedger *suspects)
+    {
+        m_gangs = gangs;
+        m_suspects = suspects;
+    }
+
+    /// Sends nothing until then: what is known of upstreams is out of date.
+    void holdUntil(TimePoint time) { m_heldUntil = std::max(m_heldUntil, time); }
+    bool isHeld() const { return m_context.now < m_heldUntil; }
 
     /// Puts a request into the fair queue of its target.
     void enqueue(Request &request);
@@ -70,6 +79,8 @@
     std::pair<std::string, std::string> queueKey(const Request &request) const;
     void pumpFirst(Target &target);
     void pumpLane(Target &target, Lane lane);
+    /// The upstream where an unproven copy of this body runs.
+    std::optional<Route> routeOfCopy(const Request &request) const;
     bool tryOpen(Request &request);
     bool tryOpenTrial(Request &request);
     /// True if another suspect body is on its trial there.
@@ -81,6 +92,8 @@
     NodeContext &m_context;
     RequestStore &m_store;
     GangFlow *m_gangs = nullptr;
+    SuspectLedger *m_suspects = nullptr;
+    TimePoint m_heldUntil;
     std::map<std::string, Target, std::less<>> m_targets;
     std::map<TeamKey, LimitRow> m_limitedTeams;
     std::map<TeamKey, std::uint64_t> m_served;
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -10,6 +10,7 @@
 #include "node/nodecontext.h"
 #include "node/onceflow.h"
 #include "node/requeststore.h"
+#include "node/suspectledger.h"
 
 #include <algorithm>
 #include <set>
@@ -20,8 +21,12 @@
 
 /// Each user of the table numbers its calls from its own start.
 constexpr unsigned kOpRangeBits = 28;
+/// Ticks come much more often than this.
+constexpr Duration kPauseSuspected = std::chrono::milliseconds{700};
+/// Time in which reports of upstreams come in again.
+constexpr Duration kAfterPause = std::chrono::milliseconds{250};
 
-enum class OpRange : std::uint64_t { Limits = 1, Once, Orders, Gangs, Control };
+enum class OpRange : std::uint64_t { Limits = 1, Once, Orders, Gangs, Suspects };
 
 TableOpId firstOp(std::uint64_t base, OpRange range)
 {
@@ -52,7 +57,9 @@
 
     void dispatch(const Event &event);
     void carryOutOrders();
+    void carryOutReleases();
     void checkDrain();
+    void noteTime(TimePoint now);
 
     Kernel kernel;
     NodeContext context;
@@ -60,6 +67,7 @@
     Answers answers;
     Dispatcher dispatcher;
     GangFlow gangs;
+    SuspectLedger suspects;
     AttemptFlow attempts;
     OnceFlow once;
     Admission admission;
@@ -73,15 +81,15 @@
     , answers(context, store)
     , dispatcher(context, store)
     , gangs(context, store, dispatcher, firstOp(context.idBase(), OpRange::Gangs))
-    , attempts(context, store, answers, dispatcher, gangs)
+    , suspects(context, firstOp(context.idBase(), OpRange::Suspects))
+    , attempts(context, store, answers, dispatcher, gangs, suspects)
     , once(context, store, answers, dispatcher)
     , admission(context, store, answers, dispatcher, attempts, once)
-    , control(context, store, dispatcher, attempts, gangs,
-              firstOp(context.idBase(), OpRange::Control))
+    , control(context, dispatcher, attempts, gangs, suspects)
 {
     const NodeSettings &s = context.settings;
     const std::uint64_t base = context.idBase();
-    dispatcher.setGangFlow(&gangs);
+    dispatcher.setFlows(&gangs, &suspects);
     kernel.add<Router>(service::kRouter, s.self.zone, s.upstreams, s.router);
     kernel.add<LimitsTable>(service::kLimits, s.limits, firstOp(base, OpRange::Limits));
     auto &shares = kernel.add<ShareAllocator>(
@@ -106,6 +114,24 @@
     }
 }
 
+void EntryNode::Impl::carryOutReleases()
+{
+    auto &holdings = context.service<Holdings>(service::kHoldings);
+    for (const Holdings::ReleaseNow &release : holdings.dueReleases(context.now))
+        context.emit(Release{release.holding, release.upstream});
+}
+
+void EntryNode::Impl::noteTime(TimePoint now)
+{
+    // The process was not running: what it knows of upstreams is older than it looks.
+    const bool wasPaused = context.now != TimePoint{} && now - context.now > kPauseSuspected;
+    context.now = now;
+    if (!wasPaused)
+        return;
+    dispatcher.holdUntil(now + kAfterPause);
+    context.log(LogLine("pause_noticed"));
+}
+
 void EntryNode::Impl::checkDrain()
 {
     if (!isDraining || isExitReady || store.size() != 0)
@@ -215,7 +241,7 @@
 Commands EntryNode::handle(const Event &event, TimePoint now, WallTime wallNow)
 {
     assert(now >= m_impl->context.now);
-    m_impl->context.now = now;
+    m_impl->noteTime(now);
     m_impl->context.wallNow = wallNow;
     m_impl->dispatch(event);
     m_impl->once.carryOut();
@@ -223,6 +249,7 @@
     m_impl->once.carryOut();
     m_impl->carryOutOrders();
     m_impl->control.carryOutLimits();
+    m_impl->carryOutReleases();
     m_impl->checkDrain();
     return m_impl->context.takeCommands();
 }
--- a/src/node/gangflow.cpp
+++ b/src/node/gangflow.cpp
@@ -87,7 +87,11 @@
     if (waiting != m_waiting.end() && m_context.now < waiting->second.retryAt)
         return false;
     const auto &router = m_context.service<Router>(service::kRouter);
-    const std::vector<UpstreamId> members = router.chooseGang(request.spec, m_context.now);
+    const bool isSuspect
+        = m_context.service<Quarantine>(service::kQuarantine).standing(request.spec.fingerprint)
+        == Quarantine::Standing::Suspect;
+    const std::vector<UpstreamId> members
+        = router.chooseGang(request.spec, isSuspect, m_context.now);
     if (members.empty())
         return false;
     for (UpstreamId member : members)
@@ -150,7 +154,7 @@
     for (const GangMember &member : request.gang) {
         forming.unanswered.push_back(member.holding);
         m_byHolding[member.holding] = request.id;
-        holdings.add(member.holding, member.upstream, request.deadline);
+        holdings.add(member.holding, member.upstream, request.deadline, request.poisonBody());
         m_context.emit(
             Reserve{member.holding, member.upstream, each, request.deadline - m_context.now});
     }
@@ -194,7 +198,7 @@
     const bool isStaying =
         std::none_of(request.gang.begin(), request.gang.end(),
                      [&](const GangMember &member) { return router.isLeaving(member.upstream); });
-    if (isWhole && isStaying) {
+    if (isWhole && isStaying && !m_dispatcher.isHeld()) {
         m_waiting.erase(request.id);
         const UpstreamId leader = request.gang.front().upstream;
         m_dispatcher.open(request, Route{leader, {}, 0}, m_context.newAttempt());
--- a/src/node/request.h
+++ b/src/node/request.h
@@ -58,6 +58,8 @@
     std::optional<TimePoint> trialUntil;
 
     std::uint64_t cost() const { return spec.promptTokens + spec.maxTokens; }
+    /// What is blamed if its upstream dies. A call that runs at most once can't kill twice.
+    Fingerprint poisonBody() const { return isOnce() ? Fingerprint{} : spec.fingerprint; }
     bool isOnce() const { return spec.kind == RequestKind::ServiceCall && !spec.repeatable; }
 };
 
--- a/src/node/requeststore.cpp
+++ b/src/node/requeststore.cpp
@@ -26,6 +26,7 @@
     assert(!m_requests.contains(request.id));
     m_deadlines.emplace(request.deadline, request.id);
     m_latestStarts.emplace(request.latestStart, request.id);
+    m_byBody[request.spec.fingerprint].insert(request.id);
     const RequestId id = request.id;
     return m_requests.emplace(id, std::move(request)).first->second;
 }
@@ -70,6 +71,10 @@
     m_deadlines.erase({it->second.deadline, id});
     m_latestStarts.erase({it->second.latestStart, id});
     m_byAttempt.erase(it->second.attempt);
+    auto body = m_byBody.find(it->second.spec.fingerprint);
+    body->second.erase(id);
+    if (body->second.empty())
+        m_byBody.erase(body);
     m_requests.erase(it);
 }
 
@@ -85,13 +90,10 @@
 
 std::vector<RequestId> RequestStore::withFingerprint(Fingerprint fingerprint) const
 {
-    std::vector<RequestId> found;
-    for (const auto &[id, request] : m_requests) {
-        if (request.spec.fingerprint == fingerprint)
-            found.push_back(id);
-    }
-    std::sort(found.begin(), found.end());
-    return found;
+    auto body = m_byBody.find(fingerprint);
+    if (body == m_byBody.end())
+        return {};
+    return {body->second.begin(), body->second.end()};
 }
 
 std::vector<RequestId> RequestStore::onUpstream(UpstreamId upstream) const
--- a/src/node/requeststore.h
+++ b/src/node/requeststore.h
@@ -43,6 +43,8 @@
 
     std::unordered_map<RequestId, Request> m_requests;
     std::unordered_map<AttemptId, RequestId> m_byAttempt;
+    /// Invariant: the ids of all requests with the body; never an empty set.
+    std::unordered_map<Fingerprint, std::set<RequestId>> m_byBody;
     /// Invariant: one entry for each request.
     Due m_deadlines;
     Due m_latestStarts;
--- /dev/null
+++ b/src/node/suspectledger.cpp
@@ -0,0 +1,158 @@
+// One row a body: the digests of the upstream lives lost with it.
+#include "node/suspectledger.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace arbutuspier {
+
+namespace {
+
+constexpr std::string_view kPrefix = "poison/";
+constexpr Duration kRetry = std::chrono::seconds{1};
+constexpr std::size_t kMaxIdleRows = 4'096;
+
+std::string rowKey(Fingerprint body)
+{
+    return std::string(kPrefix) + std::to_string(body.value);
+}
+
+std::vector<std::uint64_t> decodeDeaths(const std::string &text)
+{
+    std::vector<std::uint64_t> deaths;
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    if (!json.is_array())
+        return deaths;
+    for (const auto &death : json) {
+        if (death.is_number_unsigned())
+            deaths.push_back(death.get<std::uint64_t>());
+    }
+    return deaths;
+}
+
+} // namespace
+
+TableOpId SuspectLedger::call(TableRequest request)
+{
+    const TableOpId op = m_nextOp;
+    ++m_nextOp.value;
+    m_context.emit(TableCall{op, std::move(request)});
+    return op;
+}
+
+void SuspectLedger::note(Fingerprint body)
+{
+    Row &row = m_rows[body];
+    row.isDirty = true;
+    if (!row.op)
+        write(body, row);
+}
+
+void SuspectLedger::write(Fingerprint body, Row &row)
+{
+    const auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
+    const std::vector<std::uint64_t> deaths = quarantine.deathsOf(body);
+    row.isDirty = false;
+    if (deaths.empty() && row.version == 0)
+        return;
+    row.isReading = false;
+    row.askedAt = m_context.now;
+    row.op = call(TableTransaction{
+        {{rowKey(body), row.version, nlohmann::json(deaths).dump(), deaths.empty()}}});
+    m_byOp[*row.op] = body;
+}
+
+void SuspectLedger::read(Fingerprint body, Row &row)
+{
+    row.isReading = true;
+    row.askedAt = m_context.now;
+    row.op = call(TableRead{rowKey(body), false});
+    m_byOp[*row.op] = body;
+}
+
+bool SuspectLedger::isCleared(Fingerprint body, TimePoint since)
+{
+    Row &row = m_rows[body];
+    if (row.readAt && *row.readAt >= since)
+        return true;
+    if (!row.op)
+        read(body, row);
+    return false;
+}
+
+bool SuspectLedger::onTableReply(TableOpId op, const TableOutcome &outcome)
+{
+    if (m_loadOp && *m_loadOp == op) {
+        m_loadOp.reset();
+        if (const auto *rows = std::get_if<TableRows>(&outcome))
+            onLoaded(*rows);
+        return true;
+    }
+    auto byOp = m_byOp.find(op);
+    if (byOp == m_byOp.end())
+        return false;
+    const Fingerprint body = byOp->second;
+    m_byOp.erase(byOp);
+    Row &row = m_rows[body];
+    row.op.reset();
+    const auto *rows = std::get_if<TableRows>(&outcome);
+    const auto *conflict = std::get_if<TableConflict>(&outcome);
+    if (rows && !rows->rows.empty()) {
+        onRow(body, row, rows->rows.front());
+    } else if (conflict && !conflict->rows.empty()) {
+        row.isDirty = true;
+        onRow(body, row, conflict->rows.front());
+    } else if (std::holds_alternative<TableCommitted>(outcome)) {
+        const auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
+        row.version = quarantine.deathsOf(body).empty() ? 0 : row.version + 1;
+    } else {
+        row.isDirty = row.isDirty || !row.isReading;
+        row.retryAt = m_context.now + kRetry;
+    }
+    if (row.isReading)
+        row.readAt = row.askedAt;
+    if (row.isDirty && m_context.now >= row.retryAt)
+        write(body, row);
+    return true;
+}
+
+void SuspectLedger::onRow(Fingerprint body, Row &row, const TableRow &seen)
+{
+    row.version = seen.version;
+    if (seen.version == 0)
+        return;
+    auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
+    if (quarantine.merge({body, decodeDeaths(seen.value), false}, m_context.now))
+        m_news.push_back(body);
+}
+
+void SuspectLedger::onLoaded(const TableRows &rows)
+{
+    m_isLoaded = true;
+    for (const TableRow &seen : rows.rows) {
+        Fingerprint body;
+        const char *first = seen.key.data() + kPrefix.size();
+        std::from_chars(first, seen.key.data() + seen.key.size(), body.value);
+        if (body.isValid())
+            onRow(body, m_rows[body], seen);
+    }
+}
+
+void SuspectLedger::tick()
+{
+    if (!m_isLoaded && !m_loadOp && m_context.now >= m_nextLoad) {
+        m_nextLoad = m_context.now + kRetry;
+        m_loadOp = call(TableRead{std::string(kPrefix), true});
+    }
+    for (auto &[body, row] : m_rows) {
+        if (row.isDirty && !row.op && m_context.now >= row.retryAt)
+            write(body, row);
+    }
+    if (m_rows.size() > kMaxIdleRows)
+        std::erase_if(m_rows, [](const auto &entry) {
+            return !entry.second.isDirty && !entry.second.op;
+        });
+}
+
+} // namespace arbutuspier
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -28,6 +28,11 @@
     return XXH64(target.data(), target.size(), upstream.value);
 }
 
+std::uint64_t bodyOrder(Fingerprint body, UpstreamId upstream)
+{
+    return XXH64(&upstream.value, sizeof(upstream.value), body.value);
+}
+
 bool contains(std::span<const UpstreamId> list, UpstreamId upstream)
 {
     return std::find(list.begin(), list.end(), upstream) != list.end();
@@ -210,7 +215,13 @@
     const Duration nearBest = fromSeconds(toSeconds(best) * kNearBestFactor + kNearBestSeconds);
     const Duration bound = m_options.avoidsHerding ? nearBest : best;
     std::erase_if(routes, [&](const Route &route) { return route.firstToken > bound; });
-    return routes[uniformIndex(random, routes.size())];
+    if (!m_options.avoidsHerding || !spec.fingerprint.isValid())
+        return routes[uniformIndex(random, routes.size())];
+    // Copies of one body meet on one upstream, whichever VM sends them; bodies differ, so VMs that
+    // act on the same report do not herd.
+    return *std::min_element(routes.begin(), routes.end(), [&](const Route &a, const Route &b) {
+        return bodyOrder(spec.fingerprint, a.upstream) < bodyOrder(spec.fingerprint, b.upstream);
+    });
 }
 
 std::optional<Route> Router::chooseBaseline(const RequestSpec &spec,
@@ -307,33 +318,36 @@
     return fitsSomeZone ? needed : 0;
 }
 
-std::vector<UpstreamId> Router::chooseGang(const RequestSpec &spec, TimePoint now) const
+std::vector<UpstreamId> Router::chooseGang(const RequestSpec &spec, bool isSuspect,
+                                           TimePoint now) const
 {
     const std::size_t needed = gangSize(spec);
     auto it = m_byTarget.find(spec.target);
     if (needed == 0 || it == m_byTarget.end())
         return {};
     const std::uint64_t each = neededTokens(spec) / needed + 1;
-    std::map<std::string_view, std::vector<const State *>> byZone;
+    std::map<std::string_view, std::vector<UpstreamId>> byZone;
     // From the back of the order: long prompts fill engines from the front.
     for (auto i = it->second.rbegin(); i != it->second.rend(); ++i) {
         const State &state = m_states[*i];
-        if (state.info.kind == RequestKind::Prompt && isUsable(state, now)
-            && freeTokens(state) >= each)
-            byZone[state.info.zone].push_back(&state);
-    }
-    const auto own = byZone.find(m_zone);
-    const std::vector<const State *> *best = own == byZone.end() ? nullptr : &own->second;
-    for (const auto &[zone, states] : byZone) {
-        const bool isBestTooSmall = !best || best->size() < needed;
-        if (isBestTooSmall && states.size() >= needed)
-            best = &states;
+        const bool isFit
+            = isSuspect ? isPresent(state.info.id)
+                        : isUsable(state, now) && freeTokens(state) >= each;
+        if (state.info.kind == RequestKind::Prompt && isFit)
+            byZone[state.info.zone].push_back(state.info.id);
     }
-    if (!best || best->size() < needed)
+    std::erase_if(byZone, [&](const auto &entry) { return entry.second.size() < needed; });
+    if (byZone.empty())
         return {};
-    std::vector<UpstreamId> chosen;
-    for (std::size_t i = 0; i < needed; ++i)
-        chosen.push_back((*best)[i]->info.id);
+    auto best = byZone.find(m_zone);
+    if (isSuspect || best == byZone.end())
+        best = byZone.begin();
+    std::vector<UpstreamId> chosen = best->second;
+    if (isSuspect)
+        std::sort(chosen.begin(), chosen.end(), [&](UpstreamId a, UpstreamId b) {
+            return bodyOrder(spec.fingerprint, a) < bodyOrder(spec.fingerprint, b);
+        });
+    chosen.resize(needed);
     return chosen;
 }
 
@@ -459,6 +473,7 @@
         state->ejectedUntil = {};
     }
     state->isDead = false;
+    state->silentSince.reset();
     state->isLeaving = state->isLeaving || report.isLeaving;
     const TimePoint at = now - report.age;
     if (state->hasReport && !isNewLife && at < state->reportedAt)
@@ -491,10 +506,27 @@
     if (!state)
         return;
     state->isDead = true;
+    state->silentSince.reset();
     state->hasReport = false;
     state->cache.clear();
 }
 
+void Router::onSilent(UpstreamId upstream, TimePoint now)
+{
+    State *state = find(upstream);
+    if (!state)
+        return;
+    if (!state->silentSince)
+        state->silentSince = now;
+    onFailure(upstream, now);
+}
+
+std::optional<TimePoint> Router::silentSince(UpstreamId upstream) const
+{
+    const State *state = find(upstream);
+    return state ? state->silentSince : std::nullopt;
+}
+
 void Router::onCacheEvents(const CacheEvents &events)
 {
     if (State *state = find(events.upstream))
@@ -513,6 +545,12 @@
     return state && state->isLeaving;
 }
 
+bool Router::isPresent(UpstreamId upstream) const
+{
+    const State *state = find(upstream);
+    return state && !state->isLeaving && !state->isDead && !state->silentSince;
+}
+
 bool Router::isUsable(UpstreamId upstream, TimePoint now) const
 {
     const State *state = find(upstream);
