--- a/include/arbutuspier/command.h
+++ b/include/arbutuspier/command.h
@@ -1,6 +1,7 @@
 // Everything the decision core asks of the outside.
 #pragma once
 
+#include "arbutuspier/clock.h"
 #include "arbutuspier/ids.h"
 #include "arbutuspier/limits.h"
 #include "arbutuspier/peer.h"
@@ -118,6 +119,7 @@
     Duration queued{};
     Duration total{};
     int attempts = 0;
+    TimePoint at;
 };
 
 /// Nothing is in flight and nothing is held: the process may end.
--- a/include/arbutuspier/event.h
+++ b/include/arbutuspier/event.h
@@ -9,6 +9,7 @@
 #include "arbutuspier/table.h"
 #include "arbutuspier/verdict.h"
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -64,16 +65,17 @@
     std::uint64_t deliveredTokens = 0;
 };
 
+/// Priorities that engines know; a lower one runs first.
+inline constexpr std::size_t kPriorityCount = 4;
+
 /// An upstream's own view of its load, as of `age` ago.
 struct LoadReport
 {
     UpstreamId upstream;
     Incarnation incarnation;
     Duration age{};
-    /// Prompt tokens not yet prefilled, of any priority.
-    std::uint64_t queuedTokens = 0;
-    /// The part of `queuedTokens` that runs before long prompts.
-    std::uint64_t urgentTokens = 0;
+    /// Prompt tokens not yet prefilled, by priority.
+    std::array<std::uint64_t, kPriorityCount> queuedTokens{};
     std::uint32_t running = 0;
     std::uint64_t freeTokens = 0;
     bool isLeaving = false;
--- a/include/arbutuspier/router.h
+++ b/include/arbutuspier/router.h
@@ -11,6 +11,7 @@
 #include "arbutuspier/request.h"
 #include "arbutuspier/upstream.h"
 
+#include <array>
 #include <map>
 #include <optional>
 #include <span>
@@ -118,6 +119,10 @@
     std::size_t inFlight(UpstreamId upstream) const;
 
 private:
+    /// Work by lane; a lane's number is the priority it runs with.
+    using LaneSeconds = std::array<double, kLaneCount>;
+    using LaneTokens = std::array<std::uint64_t, kPriorityCount>;
+
     struct OpenAttempt
     {
         UpstreamId upstream;
@@ -125,7 +130,7 @@
         std::uint64_t context = 0;
         std::uint64_t believedCached = 0;
         std::uint64_t heldTokens = 0;
-        bool isUrgent = false;
+        Lane lane = Lane::Short;
         bool wasAlone = false;
         TimePoint openedAt;
         std::optional<TimePoint> firstTokenAt;
@@ -142,8 +147,7 @@
         bool isDead = false;
         bool hasReport = false;
         TimePoint reportedAt;
-        std::uint64_t reportedQueued = 0;
-        std::uint64_t reportedUrgent = 0;
+        LaneTokens reportedQueued{};
         std::uint32_t reportedRunning = 0;
         std::uint64_t reportedFree = 0;
         TimePoint startedAt;
@@ -151,13 +155,11 @@
         int failures = 0;
         std::optional<TimePoint> silentSince;
         /// Own work without a first token yet, in seconds of prefill.
-        double ownBacklog = 0;
-        double ownUrgentBacklog = 0;
+        LaneSeconds ownBacklog{};
         std::size_t ownStreams = 0;
         std::uint64_t ownHeld = 0;
         /// Own dispatches the report cannot have seen yet.
-        double dispatchedSinceReport = 0;
-        double urgentSinceReport = 0;
+        LaneSeconds dispatchedSinceReport{};
         std::size_t streamsSinceReport = 0;
         std::uint64_t heldSinceReport = 0;
     };
@@ -171,7 +173,10 @@
     State *find(UpstreamId upstream);
     const State *find(UpstreamId upstream) const;
     bool isUsable(const State &state, TimePoint now) const;
-    double backlog(const State &state, bool onlyUrgent, TimePoint now) const;
+    /// Seconds of prefill that run before a new request of this lane.
+    double backlog(const State &state, Lane lane, TimePoint now) const;
+    double work(const State &state, const OpenAttempt &open) const;
+    static void takeOff(LaneSeconds &seconds, Lane lane, double work);
     std::uint64_t freeTokens(const State &state) const;
     Duration predictOn(const State &state, const RequestSpec &spec, Lane lane, TimePoint now,
                        std::uint64_t *cachedOut) const;
--- a/src/model/enginemodel.cpp
+++ b/src/model/enginemodel.cpp
@@ -229,9 +229,9 @@
     report.incarnation = m_incarnation;
     for (const auto &[key, attempt] : m_prefilling) {
         const Stream &stream = m_streams.at(attempt);
-        report.queuedTokens += stream.toPrefill;
-        if (key.first == 0)
-            report.urgentTokens += stream.toPrefill;
+        const int last = static_cast<int>(kPriorityCount) - 1;
+        const int priority = std::clamp(key.first, 0, last);
+        report.queuedTokens[static_cast<std::size_t>(priority)] += stream.toPrefill;
     }
     report.running = static_cast<std::uint32_t>(m_streams.size());
     std::uint64_t planned = m_used;
--- a/src/net/upstreamcontrol.cpp
+++ b/src/net/upstreamcontrol.cpp
@@ -110,8 +110,9 @@
     report.upstream = upstream;
     report.incarnation = Incarnation{number(json, "incarnation")};
     report.age = std::chrono::milliseconds{number(json, "age_ms")} + took;
-    report.queuedTokens = number(json, "queued_tokens");
-    report.urgentTokens = number(json, "urgent_tokens");
+    const std::vector<std::uint64_t> queued = numbers(json, "queued_tokens");
+    for (std::size_t i = 0; i < queued.size() && i < report.queuedTokens.size(); ++i)
+        report.queuedTokens[i] = queued[i];
     report.running = static_cast<std::uint32_t>(number(json, "running"));
     report.freeTokens = number(json, "free_tokens");
     report.isLeaving = flag(json, "leaving");
--- a/src/node/answers.cpp
+++ b/src/node/answers.cpp
@@ -14,6 +14,7 @@
     ended.promptTokens = event.spec.promptTokens;
     ended.verdict = verdict;
     ended.reason = reason;
+    ended.at = m_context.now;
     m_context.emit(std::move(ended));
 }
 
@@ -32,6 +33,7 @@
     ended.queued = request.firstSentAt.value_or(m_context.now) - request.arrival;
     ended.total = m_context.now - request.arrival;
     ended.attempts = request.attempts;
+    ended.at = m_context.now;
     m_context.emit(std::move(ended));
 }
 
--- a/src/node/attemptflow.cpp
+++ b/src/node/attemptflow.cpp
@@ -217,6 +217,7 @@
         request.notBefore = m_context.now + kSuspectPause;
         break;
     case Quarantine::Standing::Clean:
+        request.notBefore = m_context.now;
         break;
     }
     retry(request);
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -150,7 +150,9 @@
         const Fingerprint body = request->spec.fingerprint;
         const bool isSuspect = m_context.service<Quarantine>(service::kQuarantine).standing(body)
             == Quarantine::Standing::Suspect;
-        if (isSuspect && !m_suspects->isCleared(body, request->notBefore))
+        // What ran before may have done harm that only the table knows of.
+        const bool needsWord = isSuspect || request->mayHaveRun;
+        if (needsWord && !m_suspects->isCleared(body, request->notBefore))
             continue;
         bool isOpened = false;
         if (request->lane == Lane::Gang)
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -119,18 +119,33 @@
         }));
 }
 
-double Router::backlog(const State &state, bool onlyUrgent, TimePoint now) const
-{
-    const double own = onlyUrgent ? state.ownUrgentBacklog : state.ownBacklog;
+double Router::backlog(const State &state, Lane lane, TimePoint now) const
+{
+    double own = 0;
+    double reported = 0;
+    double since = 0;
+    for (std::size_t i = 0; i <= static_cast<std::size_t>(lane); ++i) {
+        own += state.ownBacklog[i];
+        since += state.dispatchedSinceReport[i];
+        reported += static_cast<double>(state.reportedQueued[i]) * state.cost.parameters().perToken;
+    }
     if (!state.hasReport)
         return own;
-    const std::uint64_t tokens = onlyUrgent ? state.reportedUrgent : state.reportedQueued;
-    const double reported = static_cast<double>(tokens) * state.cost.parameters().perToken;
-    const double since = onlyUrgent ? state.urgentSinceReport : state.dispatchedSinceReport;
     const double drained = toSeconds(now - state.reportedAt);
     return std::max(own, std::max(0.0, reported - drained) + since);
 }
 
+double Router::work(const State &state, const OpenAttempt &open) const
+{
+    return toSeconds(state.cost.prefill(open.uncached, open.context));
+}
+
+void Router::takeOff(LaneSeconds &seconds, Lane lane, double work)
+{
+    double &target = seconds[static_cast<std::size_t>(lane)];
+    target = std::max(0.0, target - work);
+}
+
 std::uint64_t Router::freeTokens(const State &state) const
 {
     const std::uint64_t total = state.info.memoryTokens;
@@ -150,8 +165,7 @@
         cached = std::min(state.cache.cachedTokens(spec.prefixBlocks), spec.promptTokens);
     if (cachedOut)
         *cachedOut = cached;
-    const bool isUrgent = lane == Lane::Short;
-    const double wait = backlog(state, isUrgent, now);
+    const double wait = backlog(state, lane, now);
     Duration predicted =
         fromSeconds(wait) + state.cost.prefill(spec.promptTokens - cached, spec.promptTokens);
     if (state.info.zone != m_zone)
@@ -166,18 +180,18 @@
         const double age = toSeconds(now - state.startedAt) / toSeconds(m_options.slowStart);
         rampUp = std::max(kSlowStartFloor, age);
     }
-    const auto limit = static_cast<std::size_t>(std::ceil(m_options.maxStreams * rampUp));
+    const auto maxStreams = static_cast<std::size_t>(std::ceil(m_options.maxStreams * rampUp));
     const std::size_t streams = std::max<std::size_t>(
         state.ownStreams, state.hasReport ? state.reportedRunning + state.streamsSinceReport : 0);
-    if (streams >= limit)
+    if (streams >= maxStreams)
         return false;
     if (spec.kind == RequestKind::ServiceCall)
         return true;
     if (lane != Lane::Gang && freeTokens(state) < neededTokens(spec))
         return false;
-    if (lane == Lane::Short)
-        return backlog(state, true, now) <= toSeconds(m_options.maxShortBacklog) * rampUp;
-    return backlog(state, false, now) <= toSeconds(m_options.maxLongBacklog) * rampUp;
+    const Duration limit
+        = lane == Lane::Short ? m_options.maxShortBacklog : m_options.maxLongBacklog;
+    return backlog(state, lane, now) <= toSeconds(limit) * rampUp;
 }
 
 std::optional<Route> Router::choose(const RequestSpec &spec, Lane lane,
@@ -363,16 +377,12 @@
     open.believedCached = route.cachedTokens;
     open.uncached = spec.promptTokens - std::min(spec.promptTokens, route.cachedTokens);
     open.heldTokens = lane == Lane::Gang ? 0 : neededTokens(spec);
-    open.isUrgent = lane == Lane::Short;
+    open.lane = lane;
     open.openedAt = now;
-    const double work = toSeconds(state->cost.prefill(open.uncached, open.context));
-    open.wasAlone = backlog(*state, false, now) < work / 4;
-    state->ownBacklog += work;
-    state->dispatchedSinceReport += work;
-    if (open.isUrgent) {
-        state->ownUrgentBacklog += work;
-        state->urgentSinceReport += work;
-    }
+    const double seconds = work(*state, open);
+    open.wasAlone = backlog(*state, Lane::Gang, now) < seconds / 4;
+    state->ownBacklog[static_cast<std::size_t>(lane)] += seconds;
+    state->dispatchedSinceReport[static_cast<std::size_t>(lane)] += seconds;
     ++state->ownStreams;
     ++state->streamsSinceReport;
     state->ownHeld += open.heldTokens;
@@ -387,16 +397,10 @@
     State *state = find(open.upstream);
     --state->ownStreams;
     state->ownHeld -= open.heldTokens;
-    if (!open.firstTokenAt) {
-        const double work = toSeconds(state->cost.prefill(open.uncached, open.context));
-        state->ownBacklog = std::max(0.0, state->ownBacklog - work);
-        if (open.isUrgent)
-            state->ownUrgentBacklog = std::max(0.0, state->ownUrgentBacklog - work);
-    }
-    if (state->ownStreams == 0) {
-        state->ownBacklog = 0;
-        state->ownUrgentBacklog = 0;
-    }
+    if (!open.firstTokenAt)
+        takeOff(state->ownBacklog, open.lane, work(*state, open));
+    if (state->ownStreams == 0)
+        state->ownBacklog = {};
 }
 
 void Router::onFirstToken(AttemptId attempt, TimePoint now)
@@ -406,10 +410,7 @@
         return;
     OpenAttempt &open = it->second;
     State *state = find(open.upstream);
-    const double work = toSeconds(state->cost.prefill(open.uncached, open.context));
-    state->ownBacklog = std::max(0.0, state->ownBacklog - work);
-    if (open.isUrgent)
-        state->ownUrgentBacklog = std::max(0.0, state->ownUrgentBacklog - work);
+    takeOff(state->ownBacklog, open.lane, work(*state, open));
     if (open.wasAlone)
         state->cost.learnPrefill(open.uncached, open.context, now - open.openedAt);
     open.firstTokenAt = now;
@@ -481,20 +482,15 @@
     state->hasReport = true;
     state->reportedAt = at;
     state->reportedQueued = report.queuedTokens;
-    state->reportedUrgent = report.urgentTokens;
     state->reportedRunning = report.running;
     state->reportedFree = report.freeTokens;
-    state->dispatchedSinceReport = 0;
-    state->urgentSinceReport = 0;
+    state->dispatchedSinceReport = {};
     state->streamsSinceReport = 0;
     state->heldSinceReport = 0;
     for (const auto &[attempt, open] : m_open) {
         if (open.upstream != report.upstream || open.openedAt <= at)
             continue;
-        const double work = toSeconds(state->cost.prefill(open.uncached, open.context));
-        state->dispatchedSinceReport += work;
-        if (open.isUrgent)
-            state->urgentSinceReport += work;
+        state->dispatchedSinceReport[static_cast<std::size_t>(open.lane)] += work(*state, open);
         ++state->streamsSinceReport;
         state->heldSinceReport += open.heldTokens;
     }
--- a/tools/standin/engineserver.cpp
+++ b/tools/standin/engineserver.cpp
@@ -141,7 +141,6 @@
     Json json = {{"incarnation", report.incarnation.value},
                  {"age_ms", static_cast<std::uint64_t>(age)},
                  {"queued_tokens", report.queuedTokens},
-                 {"urgent_tokens", report.urgentTokens},
                  {"running", report.running},
                  {"free_tokens", report.freeTokens},
                  {"used_tokens", m_engine.usedTokens()},
