policy: Predict the first token at dispatch and drop length isolation

Cause: at a shift start admitted short prompts had p95 1.24 s against a target of 0.94 s: the wait in the engine was predicted from prefill alone, and four VMs each filled the engine up to its bound. Files were refused that would have finished: the rate of a lane that moves seldom can't be measured in a second. Change: predictions learn their pace; own dispatches count once for each VM; work reported drains with time; a queued short prompt that can't have its token in time is refused at once; an engine has at most 100 ms of short work ahead; only the short lane's drain rate is measured. Length isolation is removed: it cost and did not help.

--- a/include/arbutuspier/entrynode.h
+++ b/include/arbutuspier/entrynode.h
@@ -71,7 +71,6 @@
         UpstreamInfo info;
         bool isUsable = false;
         bool isLeaving = false;
-        bool isLongSet = false;
         std::size_t inFlight = 0;
         std::string state;
     };
--- a/include/arbutuspier/router.h
+++ b/include/arbutuspier/router.h
@@ -30,7 +30,7 @@
     /// Added to the score of an upstream in another zone.
     Duration otherZonePenalty = std::chrono::milliseconds{4};
     /// Work an engine may have ahead of a short prompt; more is held back here, in order.
-    Duration maxShortBacklog = std::chrono::milliseconds{200};
+    Duration maxShortBacklog = std::chrono::milliseconds{100};
     /// Work an engine may have ahead of a longer prompt.
     Duration maxLongBacklog = std::chrono::milliseconds{400};
     /// Streams one engine may run.
@@ -41,11 +41,13 @@
     Duration ejection = std::chrono::seconds{1};
     /// The part of the upstreams that may be left out for failures.
     double maxEjectedPart = 0.34;
-    /// Long prompts keep to a set of upstreams that follows their demand.
-    bool isolatesLengths = true;
     bool usesPrefixCache = true;
-    /// Chooses at random among nearly equal scores.
+    /// Chooses by the body's digest among nearly equal scores.
     bool avoidsHerding = true;
+    /// Counts own dispatches since a report once for each VM that may have done the same.
+    bool assumesOthersDispatch = true;
+    /// Corrects predictions by how earlier ones turned out.
+    bool learnsPace = true;
 };
 
 /// What a route costs, as predicted.
@@ -107,12 +109,8 @@
     bool isUsable(UpstreamId upstream, TimePoint now) const;
     Incarnation incarnation(UpstreamId upstream) const;
 
-    /// Arrivals feed the size of the set for long prompts.
-    void noteArrival(const RequestSpec &spec, Lane lane, TimePoint now);
-    /// Entry VMs that share these upstreams; scales own arrivals to the fleet's.
+    /// Entry VMs that share these upstreams; scales own dispatches to the fleet's.
     void setFleetSize(std::size_t vms) { m_fleetSize = vms == 0 ? 1 : vms; }
-    /// Upstreams of the target that long prompts may use at present.
-    std::vector<UpstreamId> longSet(std::string_view target, TimePoint now) const;
     std::size_t usableCount(RequestKind kind, std::string_view target, TimePoint now) const;
 
     /// Attempts counted on an upstream.
@@ -132,6 +130,8 @@
         std::uint64_t heldTokens = 0;
         Lane lane = Lane::Short;
         bool wasAlone = false;
+        /// Seconds to first token as predicted without pace.
+        double predicted = 0;
         TimePoint openedAt;
         std::optional<TimePoint> firstTokenAt;
     };
@@ -154,6 +154,8 @@
         TimePoint ejectedUntil;
         int failures = 0;
         std::optional<TimePoint> silentSince;
+        /// Measured over predicted time to first token; other streams share the engine.
+        double pace = 1.0;
         /// Own work without a first token yet, in seconds of prefill.
         LaneSeconds ownBacklog{};
         std::size_t ownStreams = 0;
@@ -163,12 +165,6 @@
         std::size_t streamsSinceReport = 0;
         std::uint64_t heldSinceReport = 0;
     };
-    struct ArrivalRate
-    {
-        TimePoint at;
-        double shortWork = 0;
-        double longWork = 0;
-    };
 
     State *find(UpstreamId upstream);
     const State *find(UpstreamId upstream) const;
@@ -184,16 +180,14 @@
     std::optional<Route> chooseBaseline(const RequestSpec &spec, std::span<const UpstreamId> avoid,
                                         TimePoint now, Random &random);
     void forget(const OpenAttempt &attempt);
-    const ArrivalRate *rateFor(std::string_view target) const;
 
     std::string m_zone;
     RouterOptions m_options;
     std::vector<State> m_states;
     std::unordered_map<UpstreamId, std::size_t> m_index;
-    /// Upstreams by target, in the order in which every VM hands them to long prompts.
+    /// Upstreams by target, in the order in which every VM hands them to gangs, from the back.
     std::map<std::string, std::vector<std::size_t>, std::less<>> m_byTarget;
     std::unordered_map<AttemptId, OpenAttempt> m_open;
-    std::map<std::string, ArrivalRate, std::less<>> m_arrivals;
     std::size_t m_fleetSize = 1;
     std::size_t m_roundRobin = 0;
 };
--- a/src/daemon/adminserver.cpp
+++ b/src/daemon/adminserver.cpp
@@ -41,7 +41,6 @@
             {"zone", upstream.info.zone},
             {"usable", upstream.isUsable},
             {"leaving", upstream.isLeaving},
-            {"takes_long", upstream.isLongSet},
             {"in_flight", upstream.inFlight},
             {"state", upstream.state}};
 }
--- a/src/metrics/metricsboard.cpp
+++ b/src/metrics/metricsboard.cpp
@@ -41,7 +41,6 @@
         const std::string labels = "{upstream=\"" + upstream.info.name + "\"}";
         gauge(out, "upstream_in_flight" + labels, upstream.inFlight);
         gauge(out, "upstream_usable" + labels, upstream.isUsable ? 1 : 0);
-        gauge(out, "upstream_takes_long" + labels, upstream.isLongSet ? 1 : 0);
     }
     const std::scoped_lock lock(m_mutex);
     m_gauges = std::move(out);
--- a/src/model/workload.h
+++ b/src/model/workload.h
@@ -30,6 +30,7 @@
     /// Part of the short prompts that begin with one of a few shared prefixes.
     double sharedPrefixPart = 0.5;
     std::uint64_t sharedPrefixes = 20;
+    std::uint64_t prefixBlocks = 1;
     std::uint64_t teams = 10;
 };
 
--- a/src/node/admission.cpp
+++ b/src/node/admission.cpp
@@ -90,6 +90,7 @@
     if (lane == Lane::Short) {
         const Duration limit = m_context.settings.admission.shortFirstTokenLimit;
         request.latestStart = std::min(request.latestStart, m_context.now + limit - prefill);
+        request.firstTokenDue = m_context.now + limit;
     }
     return request;
 }
@@ -122,7 +123,6 @@
         return;
     const Lane lane = laneFor(event.spec);
     Request fresh = makeRequest(event, lane);
-    m_context.service<Router>(service::kRouter).noteArrival(event.spec, lane, m_context.now);
     if (refuseLate(event, fresh))
         return;
     Request &request = m_store.add(std::move(fresh));
@@ -169,6 +169,14 @@
                      jittered(m_context.random, kQueueFullRetryAfter));
 }
 
+void Admission::endDoomed()
+{
+    for (RequestId id : m_dispatcher.takeDoomed()) {
+        if (Request *request = m_store.find(id))
+            endQueued(*request, Reason::CannotMeetDeadline);
+    }
+}
+
 void Admission::tick()
 {
     for (RequestId id : m_store.pastDeadline(m_context.now)) {
--- a/src/node/admission.h
+++ b/src/node/admission.h
@@ -28,6 +28,8 @@
     void onCallerGone(const CallerGone &event);
     /// Ends what is past its deadline and drops queued work that cannot be on time.
     void tick();
+    /// Refuses what the dispatcher found too late to send.
+    void endDoomed();
     /// From now on nothing is admitted.
     void stop() { m_isStopped = true; }
     bool isStopped() const { return m_isStopped; }
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -102,8 +102,10 @@
     if (ahead == 0)
         return {};
     const DrainRate &drain = target.drain[laneIndex(request.lane)];
-    const bool isMeasured =
-        drain.isBacklogged && m_context.now - drain.backlogSince >= kDrainTrustAfter;
+    const bool isFrequent = request.lane == Lane::Short;
+    // Longer work leaves too seldom for its rate to be measured within seconds.
+    const bool isMeasured = isFrequent && drain.isBacklogged
+        && m_context.now - drain.backlogSince >= kDrainTrustAfter;
     if (isMeasured) {
         const double elapsed = toSeconds(m_context.now - drain.at);
         const double rate = drain.perSecond * std::exp(-elapsed / kDrainWindowSeconds);
@@ -111,10 +113,8 @@
             return fromSeconds(static_cast<double>(ahead) / rate);
     }
     const Router &router = m_context.service<Router>(service::kRouter);
-    const bool isLong = request.lane == Lane::Long || request.lane == Lane::Gang;
-    const std::size_t engines = isLong
-        ? router.longSet(request.spec.target, m_context.now).size()
-        : router.usableCount(request.spec.kind, request.spec.target, m_context.now);
+    const std::size_t engines =
+        router.usableCount(request.spec.kind, request.spec.target, m_context.now);
     const auto sharing =
         static_cast<double>(m_context.service<Membership>(service::kMembership).aliveCount());
     const double share = std::max(1.0, static_cast<double>(engines)) / sharing;
@@ -186,17 +186,34 @@
             continue;
         }
         const std::uint64_t cost = request->cost();
-        if (lane == Lane::Gang) {
-            if (!m_gangs->tryStart(*request))
-                return;
-        } else if (!tryOpen(*request)) {
+        const Sent sent = trySend(*request);
+        if (sent == Sent::NoRoom)
             return;
+        if (sent == Sent::TooLate) {
+            target.queue.remove(*next);
+            m_doomed.push_back(*next);
+            continue;
         }
         target.queue.pop(lane);
         noteDrained(target, lane, cost);
     }
 }
 
+Dispatcher::Sent Dispatcher::trySend(Request &request)
+{
+    if (request.lane == Lane::Gang)
+        return m_gangs->tryStart(request) ? Sent::Yes : Sent::NoRoom;
+    auto &router = m_context.service<Router>(service::kRouter);
+    const bool isChecked
+        = request.firstTokenDue && m_context.settings.admission.refusesEarly;
+    if (isChecked) {
+        const auto predicted = router.predict(request.spec, request.lane, m_context.now);
+        if (predicted && m_context.now + *predicted > *request.firstTokenDue)
+            return Sent::TooLate;
+    }
+    return tryOpen(request) ? Sent::Yes : Sent::NoRoom;
+}
+
 std::optional<Route> Dispatcher::routeOfCopy(const Request &request) const
 {
     const auto &router = m_context.service<Router>(service::kRouter);
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -44,6 +44,8 @@
     /// Sends what can go now.
     void pump();
 
+    /// Queued requests that no upstream can answer in time any more, since the last call.
+    std::vector<RequestId> takeDoomed() { return std::exchange(m_doomed, {}); }
     /// Time a new request would wait here before it is sent.
     Duration expectedWait(const Request &request) const;
     std::size_t queuedCount() const;
@@ -81,7 +83,10 @@
     void pumpLane(Target &target, Lane lane);
     /// The upstream where an unproven copy of this body runs.
     std::optional<Route> routeOfCopy(const Request &request) const;
+    /// What became of a request at the head of its lane.
+    enum class Sent { Yes, NoRoom, TooLate };
     bool tryOpen(Request &request);
+    Sent trySend(Request &request);
     bool tryOpenTrial(Request &request);
     /// True if another suspect body is on its trial there.
     bool isOnTrialBesides(UpstreamId upstream, const Request &suspect) const;
@@ -94,6 +99,7 @@
     GangFlow *m_gangs = nullptr;
     SuspectLedger *m_suspects = nullptr;
     TimePoint m_heldUntil;
+    std::vector<RequestId> m_doomed;
     std::map<std::string, Target, std::less<>> m_targets;
     std::map<TeamKey, LimitRow> m_limitedTeams;
     std::map<TeamKey, std::uint64_t> m_served;
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -246,6 +246,7 @@
     m_impl->dispatch(event);
     m_impl->once.carryOut();
     m_impl->dispatcher.pump();
+    m_impl->admission.endDoomed();
     m_impl->once.carryOut();
     m_impl->carryOutOrders();
     m_impl->control.carryOutLimits();
@@ -281,12 +282,10 @@
     status.releasing = holdings.releasingCount();
     status.unsettledKeys = context.service<OnceLedger>(service::kOnce).unsettled();
     for (const UpstreamInfo &info : context.settings.upstreams) {
-        const std::vector<UpstreamId> longSet = router.longSet(info.target, now);
         NodeStatus::Upstream upstream;
         upstream.info = info;
         upstream.isUsable = router.isUsable(info.id, now);
         upstream.isLeaving = router.isLeaving(info.id);
-        upstream.isLongSet = std::find(longSet.begin(), longSet.end(), info.id) != longSet.end();
         upstream.inFlight = router.inFlight(info.id);
         upstream.state = orders.reported(info.id).value_or("");
         status.upstreams.push_back(std::move(upstream));
--- a/src/node/request.h
+++ b/src/node/request.h
@@ -35,6 +35,8 @@
     TimePoint deadline;
     /// Queued work that has not started by then cannot be on time.
     TimePoint latestStart;
+    /// When the first token is due, if it is.
+    std::optional<TimePoint> firstTokenDue;
     Phase phase = Phase::Queued;
     /// The one open attempt, or the one that will be.
     AttemptId attempt;
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -11,10 +11,9 @@
 
 namespace {
 
-constexpr double kShortRateWindowSeconds = 1.0;
-constexpr double kLongRateWindowSeconds = 20.0;
-constexpr double kLongHeadroom = 1.2;
-constexpr double kShortHeadroom = 1.4;
+constexpr double kPaceRate = 0.1;
+constexpr double kMinPace = 0.5;
+constexpr double kMaxPace = 4.0;
 constexpr double kNearBestFactor = 1.10;
 constexpr double kNearBestSeconds = 0.005;
 constexpr double kSlowStartFloor = 0.1;
@@ -38,11 +37,6 @@
     return std::find(list.begin(), list.end(), upstream) != list.end();
 }
 
-bool isLongLane(Lane lane)
-{
-    return lane == Lane::Long || lane == Lane::Gang;
-}
-
 std::uint64_t neededTokens(const RequestSpec &spec)
 {
     return spec.promptTokens + spec.maxTokens;
@@ -131,8 +125,10 @@
     }
     if (!state.hasReport)
         return own;
-    const double drained = toSeconds(now - state.reportedAt);
-    return std::max(own, std::max(0.0, reported - drained) + since);
+    const double drained = toSeconds(now - state.reportedAt) / state.pace;
+    const double senders
+        = m_options.assumesOthersDispatch ? static_cast<double>(m_fleetSize) : 1.0;
+    return std::max(own, std::max(0.0, reported + since * senders - drained));
 }
 
 double Router::work(const State &state, const OpenAttempt &open) const
@@ -166,8 +162,9 @@
     if (cachedOut)
         *cachedOut = cached;
     const double wait = backlog(state, lane, now);
-    Duration predicted =
-        fromSeconds(wait) + state.cost.prefill(spec.promptTokens - cached, spec.promptTokens);
+    const double prefill =
+        toSeconds(state.cost.prefill(spec.promptTokens - cached, spec.promptTokens));
+    Duration predicted = fromSeconds((wait + prefill) * state.pace);
     if (state.info.zone != m_zone)
         predicted += m_options.otherZonePenalty;
     return predicted;
@@ -191,7 +188,7 @@
         return false;
     const Duration limit
         = lane == Lane::Short ? m_options.maxShortBacklog : m_options.maxLongBacklog;
-    return backlog(state, lane, now) <= toSeconds(limit) * rampUp;
+    return backlog(state, lane, now) * state.pace <= toSeconds(limit) * rampUp;
 }
 
 std::optional<Route> Router::choose(const RequestSpec &spec, Lane lane,
@@ -203,10 +200,6 @@
     auto it = m_byTarget.find(spec.target);
     if (it == m_byTarget.end())
         return std::nullopt;
-    std::vector<UpstreamId> allowed;
-    const bool isRestricted = m_options.isolatesLengths && isLongLane(lane);
-    if (isRestricted)
-        allowed = longSet(spec.target, now);
     std::vector<Route> routes;
     Duration best = Duration::max();
     for (std::size_t i : it->second) {
@@ -215,8 +208,6 @@
             continue;
         if (contains(avoid, state.info.id))
             continue;
-        if (isRestricted && !contains(allowed, state.info.id))
-            continue;
         if (!hasRoom(state, spec, lane, now))
             continue;
         Route route{state.info.id, {}, 0};
@@ -381,6 +372,7 @@
     open.openedAt = now;
     const double seconds = work(*state, open);
     open.wasAlone = backlog(*state, Lane::Gang, now) < seconds / 4;
+    open.predicted = backlog(*state, lane, now) + seconds;
     state->ownBacklog[static_cast<std::size_t>(lane)] += seconds;
     state->dispatchedSinceReport[static_cast<std::size_t>(lane)] += seconds;
     ++state->ownStreams;
@@ -411,6 +403,11 @@
     OpenAttempt &open = it->second;
     State *state = find(open.upstream);
     takeOff(state->ownBacklog, open.lane, work(*state, open));
+    if (m_options.learnsPace && open.predicted > 0) {
+        const double ratio
+            = std::clamp(toSeconds(now - open.openedAt) / open.predicted, kMinPace, kMaxPace);
+        state->pace += kPaceRate * (ratio - state->pace);
+    }
     if (open.wasAlone)
         state->cost.learnPrefill(open.uncached, open.context, now - open.openedAt);
     open.firstTokenAt = now;
@@ -565,54 +562,4 @@
     return state ? state->ownStreams : 0;
 }
 
-void Router::noteArrival(const RequestSpec &spec, Lane lane, TimePoint now)
-{
-    auto it = m_arrivals.find(spec.target);
-    if (it == m_arrivals.end())
-        it = m_arrivals.emplace(spec.target, ArrivalRate{now, 0, 0}).first;
-    ArrivalRate &rate = it->second;
-    const double elapsed = toSeconds(now - rate.at);
-    rate.at = now;
-    rate.shortWork *= std::exp(-elapsed / kShortRateWindowSeconds);
-    rate.longWork *= std::exp(-elapsed / kLongRateWindowSeconds);
-    const double work = toSeconds(typicalPrefill(spec));
-    if (isLongLane(lane))
-        rate.longWork += work / kLongRateWindowSeconds;
-    else
-        rate.shortWork += work / kShortRateWindowSeconds;
-}
-
-const Router::ArrivalRate *Router::rateFor(std::string_view target) const
-{
-    auto it = m_arrivals.find(target);
-    return it == m_arrivals.end() ? nullptr : &it->second;
-}
-
-std::vector<UpstreamId> Router::longSet(std::string_view target, TimePoint now) const
-{
-    std::vector<UpstreamId> usable;
-    auto it = m_byTarget.find(target);
-    if (it == m_byTarget.end())
-        return usable;
-    for (std::size_t i : it->second) {
-        const State &state = m_states[i];
-        if (state.info.kind == RequestKind::Prompt && isUsable(state, now))
-            usable.push_back(state.info.id);
-    }
-    const ArrivalRate *rate = rateFor(target);
-    if (!rate || usable.empty())
-        return usable;
-    const double elapsed = toSeconds(now - rate->at);
-    const auto fleet = static_cast<double>(m_fleetSize);
-    const double longNeed =
-        fleet * rate->longWork * std::exp(-elapsed / kLongRateWindowSeconds) * kLongHeadroom;
-    const double shortNeed =
-        fleet * rate->shortWork * std::exp(-elapsed / kShortRateWindowSeconds) * kShortHeadroom;
-    const auto count = static_cast<double>(usable.size());
-    const double spare = std::max(1.0, count - std::ceil(shortNeed));
-    const double size = std::clamp(std::ceil(longNeed), 1.0, spare);
-    usable.resize(static_cast<std::size_t>(size));
-    return usable;
-}
-
 } // namespace arbutuspier
