--- a/bench/policybench.cpp
+++ b/bench/policybench.cpp
@@ -44,7 +44,7 @@
     Duration length;
     /// Submits the load and injects faults.
     std::function<void(World &, Workload &)> script;
-    std::function<void(WorldOptions &)> tune = [](WorldOptions &) { };
+    std::function<void(WorldOptions &)> tune = [](WorldOptions &) {};
     Mix mix = {};
     /// Seconds of the session that count as the crest; all if empty.
     double crestFrom = 0;
@@ -101,7 +101,8 @@
 
 void steady(World &world, Workload &workload, double rate, double to)
 {
-    arrivals(world, workload, 0.5, to, [rate](double) { return rate; }, drawMix);
+    arrivals(
+        world, workload, 0.5, to, [rate](double) { return rate; }, drawMix);
 }
 
 std::vector<Policy> policies()
@@ -116,7 +117,7 @@
         };
     };
     return {
-        {"ours", [](NodeSettings &) { }},
+        {"ours", [](NodeSettings &) {}},
         {"round-robin", baseline(RoutingMode::RoundRobin)},
         {"least-outstanding", baseline(RoutingMode::LeastOutstanding)},
         {"two-choices", baseline(RoutingMode::TwoChoices)},
@@ -141,13 +142,13 @@
     shorts.mediumPart = 0;
     all.push_back({"short-only", std::chrono::seconds{60},
                    [](World &w, Workload &l) { steady(w, l, kCapacityRate * 0.7 * 0.88, 50); },
-                   [](WorldOptions &) { }, shorts});
+                   [](WorldOptions &) {}, shorts});
     for (double rate : {90.0, 120.0, 150.0, 180.0}) {
         char name[32];
         std::snprintf(name, sizeof(name), "shorts-%.0f", rate);
         all.push_back({name, std::chrono::seconds{60},
                        [rate](World &w, Workload &l) { steady(w, l, rate, 50); },
-                       [](WorldOptions &) { }, shorts});
+                       [](WorldOptions &) {}, shorts});
     }
     Mix archive;
     archive.longPart = 0;
@@ -158,46 +159,58 @@
     archive.sharedPrefixes = 40;
     archive.prefixBlocks = 11;
     all.push_back({"archive", std::chrono::seconds{60},
-                   [](World &w, Workload &l) { steady(w, l, 14, 50); },
-                   [](WorldOptions &) { }, archive});
-    all.push_back({"flood-base", std::chrono::seconds{60},
+                   [](World &w, Workload &l) { steady(w, l, 14, 50); }, [](WorldOptions &) {},
+                   archive});
+    all.push_back({"flood-base",
+                   std::chrono::seconds{60},
                    [](World &w, Workload &l) { steady(w, l, kCapacityRate * 0.5, 50); },
-                   [](WorldOptions &) { }, {}, 15, 40});
-    all.push_back({"shift-start", std::chrono::seconds{70},
+                   [](WorldOptions &) {},
+                   {},
+                   15,
+                   40});
+    all.push_back({"shift-start",
+                   std::chrono::seconds{70},
                    [](World &w, Workload &l) {
-                       arrivals(w, l, 0.5, 50,
-                                [](double t) {
-                                    const double base = 15;
-                                    if (t < 15)
-                                        return base;
-                                    return base * std::min(10.0, 1 + (t - 15) / 2 * 9);
-                                },
-                                [](Workload &load) { return load.nextShort(); });
-                       arrivals(w, l, 0.6, 50, [](double) { return 0.35; },
-                                [](Workload &load) { return load.nextLong(); });
+                       arrivals(
+                           w, l, 0.5, 50,
+                           [](double t) {
+                               const double base = 15;
+                               if (t < 15)
+                                   return base;
+                               return base * std::min(10.0, 1 + (t - 15) / 2 * 9);
+                           },
+                           [](Workload &load) { return load.nextShort(); });
+                       arrivals(
+                           w, l, 0.6, 50, [](double) { return 0.35; },
+                           [](Workload &load) { return load.nextLong(); });
                    },
-                   [](WorldOptions &) { }, {}, 15, 50});
-    all.push_back({"recall-notice", std::chrono::seconds{90},
+                   [](WorldOptions &) {},
+                   {},
+                   15,
+                   50});
+    all.push_back({"recall-notice",
+                   std::chrono::seconds{90},
                    [](World &w, Workload &l) {
-                       arrivals(w, l, 0.5, 12, [](double) { return 1.0; },
-                                [](Workload &load) { return load.nextLong(); });
-                       arrivals(w, l, 0.6, 60,
-                                [](double t) { return t < 15 ? 8.0 : 110.0; },
-                                [](Workload &load) { return load.nextShort(); });
+                       arrivals(
+                           w, l, 0.5, 12, [](double) { return 1.0; },
+                           [](Workload &load) { return load.nextLong(); });
+                       arrivals(
+                           w, l, 0.6, 60, [](double t) { return t < 15 ? 8.0 : 110.0; },
+                           [](Workload &load) { return load.nextShort(); });
                    },
-                   [](WorldOptions &) { }, {}, 15, 60});
-    all.push_back({"engine-lost", std::chrono::seconds{60},
-                   [](World &w, Workload &l) {
+                   [](WorldOptions &) {},
+                   {},
+                   15,
+                   60});
+    all.push_back({"engine-lost", std::chrono::seconds{60}, [](World &w, Workload &l) {
                        steady(w, l, kCapacityRate * 0.9, 50);
                        w.at(std::chrono::seconds{20}, [&w] { w.killUpstream(UpstreamId{4}); });
                    }});
-    all.push_back({"vm-lost", std::chrono::seconds{60},
-                   [](World &w, Workload &l) {
+    all.push_back({"vm-lost", std::chrono::seconds{60}, [](World &w, Workload &l) {
                        steady(w, l, kCapacityRate * 0.8, 50);
                        w.at(std::chrono::seconds{20}, [&w] { w.killVm(VmId{2}); });
                    }});
-    all.push_back({"zone-cut", std::chrono::seconds{60},
-                   [](World &w, Workload &l) {
+    all.push_back({"zone-cut", std::chrono::seconds{60}, [](World &w, Workload &l) {
                        steady(w, l, kCapacityRate * 0.6, 50);
                        const auto cut = [&w](bool isCut) {
                            w.cutZones("zone-a", "zone-b", isCut);
@@ -207,19 +220,23 @@
                        w.at(std::chrono::seconds{20}, [cut] { cut(true); });
                        w.at(std::chrono::seconds{35}, [cut] { cut(false); });
                    }});
-    all.push_back({"team-flood", std::chrono::seconds{60},
+    all.push_back({"team-flood",
+                   std::chrono::seconds{60},
                    [](World &w, Workload &l) {
                        steady(w, l, kCapacityRate * 0.5, 50);
-                       arrivals(w, l, 15, 40, [](double) { return 150.0; },
-                                [](Workload &load) {
-                                    RequestSpec spec = load.nextShort();
-                                    spec.team = "flood";
-                                    return spec;
-                                });
+                       arrivals(
+                           w, l, 15, 40, [](double) { return 150.0; },
+                           [](Workload &load) {
+                               RequestSpec spec = load.nextShort();
+                               spec.team = "flood";
+                               return spec;
+                           });
                    },
-                   [](WorldOptions &) { }, {}, 15, 40});
-    all.push_back({"prompt-storm", std::chrono::seconds{240},
-                   [](World &w, Workload &l) {
+                   [](WorldOptions &) {},
+                   {},
+                   15,
+                   40});
+    all.push_back({"prompt-storm", std::chrono::seconds{240}, [](World &w, Workload &l) {
                        steady(w, l, kCapacityRate * 0.4, 60);
                        for (int i = 0; i < 8; ++i) {
                            w.at(std::chrono::milliseconds{10'000 + i * 150}, [&w, i] {
@@ -241,13 +258,11 @@
         all.push_back({name, std::chrono::seconds{60}, mixed(0.8, 50),
                        [lag](WorldOptions &o) { o.reportLag = fromSeconds(lag); }});
     }
-    all.push_back({"cold-caches", std::chrono::seconds{60},
-                   [](World &w, Workload &l) {
+    all.push_back({"cold-caches", std::chrono::seconds{60}, [](World &w, Workload &l) {
                        steady(w, l, kCapacityRate * 0.8, 50);
                        for (std::uint64_t i = 1; i <= kEngines; i += 5)
-                           w.at(std::chrono::seconds{20}, [&w, i] {
-                               w.killUpstream(UpstreamId{i});
-                           });
+                           w.at(std::chrono::seconds{20},
+                                [&w, i] { w.killUpstream(UpstreamId{i}); });
                    }});
     for (double factor : {0.5, 0.75, 1.0, 1.25, 1.5, 2.0}) {
         char name[32];
@@ -265,8 +280,8 @@
         options.vms.push_back({VmId{i + 1}, kZones[i % kZones.size()]});
     for (std::uint64_t i = 0; i < kEngines; ++i)
         options.upstreams.push_back({UpstreamId{i + 1}, "engine-" + std::to_string(i + 1),
-                                     RequestKind::Prompt, "m", kZones[i % kZones.size()],
-                                     400'000, true});
+                                     RequestKind::Prompt, "m", kZones[i % kZones.size()], 400'000,
+                                     true});
     scenario.tune(options);
     policy.apply(options.node);
     return options;
@@ -331,8 +346,8 @@
     double busy = 0;
     for (std::uint64_t i = 1; i <= kEngines; ++i)
         busy += world.engine(UpstreamId{i})->busySeconds();
-    outcome.metrics["engine_busy"]
-        = busy / (static_cast<double>(kEngines) * toSeconds(scenario.length));
+    outcome.metrics["engine_busy"] =
+        busy / (static_cast<double>(kEngines) * toSeconds(scenario.length));
 }
 
 Outcome run(const Scenario &scenario, const Policy &policy)
@@ -379,13 +394,11 @@
         };
         std::printf("%-14s %-18s %7.3f %6.2f %7.3f %7.4f %7.2f %7.1f %6.1f %6.1f %8.2f %5.0f %5.2f "
                     "%5.0f\n",
-                    job.scenario->name.c_str(), job.policy->name.c_str(),
-                    m.at("short_first_p95"),
+                    job.scenario->name.c_str(), job.policy->name.c_str(), m.at("short_first_p95"),
                     reference > 0 ? m.at("short_first_p95") / reference : 0.0,
-                    m.at("others_first_p95"), m.at("short_between_p95"),
-                    m.at("medium_first_p95"), m.at("long_first_p95"), part("short"),
-                    part("long"), m.at("good_tokens") / 1e6, m.at("short_late"),
-                    m.at("engine_busy"), m.at("violations"));
+                    m.at("others_first_p95"), m.at("short_between_p95"), m.at("medium_first_p95"),
+                    m.at("long_first_p95"), part("short"), part("long"), m.at("good_tokens") / 1e6,
+                    m.at("short_late"), m.at("engine_busy"), m.at("violations"));
     }
 }
 
@@ -416,9 +429,9 @@
             top = std::max(top, value);
     }
     std::ofstream file(FLAGS_plot + '/' + fileName);
-    file << "<svg xmlns='http://www.w3.org/2000/svg' width='" << kWidth << "' height='"
-         << kHeight << "' font-family='sans-serif' font-size='11'>\n<text x='" << kMargin
-         << "' y='16'>" << title << " (top " << top << ")</text>\n";
+    file << "<svg xmlns='http://www.w3.org/2000/svg' width='" << kWidth << "' height='" << kHeight
+         << "' font-family='sans-serif' font-size='11'>\n<text x='" << kMargin << "' y='16'>"
+         << title << " (top " << top << ")</text>\n";
     std::size_t index = 0;
     for (const auto &[name, values] : lines) {
         const char *colour = colours[index % 5];
@@ -426,8 +439,8 @@
         for (std::size_t i = 0; i < values.size(); ++i) {
             const double x = kMargin
                 + (kWidth - 2 * kMargin) * static_cast<double>(i) / static_cast<double>(count);
-            const double y = kHeight - kMargin
-                - (kHeight - 2 * kMargin) * (top > 0 ? values[i] / top : 0);
+            const double y =
+                kHeight - kMargin - (kHeight - 2 * kMargin) * (top > 0 ? values[i] / top : 0);
             file << x << ',' << y << ' ';
         }
         file << "'/>\n<text x='" << kWidth - 150 << "' y='" << 30 + 14 * index << "' fill='"
--- a/include/arbutuspier/entrynode.h
+++ b/include/arbutuspier/entrynode.h
@@ -80,6 +80,17 @@
         MemberState state = MemberState::Alive;
         std::uint64_t limitsVersion = 0;
     };
+    struct RequestLine
+    {
+        RequestId id;
+        std::string team;
+        std::string className;
+        std::string_view phase;
+        std::uint64_t promptTokens = 0;
+        Duration age{};
+        UpstreamId upstream;
+        int attempts = 0;
+    };
     bool isDraining = false;
     bool isPlatformReachable = true;
     std::uint64_t limitsVersion = 0;
@@ -91,8 +102,12 @@
     std::vector<Upstream> upstreams;
     std::vector<Member> members;
     std::vector<SuspectNotice> suspects;
+    /// Some of the requests in care, at most `kMaxRequestLines`.
+    std::vector<RequestLine> requests;
 };
 
+/// Requests that a status names at most.
+inline constexpr std::size_t kMaxRequestLines = 200;
 /// Time between ticks that the core expects.
 inline constexpr Duration kTickInterval = std::chrono::milliseconds{20};
 
--- a/include/arbutuspier/holdings.h
+++ b/include/arbutuspier/holdings.h
@@ -50,8 +50,7 @@
     void onUpstreamDead(UpstreamId upstream);
 
     /// Bodies that may be running on an upstream for this VM, or for one of `lostOwners`.
-    std::vector<Fingerprint> bodiesOn(UpstreamId upstream,
-                                      std::span<const VmId> lostOwners) const;
+    std::vector<Fingerprint> bodiesOn(UpstreamId upstream, std::span<const VmId> lostOwners) const;
 
     void onNotices(const HoldingNotices &notices, TimePoint now);
     /// The owner's life is over for certain: its holdings are released.
--- /dev/null
+++ b/programs/arbutuspierctl/commands.cpp
@@ -0,0 +1,450 @@
+// Tables for people, JSON for scripts.
+#include "commands.h"
+
+#include "arbutuspier/limits.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <random>
+#include <sstream>
+#include <thread>
+
+namespace arbutuspier::ctl {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr int kConflict = 409;
+constexpr int kSilent = 504;
+constexpr std::chrono::milliseconds kWaitStep{200};
+
+/// Prints rows in columns as wide as their widest cell.
+void printTable(const std::vector<std::vector<std::string>> &rows)
+{
+    std::vector<std::size_t> widths;
+    for (const auto &row : rows) {
+        widths.resize(std::max(widths.size(), row.size()));
+        for (std::size_t i = 0; i < row.size(); ++i)
+            widths[i] = std::max(widths[i], row[i].size());
+    }
+    for (const auto &row : rows) {
+        for (std::size_t i = 0; i < row.size(); ++i)
+            std::printf("%-*s%s", static_cast<int>(widths[i]), row[i].c_str(),
+                        i + 1 == row.size() ? "\n" : "  ");
+    }
+}
+
+std::string cell(const Json &json, const char *key)
+{
+    if (!json.contains(key))
+        return "";
+    const Json &value = json[key];
+    if (value.is_string())
+        return value.get<std::string>();
+    if (value.is_boolean())
+        return value.get<bool>() ? "yes" : "no";
+    return value.dump();
+}
+
+std::vector<std::vector<std::string>> tableOf(const Json &list,
+                                              const std::vector<const char *> &keys)
+{
+    std::vector<std::vector<std::string>> rows(1);
+    for (const char *key : keys)
+        rows.front().emplace_back(key);
+    for (const Json &item : list) {
+        rows.emplace_back();
+        for (const char *key : keys)
+            rows.back().push_back(cell(item, key));
+    }
+    return rows;
+}
+
+int fail(const HttpReply &reply)
+{
+    if (reply.outcome != HttpReply::Outcome::Answered) {
+        std::cerr << "arbutuspierctl: the VM's admin address can't be reached\n";
+        return kExitUnreachable;
+    }
+    const Json json = Json::parse(reply.body, nullptr, false);
+    std::cerr << "arbutuspierctl: " << (json.is_object() ? cell(json, "error") : reply.body)
+              << '\n';
+    return kExitRefused;
+}
+
+/// Reads a file, or standard input for "-".
+bool readFile(const std::string &name, std::string &text)
+{
+    std::ostringstream out;
+    if (name == "-") {
+        out << std::cin.rdbuf();
+    } else {
+        std::ifstream file(name, std::ios::binary);
+        if (!file)
+            return false;
+        out << file.rdbuf();
+    }
+    text = out.str();
+    return true;
+}
+
+class Commands
+{
+public:
+    Commands(Client &client, const Options &options)
+        : m_client(client)
+        , m_options(options)
+    {
+    }
+
+    int run(const std::vector<std::string> &words);
+
+private:
+    using Action = int (Commands::*)(const std::vector<std::string> &);
+
+    int status(const std::vector<std::string> &);
+    int vms(const std::vector<std::string> &)
+    {
+        return list("vms", {"id", "zone", "state", "limits_version"});
+    }
+    int upstreams(const std::vector<std::string> &words);
+    int requests(const std::vector<std::string> &)
+    {
+        return list(
+            "requests",
+            {"id", "team", "class", "phase", "prompt_tokens", "age_ms", "upstream", "attempts"});
+    }
+    int limits(const std::vector<std::string> &words);
+    int limitsShow();
+    int limitsEdit(const std::string &file);
+    int limitsDiff(const std::string &file);
+    int limitsAccept(const std::string &file);
+    int limitsHistory();
+    int quarantine(const std::vector<std::string> &words);
+    int drain(const std::vector<std::string> &);
+    int orders(const std::vector<std::string> &words);
+    int list(const char *key, const std::vector<const char *> &columns);
+    int waitInForce(std::uint64_t version);
+    int usage(const std::string &why);
+    static void printChanges(const Json &changes);
+
+    Client &m_client;
+    const Options &m_options;
+};
+
+int Commands::usage(const std::string &why)
+{
+    std::cerr << "arbutuspierctl: " << why << "; see --help\n";
+    return kExitUsage;
+}
+
+int Commands::run(const std::vector<std::string> &words)
+{
+    static const std::map<std::string, Action> kActions = {
+        {"status", &Commands::status},       {"vms", &Commands::vms},
+        {"upstreams", &Commands::upstreams}, {"requests", &Commands::requests},
+        {"limits", &Commands::limits},       {"quarantine", &Commands::quarantine},
+        {"drain", &Commands::drain},         {"orders", &Commands::orders},
+    };
+    if (words.empty())
+        return usage("a command is needed");
+    auto it = kActions.find(words.front());
+    if (it == kActions.end())
+        return usage("no command " + words.front());
+    return (this->*it->second)({words.begin() + 1, words.end()});
+}
+
+int Commands::list(const char *key, const std::vector<const char *> &columns)
+{
+    const HttpReply reply = m_client.get("/admin/status");
+    if (!reply.isOk())
+        return fail(reply);
+    const Json json = Json::parse(reply.body, nullptr, false);
+    if (m_options.isJson)
+        std::cout << json[key].dump(2) << '\n';
+    else
+        printTable(tableOf(json[key], columns));
+    return kExitDone;
+}
+
+int Commands::status(const std::vector<std::string> &)
+{
+    const HttpReply reply = m_client.get("/admin/status");
+    if (!reply.isOk())
+        return fail(reply);
+    const Json json = Json::parse(reply.body, nullptr, false);
+    if (m_options.isJson) {
+        std::cout << json.dump(2) << '\n';
+        return kExitDone;
+    }
+    std::vector<std::vector<std::string>> rows;
+    for (const char *key : {"draining", "platform_reachable", "limits_version", "queued", "running",
+                            "holdings", "releases_pending", "unsettled_keys"})
+        rows.push_back({key, cell(json, key)});
+    rows.push_back({"suspects", std::to_string(json["suspects"].size())});
+    printTable(rows);
+    return kExitDone;
+}
+
+int Commands::upstreams(const std::vector<std::string> &words)
+{
+    if (words.empty())
+        return list(
+            "upstreams",
+            {"id", "name", "kind", "target", "zone", "usable", "leaving", "in_flight", "state"});
+    if (words.size() != 2 || words[0] != "drain")
+        return usage("expected: upstreams [drain NAME]");
+    const HttpReply reply = m_client.post("/admin/upstreams/" + words[1] + "/drain", "");
+    if (!reply.isOk())
+        return fail(reply);
+    std::cout << words[1] << " gets no new work; what is in flight goes on\n";
+    return kExitDone;
+}
+
+int Commands::limits(const std::vector<std::string> &words)
+{
+    if (words.size() == 1 && words[0] == "show")
+        return limitsShow();
+    if (words.size() == 1 && words[0] == "history")
+        return limitsHistory();
+    if (words.size() == 2 && words[0] == "edit")
+        return limitsEdit(words[1]);
+    if (words.size() == 2 && words[0] == "diff")
+        return limitsDiff(words[1]);
+    if (words.size() == 2 && words[0] == "accept")
+        return limitsAccept(words[1]);
+    return usage("expected: limits show|history, or limits edit|diff|accept FILE");
+}
+
+int Commands::limitsShow()
+{
+    const HttpReply reply = m_client.get("/admin/limits");
+    if (!reply.isOk())
+        return fail(reply);
+    const Json json = Json::parse(reply.body, nullptr, false);
+    if (m_options.isJson)
+        std::cout << json.dump(2) << '\n';
+    else
+        std::cout << "# version " << cell(json, "version") << " by " << cell(json, "editor") << '\n'
+                  << cell(json, "csv");
+    return kExitDone;
+}
+
+int Commands::limitsEdit(const std::string &file)
+{
+    const HttpReply reply = m_client.get("/admin/limits");
+    if (!reply.isOk())
+        return fail(reply);
+    const Json json = Json::parse(reply.body, nullptr, false);
+    std::ofstream csv(file, std::ios::binary);
+    std::ofstream base(file + ".base", std::ios::binary);
+    csv << cell(json, "csv");
+    base << cell(json, "version") << '\n' << cell(json, "csv");
+    if (!csv || !base) {
+        std::cerr << "arbutuspierctl: " << file << " can't be written\n";
+        return kExitRefused;
+    }
+    std::cout << file << " holds version " << cell(json, "version")
+              << "; edit it in any spreadsheet, then: arbutuspierctl limits accept " << file
+              << '\n';
+    return kExitDone;
+}
+
+void Commands::printChanges(const Json &changes)
+{
+    if (changes.empty())
+        std::cout << "no cell differs\n";
+    else
+        printTable(tableOf(changes, {"team", "class", "column", "before", "after"}));
+}
+
+int Commands::limitsDiff(const std::string &file)
+{
+    std::string text;
+    if (!readFile(file, text))
+        return usage(file + " can't be read");
+    const auto wanted = parseLimitsCsv(text);
+    if (!wanted) {
+        std::cerr << file << ": " << wanted.error().message << '\n';
+        return kExitRefused;
+    }
+    const HttpReply reply = m_client.get("/admin/limits");
+    if (!reply.isOk())
+        return fail(reply);
+    const Json json = Json::parse(reply.body, nullptr, false);
+    const auto current = parseLimitsCsv(cell(json, "csv"));
+    Json changes = Json::array();
+    for (const CellChange &change : diffRows(*current, *wanted))
+        changes.push_back({{"team", change.team},
+                           {"class", change.className},
+                           {"column", change.column},
+                           {"before", change.before},
+                           {"after", change.after}});
+    if (m_options.isJson)
+        std::cout << changes.dump(2) << '\n';
+    else
+        printChanges(changes);
+    return kExitDone;
+}
+
+int Commands::limitsAccept(const std::string &file)
+{
+    std::string text;
+    std::string base;
+    if (!readFile(file, text))
+        return usage(file + " can't be read");
+    if (!readFile(file + ".base", base))
+        return usage(file + ".base is missing: start with limits edit " + file);
+    limitsDiff(file);
+    std::random_device device;
+    const std::string editId = std::to_string(device()) + '-' + std::to_string(device());
+    const Json edit = {{"base_version", std::strtoull(base.c_str(), nullptr, 10)},
+                       {"csv", text},
+                       {"editor", m_options.editor},
+                       {"edit_id", editId}};
+    const HttpReply reply = m_client.post("/admin/limits", edit.dump());
+    const Json json = Json::parse(reply.body, nullptr, false);
+    if (reply.outcome == HttpReply::Outcome::Answered && reply.status == kConflict) {
+        std::cerr << "arbutuspierctl: " << cell(json, "editor") << " accepted version "
+                  << cell(json, "version") << " first; these cells differ from yours:\n";
+        printChanges(json["differences"]);
+        return kExitConflict;
+    }
+    if (!reply.isOk()) {
+        const int code = fail(reply);
+        return reply.status == kSilent ? kExitUnknown : code;
+    }
+    std::cout << "accepted as version " << cell(json, "version") << '\n';
+    if (!m_options.isWaiting)
+        return kExitDone;
+    return waitInForce(json["version"].get<std::uint64_t>());
+}
+
+int Commands::waitInForce(std::uint64_t version)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    const auto end = begin + std::chrono::seconds{m_options.waitSeconds};
+    while (true) {
+        const HttpReply reply = m_client.get("/admin/status");
+        if (!reply.isOk())
+            return fail(reply);
+        const Json json = Json::parse(reply.body, nullptr, false);
+        std::string lacking;
+        std::string away;
+        for (const Json &vm : json["vms"]) {
+            const std::string state = cell(vm, "state");
+            const bool isReachable = state == "alive" || state == "leaving";
+            if (vm["limits_version"].get<std::uint64_t>() >= version)
+                continue;
+            (isReachable ? lacking : away) += " " + cell(vm, "id");
+        }
+        const auto now = std::chrono::steady_clock::now();
+        if (lacking.empty()) {
+            std::printf("in force on every VM that can be reached, after %.1f s\n",
+                        std::chrono::duration<double>(now - begin).count());
+            if (!away.empty())
+                std::cout << "can't be reached:" << away << '\n';
+            return kExitDone;
+        }
+        if (now >= end) {
+            std::cout << "not yet confirmed by:" << lacking << '\n';
+            return kExitUnknown;
+        }
+        std::this_thread::sleep_for(kWaitStep);
+    }
+}
+
+int Commands::limitsHistory()
+{
+    const HttpReply reply = m_client.get("/admin/limits/history");
+    if (!reply.isOk())
+        return fail(reply);
+    const Json json = Json::parse(reply.body, nullptr, false);
+    if (m_options.isJson)
+        std::cout << json.dump(2) << '\n';
+    else
+        printTable(tableOf(json, {"version", "editor", "rows_set", "rows_erased", "edit_id"}));
+    return kExitDone;
+}
+
+int Commands::quarantine(const std::vector<std::string> &words)
+{
+    if (words.size() == 1 && words[0] == "list")
+        return list("suspects", {"fingerprint", "upstreams_lost"});
+    if (words.size() != 2 || words[0] != "clear")
+        return usage("expected: quarantine list, or quarantine clear FINGERPRINT");
+    const HttpReply reply = m_client.erase("/admin/quarantine/" + words[1]);
+    if (!reply.isOk())
+        return fail(reply);
+    std::cout << words[1] << " may run again\n";
+    return kExitDone;
+}
+
+int Commands::drain(const std::vector<std::string> &)
+{
+    const HttpReply reply = m_client.post("/admin/drain", "");
+    if (!reply.isOk())
+        return fail(reply);
+    std::cout << "the VM takes no new requests and exits when all in flight are done\n";
+    return kExitDone;
+}
+
+int Commands::orders(const std::vector<std::string> &words)
+{
+    if (words.empty())
+        return list("upstreams", {"name", "state", "leaving"});
+    if (words.size() != 2)
+        return usage("expected: orders [UPSTREAM STATE]");
+    const Json body = {{"state", words[1]}};
+    const HttpReply reply = m_client.post("/admin/upstreams/" + words[0] + "/state", body.dump());
+    if (!reply.isOk())
+        return fail(reply);
+    std::cout << words[0] << " is to reach " << words[1] << "; see: arbutuspierctl orders\n";
+    return kExitDone;
+}
+
+} // namespace
+
+std::string usageText()
+{
+    return R"(talks to one entry VM of arbutuspier
+
+  arbutuspierctl [--admin IP:PORT] [--token T] [--json] COMMAND
+
+  status                     how this VM is
+  vms                        all entry VMs and the limits version each has in force
+  upstreams [drain NAME]     all upstreams; or give one no new work
+  requests                   requests in this VM's care
+  limits show                the table of weights and limits as CSV
+  limits edit FILE           write the table to FILE for a spreadsheet
+  limits diff FILE           cells of FILE that differ from the table in force
+  limits accept FILE [--wait]  put FILE in force; loses if another operator was first
+  limits history             the latest edits
+  quarantine list | clear FINGERPRINT   requests that took upstreams down
+  orders [UPSTREAM STATE]    upstreams' states; or order one, such as model=grain-2
+  drain                      take this VM out of service
+
+  exit codes: 0 done, 1 refused, 2 usage, 3 VM unreachable, 4 lost against another
+  operator's edit, 5 outcome not known yet)";
+}
+
+std::string environment(const char *name, const char *fallback)
+{
+    const char *value = std::getenv(name);
+    return value && *value ? value : fallback;
+}
+
+int runCommand(Client &client, const Options &options, const std::vector<std::string> &words)
+{
+    return Commands(client, options).run(words);
+}
+
+} // namespace arbutuspier::ctl
--- /dev/null
+++ b/programs/arbutuspierctl/main.cpp
@@ -0,0 +1,35 @@
+// The operators' command-line tool.
+#include "client.h"
+#include "commands.h"
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+DEFINE_string(admin, "127.0.0.1:8201", "admin address of an entry VM");
+DEFINE_string(token, "", "token of the entry VM; the environment's ARBUTUSPIER_TOKEN if empty");
+DEFINE_bool(json, false, "print JSON for scripts");
+DEFINE_bool(wait, false, "limits accept: wait until every VM that can be reached has it in force");
+DEFINE_uint32(wait_seconds, 20, "limits accept --wait: give up after this long");
+DEFINE_string(editor, "", "limits accept: your name; the environment's USER if empty");
+
+int main(int argc, char **argv)
+{
+    using namespace arbutuspier::ctl;
+    gflags::SetUsageMessage(usageText());
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    Options options;
+    options.isJson = FLAGS_json;
+    options.isWaiting = FLAGS_wait;
+    options.waitSeconds = FLAGS_wait_seconds;
+    options.editor = FLAGS_editor.empty() ? environment("USER", "operator") : FLAGS_editor;
+    const std::string token =
+        FLAGS_token.empty() ? environment("ARBUTUSPIER_TOKEN", "") : FLAGS_token;
+    auto client = Client::make(FLAGS_admin, token);
+    if (!client) {
+        std::cerr << "arbutuspierctl: --admin: expected IP:port\n";
+        return kExitUsage;
+    }
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    return runCommand(*client, options, words);
+}
--- a/src/coordination/holdings.cpp
+++ b/src/coordination/holdings.cpp
@@ -26,8 +26,8 @@
     if (it == m_own.end())
         return;
     if (it->second.isNoticed) {
-        HoldingNotice ended{holding,          it->second.upstream, m_self, m_incarnation,
-                            it->second.body, {},                   true};
+        HoldingNotice ended{
+            holding, it->second.upstream, m_self, m_incarnation, it->second.body, {}, true};
         m_ended.push_back(ended);
     }
     m_own.erase(it);
@@ -51,8 +51,7 @@
         startRelease(holding, upstream, {}, now);
 }
 
-void Holdings::startRelease(HoldingId holding, UpstreamId upstream, Fingerprint body,
-                            TimePoint now)
+void Holdings::startRelease(HoldingId holding, UpstreamId upstream, Fingerprint body, TimePoint now)
 {
     if (!m_releasing.contains(holding))
         m_releasing[holding] = {upstream, now, m_options.releaseRetry, body};
@@ -90,8 +89,8 @@
     for (const auto &entry : m_releasing)
         take(entry);
     for (const auto &entry : m_peers) {
-        const bool isLost = std::find(lostOwners.begin(), lostOwners.end(), entry.second.owner)
-            != lostOwners.end();
+        const bool isLost =
+            std::find(lostOwners.begin(), lostOwners.end(), entry.second.owner) != lostOwners.end();
         if (isLost)
             take(entry);
     }
--- a/src/coordination/quarantine.cpp
+++ b/src/coordination/quarantine.cpp
@@ -126,8 +126,8 @@
 {
     UpstreamId best;
     for (UpstreamId upstream : present) {
-        const bool isBetter = !best.isValid()
-            || trialOrder(fingerprint, upstream) < trialOrder(fingerprint, best);
+        const bool isBetter =
+            !best.isValid() || trialOrder(fingerprint, upstream) < trialOrder(fingerprint, best);
         if (isBetter)
             best = upstream;
     }
--- a/src/daemon/adminserver.cpp
+++ b/src/daemon/adminserver.cpp
@@ -57,7 +57,8 @@
                  {"unsettled_keys", status.unsettledKeys},
                  {"upstreams", Json::array()},
                  {"vms", Json::array()},
-                 {"suspects", Json::array()}};
+                 {"suspects", Json::array()},
+                 {"requests", Json::array()}};
     for (const NodeStatus::Upstream &upstream : status.upstreams)
         json["upstreams"].push_back(upstreamJson(upstream));
     for (const NodeStatus::Member &member : status.members)
@@ -68,6 +69,16 @@
     for (const SuspectNotice &suspect : status.suspects)
         json["suspects"].push_back({{"fingerprint", suspect.fingerprint.value},
                                     {"upstreams_lost", suspect.deaths.size()}});
+    for (const NodeStatus::RequestLine &line : status.requests)
+        json["requests"].push_back(
+            {{"id", line.id.value},
+             {"team", line.team},
+             {"class", line.className},
+             {"phase", line.phase},
+             {"prompt_tokens", line.promptTokens},
+             {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(line.age).count()},
+             {"upstream", line.upstream.value},
+             {"attempts", line.attempts}});
     return json;
 }
 
--- a/src/model/workload.cpp
+++ b/src/model/workload.cpp
@@ -43,8 +43,7 @@
 
 RequestSpec Workload::nextShort()
 {
-    RequestSpec spec
-        = make(between(m_mix.shortMin, m_mix.shortMax), m_mix.shortAnswer, "ask");
+    RequestSpec spec = make(between(m_mix.shortMin, m_mix.shortMax), m_mix.shortAnswer, "ask");
     spec.timeLimit = kShortLimit;
     return spec;
 }
@@ -52,8 +51,8 @@
 RequestSpec Workload::nextLong()
 {
     const bool isGang = uniform(m_random) < m_mix.gangPart;
-    const std::uint64_t tokens = isGang ? between(m_mix.gangMin, m_mix.gangMax)
-                                        : between(m_mix.longMin, m_mix.longMax);
+    const std::uint64_t tokens =
+        isGang ? between(m_mix.gangMin, m_mix.gangMax) : between(m_mix.longMin, m_mix.longMax);
     RequestSpec spec = make(tokens, m_mix.longAnswer, "files");
     spec.timeLimit = kLongLimit;
     return spec;
@@ -66,8 +65,7 @@
         return nextLong();
     if (draw >= m_mix.longPart + m_mix.mediumPart)
         return nextShort();
-    RequestSpec spec
-        = make(between(m_mix.shortMax, m_mix.mediumMax), m_mix.longAnswer, "review");
+    RequestSpec spec = make(between(m_mix.shortMax, m_mix.mediumMax), m_mix.longAnswer, "review");
     spec.timeLimit = kLongLimit / 4;
     return spec;
 }
--- a/src/model/workload.h
+++ b/src/model/workload.h
@@ -39,7 +39,9 @@
 {
 public:
     Workload(Mix mix, std::string target, std::uint64_t seed)
-        : m_mix(mix), m_target(std::move(target)), m_random(seed)
+        : m_mix(mix)
+        , m_target(std::move(target))
+        , m_random(seed)
     {
     }
 
--- a/src/model/world.cpp
+++ b/src/model/world.cpp
@@ -251,8 +251,7 @@
     const Incarnation life = vm.incarnation;
     if (onEvent)
         onEvent(vm.info.id, event);
-    const bool isStillThere
-        = vm.node && vm.incarnation == life && m_now >= vm.frozenUntil;
+    const bool isStillThere = vm.node && vm.incarnation == life && m_now >= vm.frozenUntil;
     if (!isStillThere)
         return;
     Commands commands = vm.node->handle(readStream(event), m_now, wall);
@@ -282,13 +281,12 @@
         auto transit = m_transits.find(failed->attempt);
         if (transit == m_transits.end())
             return event;
-        const bool hasPieces = failed->kind == FailureKind::Died
-            || failed->kind == FailureKind::Broken;
+        const bool hasPieces =
+            failed->kind == FailureKind::Died || failed->kind == FailureKind::Broken;
         if (hasPieces)
             passOn(transit->second, failed->deliveredTokens);
         StreamFailed read = *failed;
-        read.deliveredTokens
-            = m_callers.at(transit->second.request).assembler.delivered();
+        read.deliveredTokens = m_callers.at(transit->second.request).assembler.delivered();
         m_transits.erase(transit);
         return read;
     }
@@ -617,8 +615,7 @@
     if (faults.losesAnswers || isCut(vmZone, zone))
         return;
     StreamDone done{transit.attempt, tokens, cached, 200, std::move(result)};
-    const auto arrive
-        = [this, transit, done] { deliver(transit.vm, transit.vmLife, done); };
+    const auto arrive = [this, transit, done] { deliver(transit.vm, transit.vmLife, done); };
     const Duration way = delay(vmZone, zone) + faults.answerDelay;
     schedule(way, arrive);
     if (faults.answersTwice)
@@ -641,9 +638,8 @@
 void World::fail(const Transit &transit, FailureKind kind)
 {
     const StreamFailed failed{transit.attempt, kind, transit.generated};
-    schedule(m_options.inZoneDelay, [this, transit, failed] {
-        deliver(transit.vm, transit.vmLife, failed);
-    });
+    schedule(m_options.inZoneDelay,
+             [this, transit, failed] { deliver(transit.vm, transit.vmLife, failed); });
 }
 
 void World::reserveAt(Vm &vm, const Reserve &reserve)
--- a/src/net/peercodec.cpp
+++ b/src/net/peercodec.cpp
@@ -137,11 +137,10 @@
     HoldingNotices notices;
     for (const Json &item : list(json, 0)) {
         list(item, kNoticeFields);
-        notices.notices.push_back({HoldingId{number(item[0])}, UpstreamId{number(item[1])},
-                                   VmId{number(item[2])}, Incarnation{number(item[3])},
-                                   Fingerprint{number(item[4])},
-                                   Duration(static_cast<Duration::rep>(number(item[5]))),
-                                   flag(item[6])});
+        notices.notices.push_back(
+            {HoldingId{number(item[0])}, UpstreamId{number(item[1])}, VmId{number(item[2])},
+             Incarnation{number(item[3])}, Fingerprint{number(item[4])},
+             Duration(static_cast<Duration::rep>(number(item[5]))), flag(item[6])});
     }
     return notices;
 }
--- a/src/node/attemptflow.cpp
+++ b/src/node/attemptflow.cpp
@@ -90,10 +90,10 @@
 {
     const auto &router = m_context.service<Router>(service::kRouter);
     const Incarnation life = router.incarnation(upstream);
-    const std::vector<VmId> lost
-        = m_context.service<Membership>(service::kMembership).unreachable();
-    const std::vector<Fingerprint> inFlight
-        = m_context.service<Holdings>(service::kHoldings).bodiesOn(upstream, lost);
+    const std::vector<VmId> lost =
+        m_context.service<Membership>(service::kMembership).unreachable();
+    const std::vector<Fingerprint> inFlight =
+        m_context.service<Holdings>(service::kHoldings).bodiesOn(upstream, lost);
     auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
     const auto notices = quarantine.onUpstreamDeath(upstream, life, inFlight, m_context.now);
     for (const SuspectNotice &notice : notices) {
@@ -132,8 +132,8 @@
 void AttemptFlow::onSuspectNews(Fingerprint fingerprint)
 {
     const auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
-    const bool isQuarantined
-        = quarantine.standing(fingerprint) == Quarantine::Standing::Quarantined;
+    const bool isQuarantined =
+        quarantine.standing(fingerprint) == Quarantine::Standing::Quarantined;
     for (RequestId id : m_store.withFingerprint(fingerprint)) {
         Request *request = m_store.find(id);
         const bool isOnTrial = request->trialUntil.has_value();
--- a/src/node/controlflow.cpp
+++ b/src/node/controlflow.cpp
@@ -17,8 +17,8 @@
 constexpr Duration kSilenceLimit = std::chrono::seconds{3};
 } // namespace
 
-ControlFlow::ControlFlow(NodeContext &context, Dispatcher &dispatcher,
-                         AttemptFlow &attempts, GangFlow &gangs, SuspectLedger &suspects)
+ControlFlow::ControlFlow(NodeContext &context, Dispatcher &dispatcher, AttemptFlow &attempts,
+                         GangFlow &gangs, SuspectLedger &suspects)
     : m_context(context)
     , m_dispatcher(dispatcher)
     , m_attempts(attempts)
@@ -235,8 +235,8 @@
     router.onReport(report, m_context.now);
     if (report.isLeaving && !wasLeaving)
         markLeaving(report.upstream, "upstream");
-    m_context.service<OrderService>(service::kOrders).onReported(
-        report.upstream, report.incarnation, report.state);
+    m_context.service<OrderService>(service::kOrders)
+        .onReported(report.upstream, report.incarnation, report.state);
 }
 
 void ControlFlow::onReportMissing(const LoadReportMissing &missing)
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -104,8 +104,8 @@
     const DrainRate &drain = target.drain[laneIndex(request.lane)];
     const bool isFrequent = request.lane == Lane::Short;
     // Longer work leaves too seldom for its rate to be measured within seconds.
-    const bool isMeasured = isFrequent && drain.isBacklogged
-        && m_context.now - drain.backlogSince >= kDrainTrustAfter;
+    const bool isMeasured =
+        isFrequent && drain.isBacklogged && m_context.now - drain.backlogSince >= kDrainTrustAfter;
     if (isMeasured) {
         const double elapsed = toSeconds(m_context.now - drain.at);
         const double rate = drain.perSecond * std::exp(-elapsed / kDrainWindowSeconds);
@@ -204,8 +204,7 @@
     if (request.lane == Lane::Gang)
         return m_gangs->tryStart(request) ? Sent::Yes : Sent::NoRoom;
     auto &router = m_context.service<Router>(service::kRouter);
-    const bool isChecked
-        = request.firstTokenDue && m_context.settings.admission.refusesEarly;
+    const bool isChecked = request.firstTokenDue && m_context.settings.admission.refusesEarly;
     if (isChecked) {
         const auto predicted = router.predict(request.spec, request.lane, m_context.now);
         if (predicted && m_context.now + *predicted > *request.firstTokenDue)
--- a/src/node/entrynode.cpp
+++ b/src/node/entrynode.cpp
@@ -49,6 +49,42 @@
     return settings.self.id.isValid() && settings.incarnation.isValid();
 }
 
+std::string_view phaseName(Phase phase)
+{
+    switch (phase) {
+    case Phase::Queued:
+        return "queued";
+    case Phase::FirstInLine:
+        return "first-in-line";
+    case Phase::Recording:
+        return "recording";
+    case Phase::Reserving:
+        return "reserving";
+    case Phase::Running:
+        return "running";
+    }
+    return "queued";
+}
+
+void addRequestLines(const RequestStore &store, TimePoint now,
+                     std::vector<NodeStatus::RequestLine> &lines)
+{
+    for (const auto &[id, request] : store.all()) {
+        if (lines.size() == kMaxRequestLines)
+            return;
+        NodeStatus::RequestLine line;
+        line.id = id;
+        line.team = request.spec.team;
+        line.className = request.spec.className;
+        line.phase = phaseName(request.phase);
+        line.promptTokens = request.spec.promptTokens;
+        line.age = now - request.arrival;
+        line.upstream = request.upstream;
+        line.attempts = request.attempts;
+        lines.push_back(std::move(line));
+    }
+}
+
 } // namespace
 
 struct EntryNode::Impl
@@ -296,6 +332,7 @@
         status.members.push_back(
             {peer, membership.state(peer.id), m_impl->control.confirmedVersion(peer.id)});
     }
+    addRequestLines(m_impl->store, now, status.requests);
     status.suspects = context.service<Quarantine>(service::kQuarantine).records();
     return status;
 }
--- a/src/node/gangflow.cpp
+++ b/src/node/gangflow.cpp
@@ -87,11 +87,11 @@
     if (waiting != m_waiting.end() && m_context.now < waiting->second.retryAt)
         return false;
     const auto &router = m_context.service<Router>(service::kRouter);
-    const bool isSuspect
-        = m_context.service<Quarantine>(service::kQuarantine).standing(request.spec.fingerprint)
+    const bool isSuspect =
+        m_context.service<Quarantine>(service::kQuarantine).standing(request.spec.fingerprint)
         == Quarantine::Standing::Suspect;
-    const std::vector<UpstreamId> members
-        = router.chooseGang(request.spec, isSuspect, m_context.now);
+    const std::vector<UpstreamId> members =
+        router.chooseGang(request.spec, isSuspect, m_context.now);
     if (members.empty())
         return false;
     for (UpstreamId member : members)
--- a/src/node/suspectledger.cpp
+++ b/src/node/suspectledger.cpp
@@ -150,9 +150,8 @@
             write(body, row);
     }
     if (m_rows.size() > kMaxIdleRows)
-        std::erase_if(m_rows, [](const auto &entry) {
-            return !entry.second.isDirty && !entry.second.op;
-        });
+        std::erase_if(m_rows,
+                      [](const auto &entry) { return !entry.second.isDirty && !entry.second.op; });
 }
 
 } // namespace arbutuspier
--- a/src/node/suspectledger.h
+++ b/src/node/suspectledger.h
@@ -18,7 +18,8 @@
 {
 public:
     SuspectLedger(NodeContext &context, TableOpId firstOp)
-        : m_context(context), m_nextOp(firstOp)
+        : m_context(context)
+        , m_nextOp(firstOp)
     {
     }
 
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -126,8 +126,7 @@
     if (!state.hasReport)
         return own;
     const double drained = toSeconds(now - state.reportedAt) / state.pace;
-    const double senders
-        = m_options.assumesOthersDispatch ? static_cast<double>(m_fleetSize) : 1.0;
+    const double senders = m_options.assumesOthersDispatch ? static_cast<double>(m_fleetSize) : 1.0;
     return std::max(own, std::max(0.0, reported + since * senders - drained));
 }
 
@@ -186,8 +185,8 @@
         return true;
     if (lane != Lane::Gang && freeTokens(state) < neededTokens(spec))
         return false;
-    const Duration limit
-        = lane == Lane::Short ? m_options.maxShortBacklog : m_options.maxLongBacklog;
+    const Duration limit =
+        lane == Lane::Short ? m_options.maxShortBacklog : m_options.maxLongBacklog;
     return backlog(state, lane, now) * state.pace <= toSeconds(limit) * rampUp;
 }
 
@@ -335,9 +334,8 @@
     // From the back of the order: long prompts fill engines from the front.
     for (auto i = it->second.rbegin(); i != it->second.rend(); ++i) {
         const State &state = m_states[*i];
-        const bool isFit
-            = isSuspect ? isPresent(state.info.id)
-                        : isUsable(state, now) && freeTokens(state) >= each;
+        const bool isFit = isSuspect ? isPresent(state.info.id)
+                                     : isUsable(state, now) && freeTokens(state) >= each;
         if (state.info.kind == RequestKind::Prompt && isFit)
             byZone[state.info.zone].push_back(state.info.id);
     }
@@ -404,8 +402,8 @@
     State *state = find(open.upstream);
     takeOff(state->ownBacklog, open.lane, work(*state, open));
     if (m_options.learnsPace && open.predicted > 0) {
-        const double ratio
-            = std::clamp(toSeconds(now - open.openedAt) / open.predicted, kMinPace, kMaxPace);
+        const double ratio =
+            std::clamp(toSeconds(now - open.openedAt) / open.predicted, kMinPace, kMaxPace);
         state->pace += kPaceRate * (ratio - state->pace);
     }
     if (open.wasAlone)
--- a/tests/faults/main.cpp
+++ b/tests/faults/main.cpp
@@ -99,12 +99,10 @@
         if (results[i].failures.empty()) {
             ++held;
         } else {
-            const bool isKnown
-                = known.find("[" + cells[i].name() + "]") != std::string::npos;
+            const bool isKnown = known.find("[" + cells[i].name() + "]") != std::string::npos;
             knownRed += isKnown ? 1 : 0;
             std::printf("%s [%s] seed %llu: %s\n", isKnown ? "KNOWN RED" : "RED",
-                        cells[i].name().c_str(),
-                        static_cast<unsigned long long>(cells[i].seed()),
+                        cells[i].name().c_str(), static_cast<unsigned long long>(cells[i].seed()),
                         results[i].failures.front().c_str());
             for (std::size_t f = 1; f < results[i].failures.size() && !FLAGS_match.empty(); ++f)
                 std::printf("    %s\n", results[i].failures[f].c_str());
--- a/tests/faults/scenario.cpp
+++ b/tests/faults/scenario.cpp
@@ -11,14 +11,14 @@
 
 namespace {
 
-constexpr std::array<std::string_view, kStepCount> kStepNames
-    = {"admit",       "queue", "choose",        "reserve", "record", "send", "first-token",
-       "mid-stream",  "done",  "record-result", "release", "drain",  "edit", "order"};
-constexpr std::array<std::string_view, kFaultCount> kFaultNames
-    = {"caller-gone",  "key-repeated", "upstream-dies",  "upstream-hangs", "upstream-refuses",
-       "answer-late",  "answer-twice", "answer-reorder", "store-down",     "store-slow",
-       "reply-lost",   "vm-dies",      "vm-paused",      "peers-cut",      "platform-cut",
-       "upstream-leaves", "request-kills"};
+constexpr std::array<std::string_view, kStepCount> kStepNames = {
+    "admit",      "queue", "choose",        "reserve", "record", "send", "first-token",
+    "mid-stream", "done",  "record-result", "release", "drain",  "edit", "order"};
+constexpr std::array<std::string_view, kFaultCount> kFaultNames = {
+    "caller-gone",     "key-repeated", "upstream-dies",  "upstream-hangs", "upstream-refuses",
+    "answer-late",     "answer-twice", "answer-reorder", "store-down",     "store-slow",
+    "reply-lost",      "vm-dies",      "vm-paused",      "peers-cut",      "platform-cut",
+    "upstream-leaves", "request-kills"};
 
 constexpr std::array<const char *, 3> kZones = {"north", "south", "islands"};
 constexpr VmId kSubjectVm{1};
@@ -106,7 +106,11 @@
 class Session
 {
 public:
-    explicit Session(const Cell &cell) : m_cell(cell), m_world(fleet(cell.seed())) { }
+    explicit Session(const Cell &cell)
+        : m_cell(cell)
+        , m_world(fleet(cell.seed()))
+    {
+    }
 
     CellResult run()
     {
@@ -290,9 +294,8 @@
 
     void healUpstream()
     {
-        later(kFaultTime, [this, upstream = target()] {
-            m_world.upstreamFaults[upstream] = UpstreamFaults{};
-        });
+        later(kFaultTime,
+              [this, upstream = target()] { m_world.upstreamFaults[upstream] = UpstreamFaults{}; });
     }
 
     void healStore()
@@ -398,8 +401,8 @@
     /// Faults that a prompt has to outlive: its caller is there and another upstream is free.
     bool mustRun() const
     {
-        const bool isPrompt = !isCallStep(m_cell.step) && !isOperatorStep(m_cell.step)
-            && !isGangStep(m_cell.step);
+        const bool isPrompt =
+            !isCallStep(m_cell.step) && !isOperatorStep(m_cell.step) && !isGangStep(m_cell.step);
         const bool isFatal = has(Fault::CallerGone) || has(Fault::VmDies) || has(Fault::VmPaused)
             || has(Fault::RequestKills);
         return isPrompt && !isFatal;
@@ -426,9 +429,9 @@
     {
         if (m_cell.step == Step::Edit) {
             const auto &answers = m_world.editAnswers();
-            const bool isAnswered
-                = std::any_of(answers.begin(), answers.end(),
-                              [](const EditAnswer &a) { return a.editId == "subject"; });
+            const bool isAnswered =
+                std::any_of(answers.begin(), answers.end(),
+                            [](const EditAnswer &a) { return a.editId == "subject"; });
             if (!isAnswered && !has(Fault::VmDies))
                 result.failures.push_back("the edit was never answered");
         }
@@ -482,8 +485,8 @@
 
 std::string_view impossible(Step step, Fault fault)
 {
-    const bool isCallerFault = fault == Fault::CallerGone || fault == Fault::KeyRepeated
-        || fault == Fault::RequestKills;
+    const bool isCallerFault =
+        fault == Fault::CallerGone || fault == Fault::KeyRepeated || fault == Fault::RequestKills;
     if (isOperatorStep(step) && isCallerFault)
         return "no caller's request takes part in this step";
     const bool isAnswerFault = fault == Fault::AnswerLate || fault == Fault::AnswerTwice
