--- /dev/null
+++ b/bench/microbench.cpp
@@ -0,0 +1,84 @@
+// Costs of the hot decisions, at the sizes of today and of two years on.
+#include "arbutuspier/fairqueue.h"
+#include "arbutuspier/random.h"
+#include "arbutuspier/router.h"
+
+#include <benchmark/benchmark.h>
+
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace arbutuspier;
+
+std::vector<UpstreamInfo> upstreams(std::size_t count)
+{
+    std::vector<UpstreamInfo> list;
+    for (std::uint64_t i = 1; i <= count; ++i)
+        list.push_back({UpstreamId{i}, "engine", RequestKind::Prompt, "m",
+                        "zone-" + std::to_string(i % 5), 400'000, true});
+    return list;
+}
+
+RequestSpec prompt()
+{
+    RequestSpec spec;
+    spec.target = "m";
+    spec.promptTokens = 2'000;
+    spec.maxTokens = 100;
+    spec.prefixBlocks = {1, 2};
+    spec.fingerprint = Fingerprint{99};
+    return spec;
+}
+
+void routeOne(benchmark::State &state)
+{
+    const auto list = upstreams(static_cast<std::size_t>(state.range(0)));
+    Router router("zone-1", list, RouterOptions{});
+    Random random(1);
+    const RequestSpec spec = prompt();
+    const TimePoint now{std::chrono::seconds{100}};
+    for (auto _ : state)
+        benchmark::DoNotOptimize(router.choose(spec, Lane::Short, {}, now, random));
+}
+
+/// The baseline: the first usable of a list, without any score.
+void routeRoundRobin(benchmark::State &state)
+{
+    const auto list = upstreams(static_cast<std::size_t>(state.range(0)));
+    RouterOptions options;
+    options.mode = RoutingMode::RoundRobin;
+    Router router("zone-1", list, options);
+    Random random(1);
+    const RequestSpec spec = prompt();
+    const TimePoint now{std::chrono::seconds{100}};
+    for (auto _ : state)
+        benchmark::DoNotOptimize(router.choose(spec, Lane::Short, {}, now, random));
+}
+
+void queueOne(benchmark::State &state)
+{
+    FairQueue queue;
+    const auto teams = static_cast<std::uint64_t>(state.range(0));
+    std::vector<std::string> names;
+    std::uint64_t next = 1;
+    for (std::uint64_t i = 0; i < teams; ++i) {
+        names.push_back("team-" + std::to_string(i));
+        queue.push(RequestId{next++}, "ask", names.back(), Lane::Short, 2'000, 1);
+        queue.push(RequestId{next++}, "ask", names.back(), Lane::Short, 2'000, 1);
+    }
+    std::uint64_t team = 0;
+    for (auto _ : state) {
+        queue.push(RequestId{next++}, "ask", names[team++ % teams], Lane::Short, 2'000, 1);
+        benchmark::DoNotOptimize(queue.pop(Lane::Short));
+    }
+}
+
+BENCHMARK(routeOne)->Arg(15)->Arg(500)->Arg(2'500);
+BENCHMARK(routeRoundRobin)->Arg(15)->Arg(500)->Arg(2'500);
+BENCHMARK(queueOne)->Arg(10)->Arg(1'000)->Arg(20'000);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- a/include/arbutuspier/fairqueue.h
+++ b/include/arbutuspier/fairqueue.h
@@ -9,7 +9,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <list>
 #include <map>
 #include <optional>
 #include <set>
@@ -78,7 +78,8 @@
         double tag = 0;
         std::uint32_t weight = 1;
         bool isPaused = false;
-        std::array<std::deque<Entry>, kLaneCount> lanes;
+        /// Lists, as an empty one takes next to no memory.
+        std::array<std::list<Entry>, kLaneCount> lanes;
         /// Tokens queued in each lane.
         std::array<std::uint64_t, kLaneCount> cost{};
 
--- a/programs/arbutuspierd/main.cpp
+++ b/programs/arbutuspierd/main.cpp
@@ -1,4 +1,5 @@
 // The daemon: one entry VM.
+#include "arbutuspier/watchset.h"
 #include "daemon/adminserver.h"
 #include "daemon/controlloop.h"
 #include "kernel/logline.h"
@@ -172,6 +173,8 @@
         std::cout << FLAGS_config << ": good\n";
         return 0;
     }
+    settings->upstreams = arbutuspier::chooseWatched(settings->upstreams, settings->self.id,
+                                                     settings->self.zone, settings->maxWatched);
     arbutuspier::Daemon daemon(std::move(*settings));
     return daemon.run();
 }
--- a/src/net/peercodec.cpp
+++ b/src/net/peercodec.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
+#include <exception>
 
 namespace arbutuspier {
 
@@ -261,13 +262,16 @@
 
 std::optional<PeerMessage> decodePeerMessage(std::string_view bytes)
 {
-    const Json json = Json::from_cbor(bytes, true, false);
-    if (json.is_discarded())
-        return std::nullopt;
+    // The library throws on sizes beyond all bounds even where it is told not to.
     try {
+        const Json json = Json::from_cbor(bytes, true, false);
+        if (json.is_discarded())
+            return std::nullopt;
         return decodeMessage(json);
     } catch (const BadMessage &) {
         return std::nullopt;
+    } catch (const std::exception &) {
+        return std::nullopt;
     }
 }
 
--- a/src/node/controlflow.cpp
+++ b/src/node/controlflow.cpp
@@ -13,6 +13,8 @@
 /// VMs that contend for the lease of one upstream.
 constexpr std::size_t kContenders = 2;
 constexpr std::size_t kCopyHolders = 2;
+/// Peers that are told of service given here, whatever the size of the fleet.
+constexpr std::size_t kDebitFanOut = 3;
 /// An upstream that can't be asked for its load for so long is not waited for.
 constexpr Duration kSilenceLimit = std::chrono::seconds{3};
 } // namespace
@@ -286,6 +288,24 @@
     }
 }
 
+void ControlFlow::sendDebits()
+{
+    ServiceDebits debits = m_dispatcher.takeDebits();
+    if (debits.debits.empty())
+        return;
+    std::vector<VmId> peers = m_context.service<Membership>(service::kMembership).reachable();
+    if (peers.size() > kDebitFanOut) {
+        // A few peers stand for all: each is told what it would have heard on average.
+        const std::uint64_t factor = peers.size() / kDebitFanOut;
+        std::shuffle(peers.begin(), peers.end(), m_context.random);
+        peers.resize(kDebitFanOut);
+        for (ServiceDebit &debit : debits.debits)
+            debit.tokens *= factor;
+    }
+    for (VmId peer : peers)
+        m_context.sendPeer(peer, debits);
+}
+
 void ControlFlow::sendOutgoing()
 {
     for (auto &[to, body] : m_context.service<Membership>(service::kMembership).takeOutgoing())
@@ -320,8 +340,7 @@
     m_context.service<ShareAllocator>(service::kShares).tick();
     m_context.service<Quarantine>(service::kQuarantine).tick(m_context.now);
     m_suspects.tick();
-    if (ServiceDebits debits = m_dispatcher.takeDebits(); !debits.debits.empty())
-        m_context.broadcast(std::move(debits));
+    sendDebits();
     sendOutgoing();
 }
 
--- a/src/node/controlflow.h
+++ b/src/node/controlflow.h
@@ -39,6 +39,7 @@
     void onAdopted(std::uint64_t version);
     void beginEpoch();
     void sendOutgoing();
+    void sendDebits();
     void applyBody(VmId from, const PeerMessage &message);
     void onSuspectNotice(const SuspectNotice &notice);
     void markLeaving(UpstreamId upstream, std::string_view source);
--- /dev/null
+++ b/src/policy/watchset.cpp
@@ -0,0 +1,54 @@
+// Rendezvous hashing of (VM, upstream) within each target.
+#include "arbutuspier/watchset.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+namespace arbutuspier {
+
+namespace {
+
+constexpr std::size_t kOtherZonesPart = 4;
+
+std::uint64_t watchOrder(VmId self, UpstreamId upstream)
+{
+    return XXH64(&upstream.value, sizeof(upstream.value), self.value);
+}
+
+} // namespace
+
+std::vector<UpstreamInfo> chooseWatched(std::span<const UpstreamInfo> all, VmId self,
+                                        std::string_view zone, std::size_t maxPerTarget)
+{
+    std::map<std::string, std::vector<UpstreamInfo>> byTarget;
+    for (const UpstreamInfo &upstream : all)
+        byTarget[upstream.target].push_back(upstream);
+    std::vector<UpstreamInfo> chosen;
+    for (auto &[target, list] : byTarget) {
+        std::sort(list.begin(), list.end(), [&](const UpstreamInfo &a, const UpstreamInfo &b) {
+            return watchOrder(self, a.id) < watchOrder(self, b.id);
+        });
+        if (list.size() > maxPerTarget) {
+            const auto others = std::stable_partition(
+                list.begin(), list.end(), [&](const UpstreamInfo &u) { return u.zone == zone; });
+            const auto inZone = static_cast<std::size_t>(others - list.begin());
+            const std::size_t elsewhere = list.size() - inZone;
+            const std::size_t forOthers =
+                std::min(elsewhere,
+                         std::max(maxPerTarget / kOtherZonesPart,
+                                  maxPerTarget - std::min(maxPerTarget, inZone)));
+            const std::size_t forZone = maxPerTarget - forOthers;
+            std::rotate(list.begin() + static_cast<std::ptrdiff_t>(forZone), others, list.end());
+            list.resize(maxPerTarget);
+        }
+        chosen.insert(chosen.end(), list.begin(), list.end());
+    }
+    std::sort(chosen.begin(), chosen.end(),
+              [](const UpstreamInfo &a, const UpstreamInfo &b) { return a.id < b.id; });
+    return chosen;
+}
+
+} // namespace arbutuspier
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -38,6 +38,8 @@
     Rule{"vm", "admin", Type::IpAddress, true, 0, 0, "", "Where arbutuspierctl connects"},
     Rule{"vm", "peer", Type::IpAddress, true, 0, 0, "", "Where other entry VMs connect"},
     Rule{"vm", "traffic_threads", Type::Integer, false, 1, 64, "2", "Threads that move answers"},
+    Rule{"vm", "max_watched", Type::Integer, false, 3, 10'000, "64",
+         "Upstreams of one model or service that this VM watches and uses at most"},
     Rule{"platform", "address", Type::IpAddress, true, 0, 0, "", "Table service and VM list"},
     Rule{"security", "peer_key", Type::Text, true, 0, 0, "", "Shared key of all entry VMs"},
     Rule{"security", "ctl_token", Type::Text, true, 0, 0, "", "Token arbutuspierctl must show"},
@@ -325,6 +327,7 @@
         m_settings.admin = address(table, "admin");
         m_settings.peer = address(table, "peer");
         m_settings.trafficThreads = number(table, "traffic_threads", m_settings.trafficThreads);
+        m_settings.maxWatched = number(table, "max_watched", m_settings.maxWatched);
     }
 
     void applySecurity(const toml::table &table)
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -50,6 +50,8 @@
     Address admin;
     Address peer;
     std::uint32_t trafficThreads = 2;
+    /// Upstreams of one target that this VM watches and uses at most.
+    std::uint32_t maxWatched = 64;
     Address platform;
     std::string peerKey;
     std::string ctlToken;
--- /dev/null
+++ b/tests/coordinationtest.cpp
@@ -0,0 +1,380 @@
+// Membership, leases, holdings and quarantine, each alone.
+#include "arbutuspier/holdings.h"
+#include "arbutuspier/lease.h"
+#include "arbutuspier/membership.h"
+#include "arbutuspier/orders.h"
+#include "arbutuspier/quarantine.h"
+#include "model/tablemodel.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <memory>
+
+using namespace arbutuspier;
+
+namespace {
+
+TimePoint at(double seconds)
+{
+    return TimePoint{std::chrono::seconds{100}} + fromSeconds(seconds);
+}
+
+} // namespace
+
+// --- membership ---
+
+TEST_GROUP(AMembership)
+{
+    Random random{1};
+    const std::vector<VmInfo> peers = {{VmId{2}, "north"}, {VmId{3}, "south"}, {VmId{4}, "south"}};
+    Membership membership{{VmId{1}, "north"}, Incarnation{10}, peers, MembershipOptions{}};
+
+    void hear(std::uint64_t vm, std::uint64_t life = 20)
+    {
+        membership.onHeard(VmId{vm}, Incarnation{life}, at(0));
+    }
+    void hearAll()
+    {
+        for (std::uint64_t vm : {2, 3, 4})
+            hear(vm);
+    }
+    void passSilently(double from, double to)
+    {
+        for (double t = from; t < to; t += 0.02)
+            membership.tick(at(t), random);
+    }
+};
+
+TEST(AMembership, knowsNobodyAtFirst)
+{
+    LONGS_EQUAL(1, membership.aliveCount());
+}
+
+TEST(AMembership, takesAnyMessageAsASignOfLife)
+{
+    hearAll();
+    LONGS_EQUAL(4, membership.aliveCount());
+}
+
+TEST(AMembership, keepsCopiesInItsZoneAndOutside)
+{
+    hearAll();
+    const auto holders = membership.copyHolders(2);
+    LONGS_EQUAL(2, holders.size());
+    CHECK(holders[0] == VmId{2});
+    CHECK(holders[1] == VmId{3});
+}
+
+TEST_GROUP_BASE(AMembershipInSilence,
+                TEST_GROUP_CppUTestGroupAMembership){void setup() override{hearAll();
+passSilently(0, 10);
+}
+}
+;
+
+TEST(AMembershipInSilence, callsMembersUnreachableButNotGone)
+{
+    CHECK(membership.state(VmId{2}) == MemberState::Unreachable);
+    LONGS_EQUAL(1, membership.aliveCount());
+}
+
+TEST(AMembershipInSilence, callsAMemberGoneWhenThePlatformSaysSo)
+{
+    membership.onVmList({5, {{VmId{3}, Incarnation{20}, false}}, {}}, at(10));
+    CHECK(membership.state(VmId{2}) == MemberState::Gone);
+    CHECK(membership.state(VmId{3}) == MemberState::Unreachable);
+}
+
+TEST(AMembershipInSilence, takesALaterLifeAsTheEndOfTheEarlier)
+{
+    membership.takeChanges();
+    hear(2, 21);
+    bool isEarlierGone = false;
+    for (const auto &change : membership.takeChanges())
+        isEarlierGone = isEarlierGone
+            || (change.state == MemberState::Gone && change.incarnation == Incarnation{20});
+    CHECK(isEarlierGone);
+    CHECK(membership.state(VmId{2}) == MemberState::Alive);
+}
+
+TEST(AMembershipInSilence, ignoresAnOlderList)
+{
+    membership.onVmList({5, {{VmId{2}, Incarnation{20}, false}}, {}}, at(10));
+    membership.onVmList({4, {}, {}}, at(11));
+    CHECK(membership.state(VmId{2}) == MemberState::Unreachable);
+}
+
+TEST(AMembership, refutesASuspicionOfItself)
+{
+    hearAll();
+    while (!membership.updatesToSend().empty()) { }
+    const MemberUpdate suspicion{VmId{1}, Incarnation{10}, 0, MemberState::Suspect};
+    membership.onUpdates(std::span<const MemberUpdate>(&suspicion, 1), at(1));
+    const auto updates = membership.updatesToSend();
+    CHECK_FALSE(updates.empty());
+    LONGS_EQUAL(1, updates.front().counter);
+}
+
+TEST(AMembership, remembersThatAMemberLeaves)
+{
+    hearAll();
+    const MemberUpdate leaving{VmId{2}, Incarnation{20}, 0, MemberState::Leaving};
+    membership.onUpdates(std::span<const MemberUpdate>(&leaving, 1), at(1));
+    hear(2);
+    CHECK(membership.state(VmId{2}) == MemberState::Leaving);
+}
+
+// --- leases ---
+
+TEST_GROUP(ALease)
+{
+    model::TableModel table{model::TableModelOptions{1e6, 1e6}};
+    Random random{1};
+    Lease first{"lease/1", VmId{1}, Incarnation{10}, LeaseOptions{}};
+    Lease second{"lease/1", VmId{2}, Incarnation{20}, LeaseOptions{}};
+    std::uint64_t op = 1;
+
+    bool step(Lease & lease, double t, bool losesReply = false)
+    {
+        const auto call = lease.tick(at(t), TableOpId{op++}, random);
+        if (!call)
+            return false;
+        TableOutcome outcome = table.apply(call->request, at(t));
+        if (losesReply)
+            outcome = TableUnknown{};
+        lease.onTableReply(call->op, outcome, at(t));
+        return true;
+    }
+    void run(Lease & lease, double from, double to)
+    {
+        for (double t = from; t < to; t += 0.1)
+            step(lease, t);
+    }
+    bool isHeld(const Lease &lease, double t, double need = 0)
+    {
+        return lease.isHeld(at(t), fromSeconds(need));
+    }
+};
+
+TEST(ALease, isTakenWhenItIsWanted)
+{
+    run(first, 0, 5);
+    CHECK_FALSE(isHeld(first, 5));
+    first.want(true);
+    run(first, 5, 10);
+    CHECK(isHeld(first, 10));
+    LONGS_EQUAL(1, first.fence());
+}
+
+TEST_GROUP_BASE(AHeldLease, TEST_GROUP_CppUTestGroupALease){void setup() override{first.want(true);
+run(first, 0, 5);
+second.want(true);
+}
+}
+;
+
+TEST(AHeldLease, isRenewed)
+{
+    run(first, 5, 60);
+    CHECK(isHeld(first, 60));
+    LONGS_EQUAL(1, first.fence());
+}
+
+TEST(AHeldLease, keepsAnotherOut)
+{
+    for (double t = 5; t < 60; t += 0.1) {
+        step(first, t);
+        step(second, t);
+        CHECK_FALSE(isHeld(second, t));
+    }
+}
+
+TEST(AHeldLease, isNotHeldBeyondItsTimeByAPausedHolder)
+{
+    CHECK(isHeld(first, 5));
+    CHECK_FALSE(isHeld(first, 30));
+}
+
+TEST(AHeldLease, goesToAnotherAfterSilenceWithAHigherFence)
+{
+    run(second, 5, 40);
+    CHECK(isHeld(second, 40));
+    LONGS_EQUAL(2, second.fence());
+    CHECK(second.wasTakenOver());
+    run(first, 40, 45);
+    CHECK_FALSE(isHeld(first, 45));
+}
+
+TEST(AHeldLease, isFreeAtOnceWhenGivenBack)
+{
+    first.want(false);
+    run(first, 5, 7);
+    run(second, 7, 12);
+    CHECK(isHeld(second, 12));
+    CHECK_FALSE(second.wasTakenOver());
+}
+
+TEST(ALease, isNeverHeldByTwo)
+{
+    const bool isGood = rc::check("two VMs, pauses and lost replies", [this] {
+        model::TableModel store{model::TableModelOptions{1e9, 1e9}};
+        Lease leases[2] = {Lease{"l", VmId{1}, Incarnation{1}, LeaseOptions{}},
+                           Lease{"l", VmId{2}, Incarnation{2}, LeaseOptions{}}};
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 64));
+        double t = 0;
+        std::uint64_t number = 1;
+        for (int step : steps) {
+            t += 0.05 * (step % 16);
+            Lease &lease = leases[step % 2];
+            lease.want(step % 13 != 0);
+            if (const auto call = lease.tick(at(t), TableOpId{number++}, random)) {
+                TableOutcome outcome = store.apply(call->request, at(t));
+                if (step % 5 == 0)
+                    outcome = TableUnknown{};
+                lease.onTableReply(call->op, outcome, at(t));
+            }
+            RC_ASSERT(!(isHeld(leases[0], t) && isHeld(leases[1], t)));
+        }
+    });
+    CHECK(isGood);
+}
+
+// --- holdings ---
+
+TEST_GROUP(Holdings)
+{
+    Holdings own{VmId{1}, Incarnation{10}, HoldingsOptions{}};
+    Holdings peer{VmId{2}, Incarnation{20}, HoldingsOptions{}};
+
+    void setup() override
+    {
+        own.add(HoldingId{5}, UpstreamId{1}, at(10), Fingerprint{9});
+    }
+    void tellPeer()
+    {
+        peer.onNotices(*own.takeNotices(at(0)), at(0));
+    }
+};
+
+TEST(Holdings, areReleasedUntilAcknowledged)
+{
+    own.release(HoldingId{5}, at(1));
+    LONGS_EQUAL(1, own.dueReleases(at(1)).size());
+    LONGS_EQUAL(0, own.dueReleases(at(1)).size());
+    LONGS_EQUAL(1, own.dueReleases(at(2)).size());
+    own.onReleased(HoldingId{5});
+    LONGS_EQUAL(0, own.dueReleases(at(100)).size());
+}
+
+TEST(Holdings, areForgottenWithTheUpstreamsProcess)
+{
+    own.release(HoldingId{5}, at(1));
+    own.onUpstreamDead(UpstreamId{1});
+    LONGS_EQUAL(0, own.dueReleases(at(100)).size());
+}
+
+TEST(Holdings, nameTheirBodyWhileTheyMayRun)
+{
+    own.release(HoldingId{5}, at(1));
+    const auto bodies = own.bodiesOn(UpstreamId{1}, {});
+    LONGS_EQUAL(1, bodies.size());
+    CHECK(bodies.front() == Fingerprint{9});
+}
+
+TEST(Holdings, areReleasedByAPeerWhenTheOwnersLifeIsOver)
+{
+    tellPeer();
+    peer.onOwnerGone(VmId{1}, Incarnation{10}, at(1));
+    const auto due = peer.dueReleases(at(1));
+    LONGS_EQUAL(1, due.size());
+    CHECK(due.front().holding == HoldingId{5});
+}
+
+TEST(Holdings, areKeptByAPeerForAnotherLifeOfTheOwner)
+{
+    tellPeer();
+    peer.onOwnerGone(VmId{1}, Incarnation{9}, at(1));
+    LONGS_EQUAL(0, peer.dueReleases(at(1)).size());
+}
+
+TEST(Holdings, areReleasedByAPeerPastTheirDeadline)
+{
+    tellPeer();
+    peer.tick(at(11));
+    LONGS_EQUAL(0, peer.dueReleases(at(11)).size());
+    peer.tick(at(13));
+    LONGS_EQUAL(1, peer.dueReleases(at(13)).size());
+}
+
+TEST(Holdings, areTakenOffAPeersListWhenTheyEnd)
+{
+    tellPeer();
+    own.forget(HoldingId{5});
+    peer.onNotices(*own.takeNotices(at(1)), at(1));
+    LONGS_EQUAL(0, peer.peerCount());
+}
+
+// --- quarantine ---
+
+TEST_GROUP(AQuarantine)
+{
+    Quarantine quarantine{QuarantineOptions{}};
+    const Fingerprint body{9};
+
+    std::vector<SuspectNotice> die(std::uint64_t upstream, std::uint64_t life = 1)
+    {
+        return quarantine.onUpstreamDeath(UpstreamId{upstream}, Incarnation{life},
+                                          std::span<const Fingerprint>(&body, 1), at(0));
+    }
+};
+
+TEST(AQuarantine, suspectsABodyAfterOneDeathAndRefusesItAfterTwo)
+{
+    CHECK(quarantine.standing(body) == Quarantine::Standing::Clean);
+    die(1);
+    CHECK(quarantine.standing(body) == Quarantine::Standing::Suspect);
+    die(2);
+    CHECK(quarantine.standing(body) == Quarantine::Standing::Quarantined);
+}
+
+TEST(AQuarantine, countsOneDeathOnceWhoeverTellsOfIt)
+{
+    const auto notices = die(1);
+    quarantine.merge(notices.front(), at(1));
+    die(1);
+    CHECK(quarantine.standing(body) == Quarantine::Standing::Suspect);
+}
+
+TEST(AQuarantine, clearsASuspectThatCompletes)
+{
+    const auto notices = die(1);
+    LONGS_EQUAL(1, quarantine.onCompleted(body).size());
+    quarantine.merge(notices.front(), at(1));
+    CHECK(quarantine.standing(body) == Quarantine::Standing::Clean);
+}
+
+TEST(AQuarantine, takesBackADeathThatDidNotHappen)
+{
+    die(1);
+    quarantine.retract(UpstreamId{1}, Incarnation{1});
+    CHECK(quarantine.standing(body) == Quarantine::Standing::Clean);
+}
+
+TEST(AQuarantine, choosesOneTrialUpstreamOnEveryVm)
+{
+    const std::vector<UpstreamId> one = {UpstreamId{1}, UpstreamId{2}, UpstreamId{3}};
+    const std::vector<UpstreamId> other = {UpstreamId{3}, UpstreamId{1}, UpstreamId{2}};
+    CHECK(Quarantine::trialUpstream(body, one) == Quarantine::trialUpstream(body, other));
+}
+
+TEST(AQuarantine, isBounded)
+{
+    Quarantine small{QuarantineOptions{2, 10, std::chrono::hours{1}}};
+    for (std::uint64_t i = 1; i <= 100; ++i) {
+        const Fingerprint each{i};
+        small.onUpstreamDeath(UpstreamId{1}, Incarnation{i}, std::span<const Fingerprint>(&each, 1),
+                              at(static_cast<double>(i)));
+    }
+    LONGS_EQUAL(10, small.size());
+}
--- /dev/null
+++ b/tests/limitstabletest.cpp
@@ -0,0 +1,278 @@
+// The limits table: edits, races, lost replies, and that no VM ever goes back.
+#include "arbutuspier/limitstable.h"
+#include "model/tablemodel.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+using namespace arbutuspier;
+
+namespace {
+
+TimePoint at(int milliseconds)
+{
+    return TimePoint{std::chrono::seconds{100} + std::chrono::milliseconds{milliseconds}};
+}
+
+LimitsSnapshot editOf(std::uint64_t base, const std::string &id, std::uint32_t weight)
+{
+    LimitsSnapshot edit;
+    edit.version = base;
+    edit.editId = id;
+    edit.editor = "operator-" + id;
+    edit.rows = {{"saw", "ask", weight, 0, 0, 0}};
+    return edit;
+}
+
+struct Vm
+{
+    explicit Vm(std::uint64_t number)
+        : limits(LimitsOptions{}, TableOpId{number << 32})
+        , random(number)
+    {
+    }
+
+    void collect()
+    {
+        for (LimitsTable::Action &action : limits.takeActions()) {
+            if (auto *call = std::get_if<LimitsTable::Call>(&action))
+                calls.push_back(*call);
+            else if (auto *answer = std::get_if<EditAnswer>(&action))
+                answers.push_back(*answer);
+            else
+                versions.push_back(std::get<LimitsTable::Adopted>(action).version);
+        }
+    }
+    void serveOne(model::TableModel &table, TimePoint now, bool losesReply = false)
+    {
+        const LimitsTable::Call call = calls.front();
+        calls.erase(calls.begin());
+        TableOutcome outcome = table.apply(call.request, now);
+        if (losesReply)
+            outcome = TableUnknown{};
+        limits.onTableReply(call.op, outcome, now, random);
+        collect();
+    }
+    void serveAll(model::TableModel &table, TimePoint now)
+    {
+        while (!calls.empty())
+            serveOne(table, now);
+    }
+    void edit(const LimitsSnapshot &snapshot, TimePoint now = at(0))
+    {
+        limits.edit(snapshot, now);
+        collect();
+    }
+    void tick(TimePoint now)
+    {
+        limits.tick(now, random);
+        collect();
+    }
+
+    LimitsTable limits;
+    Random random;
+    std::vector<LimitsTable::Call> calls;
+    std::vector<EditAnswer> answers;
+    std::vector<std::uint64_t> versions;
+};
+
+} // namespace
+
+TEST_GROUP(ALimitsTable)
+{
+    model::TableModel table{model::TableModelOptions{1e6, 1e6}};
+    Vm first{1};
+    Vm second{2};
+};
+
+TEST(ALimitsTable, startsWithTheBuiltInDefault)
+{
+    LONGS_EQUAL(0, first.limits.version());
+    LONGS_EQUAL(1, first.limits.row("anyone", "ask").weight);
+}
+
+TEST(ALimitsTable, fallsBackToTheRowOfTheClass)
+{
+    LimitsSnapshot snapshot;
+    snapshot.version = 1;
+    snapshot.rows = {{"*", "ask", 2, 0, 5, 0}, {"saw", "ask", 4, 0, 0, 0}};
+    first.limits.offer(snapshot);
+    LONGS_EQUAL(2, first.limits.row("other", "ask").weight);
+    LONGS_EQUAL(4, first.limits.row("saw", "ask").weight);
+}
+
+TEST_GROUP_BASE(ALimitsTableWithAnEdit, TEST_GROUP_CppUTestGroupALimitsTable){
+    void setup() override{first.edit(editOf(0, "one", 3));
+first.serveAll(table, at(0));
+}
+}
+;
+
+TEST(ALimitsTableWithAnEdit, hasItInForceAtOnce)
+{
+    CHECK(first.answers.front().outcome == EditOutcome::Accepted);
+    LONGS_EQUAL(1, first.limits.version());
+    LONGS_EQUAL(3, first.limits.row("saw", "ask").weight);
+}
+
+TEST(ALimitsTableWithAnEdit, isReadByAnotherVmWithItsNextPoll)
+{
+    second.tick(at(10));
+    second.serveAll(table, at(10));
+    LONGS_EQUAL(1, second.limits.version());
+}
+
+TEST(ALimitsTableWithAnEdit, refusesAnEditOfTheOldVersion)
+{
+    second.edit(editOf(0, "two", 9));
+    second.serveAll(table, at(10));
+    second.tick(at(400));
+    second.serveAll(table, at(400));
+    CHECK(second.answers.front().outcome == EditOutcome::Conflict);
+    STRCMP_EQUAL("operator-one", second.answers.front().current.editor.c_str());
+    LONGS_EQUAL(3, second.limits.row("saw", "ask").weight);
+}
+
+TEST(ALimitsTableWithAnEdit, neverGoesBackWhateverAPeerSays)
+{
+    LimitsSnapshot old;
+    old.version = 1;
+    old.rows = {{"saw", "ask", 77, 0, 0, 0}};
+    first.limits.offer(old);
+    LONGS_EQUAL(3, first.limits.row("saw", "ask").weight);
+}
+
+TEST(ALimitsTableWithAnEdit, isTakenFromAPeerWhenThePlatformIsAway)
+{
+    second.limits.offer(first.limits.snapshot());
+    LONGS_EQUAL(1, second.limits.version());
+}
+
+TEST_GROUP_BASE(ALimitsTableWhoseReplyWasLost, TEST_GROUP_CppUTestGroupALimitsTable){
+    void setup() override{first.edit(editOf(0, "one", 3));
+first.serveOne(table, at(0));
+first.serveOne(table, at(0), true);
+}
+}
+;
+
+TEST(ALimitsTableWhoseReplyWasLost, findsItsOwnEditInForce)
+{
+    CHECK(first.answers.empty());
+    first.tick(at(1'000));
+    first.serveAll(table, at(1'000));
+    CHECK(first.answers.front().outcome == EditOutcome::Accepted);
+    LONGS_EQUAL(1, first.limits.version());
+}
+
+TEST(ALimitsTableWhoseReplyWasLost, saysThatItDoesNotKnowIfTheStoreStaysSilent)
+{
+    first.tick(at(11'000));
+    CHECK(first.answers.front().outcome == EditOutcome::Unknown);
+}
+
+TEST(ALimitsTable, catchesUpOverManyEditsThroughABaseRow)
+{
+    for (std::uint32_t i = 0; i < 100; ++i) {
+        first.edit(editOf(i, "edit-" + std::to_string(i), i + 1));
+        first.serveAll(table, at(0));
+    }
+    LONGS_EQUAL(100, first.limits.version());
+    second.tick(at(0));
+    second.serveAll(table, at(0));
+    LONGS_EQUAL(100, second.limits.version());
+    LONGS_EQUAL(100, second.limits.row("saw", "ask").weight);
+}
+
+TEST(ALimitsTable, endsWithOneHistoryWhateverOperatorsDo)
+{
+    const bool isGood = rc::check("operators race over two VMs", [] {
+        model::TableModel table{model::TableModelOptions{1e9, 1e9}};
+        Vm vms[2] = {Vm{1}, Vm{2}};
+        std::uint64_t highest[2] = {0, 0};
+        std::size_t accepted = 0;
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 8));
+        int now = 0;
+        int edits = 0;
+        for (int step : steps) {
+            now += 300;
+            Vm &vm = vms[step % 2];
+            switch (step / 2) {
+            case 0:
+                vm.edit(editOf(vm.limits.version(), std::to_string(edits++), 5), at(now));
+                break;
+            case 1:
+                vm.tick(at(now));
+                break;
+            case 2:
+                if (!vm.calls.empty())
+                    vm.serveOne(table, at(now));
+                break;
+            case 3:
+                if (!vm.calls.empty())
+                    vm.serveOne(table, at(now), true);
+                break;
+            }
+            for (int i = 0; i < 2; ++i) {
+                RC_ASSERT(vms[i].limits.version() >= highest[i]);
+                highest[i] = vms[i].limits.version();
+            }
+        }
+        for (int round = 0; round < 60; ++round) {
+            now += 1'000;
+            for (Vm &vm : vms) {
+                vm.tick(at(now));
+                vm.serveAll(table, at(now));
+            }
+        }
+        for (const Vm &vm : vms) {
+            for (const EditAnswer &answer : vm.answers)
+                accepted += answer.outcome == EditOutcome::Accepted ? 1 : 0;
+        }
+        RC_ASSERT(vms[0].limits.version() == vms[1].limits.version());
+        // Each version is one edit: none is lost, none counts twice.
+        RC_ASSERT(vms[0].limits.version() >= accepted);
+    });
+    CHECK(isGood);
+}
+
+TEST_GROUP(ALimitsCsv){};
+
+TEST(ALimitsCsv, goesThereAndBack)
+{
+    const std::vector<LimitRow> rows = {{"saw", "ask", 3, 5, 7, 900}, {"*", "ask", 1, 0, 0, 0}};
+    const auto back = parseLimitsCsv(formatLimitsCsv(rows));
+    CHECK(back.has_value());
+    CHECK(*back == rows);
+}
+
+TEST(ALimitsCsv, listsEveryMistake)
+{
+    const auto rows = parseLimitsCsv("team,class,weight,token_rate,concurrency,deadline_ms\n"
+                                     "saw,ask,0,x,1,1\nsaw,ask,1,1,1,1\nshort,line\n");
+    CHECK(rows.has_error());
+    const std::string &message = rows.error().message;
+    CHECK(message.find("line 2: weight") != std::string::npos);
+    CHECK(message.find("line 2: token_rate") != std::string::npos);
+    CHECK(message.find("line 3: team and class stand twice") != std::string::npos);
+    CHECK(message.find("line 4: expected 6 columns, found 2") != std::string::npos);
+}
+
+TEST(ALimitsCsv, showsCellsThatDiffer)
+{
+    const std::vector<LimitRow> before = {{"saw", "ask", 1, 0, 0, 0}};
+    const std::vector<LimitRow> after = {{"saw", "ask", 2, 0, 0, 0}};
+    const auto changes = diffRows(before, after);
+    LONGS_EQUAL(1, changes.size());
+    STRCMP_EQUAL("weight", changes[0].column.c_str());
+    STRCMP_EQUAL("2", changes[0].after.c_str());
+}
+
+TEST(ALimitsCsv, neverBreaksOnAnyText)
+{
+    const bool isGood = rc::check("any text is read or refused",
+                                  [](const std::string &text) { parseLimitsCsv(text); });
+    CHECK(isGood);
+}
--- /dev/null
+++ b/tests/sharetest.cpp
@@ -0,0 +1,271 @@
+// Shares of fleet-wide limits: their sum never exceeds the limit, whatever is lost or repeated.
+#include "arbutuspier/limitgate.h"
+#include "arbutuspier/shareallocator.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <memory>
+
+using namespace arbutuspier;
+
+namespace {
+
+constexpr std::uint64_t kLimit = 100;
+
+/// Some VMs and the messages between them.
+class Fleet
+{
+public:
+    explicit Fleet(std::size_t size)
+    {
+        for (std::uint64_t i = 1; i <= size; ++i) {
+            m_members.push_back({VmId{i}, Incarnation{i}});
+            m_vms.push_back(std::make_unique<ShareAllocator>(m_members.back(), i << 32));
+        }
+    }
+
+    ShareAllocator &vm(std::size_t i) { return *m_vms[i]; }
+    std::size_t size() const { return m_vms.size(); }
+
+    void begin(std::size_t i, const ShareEpoch &epoch, std::uint64_t limit)
+    {
+        m_vms[i]->beginEpoch(epoch, m_members);
+        m_vms[i]->setLimit("row", limit);
+    }
+    void confirm(std::size_t from, std::size_t to)
+    {
+        m_vms[to]->onConfirmed(m_members[from], m_vms[from]->epoch());
+    }
+    void confirmAll()
+    {
+        for (std::size_t a = 0; a < size(); ++a) {
+            for (std::size_t b = 0; b < size(); ++b)
+                confirm(a, b);
+        }
+    }
+    /// Puts what a VM wants to send on the way.
+    void collect(std::size_t i)
+    {
+        for (auto &message : m_vms[i]->takeOutgoing())
+            m_way.push_back({m_members[i].vm, message.to, message.body});
+    }
+    void deliver(std::size_t index, bool isKept)
+    {
+        if (m_way.empty())
+            return;
+        const std::size_t at = index % m_way.size();
+        const OnTheWay message = m_way[at];
+        if (!isKept)
+            m_way.erase(m_way.begin() + static_cast<std::ptrdiff_t>(at));
+        ShareAllocator &to = *m_vms[message.to.value - 1];
+        if (const auto *request = std::get_if<ShareRequest>(&message.body))
+            to.onRequest(message.from, *request);
+        else if (const auto *transfer = std::get_if<ShareTransfer>(&message.body))
+            to.onTransfer(message.from, *transfer);
+        else if (const auto *ack = std::get_if<ShareTransferAck>(&message.body))
+            to.onTransferAck(message.from, *ack);
+        collect(message.to.value - 1);
+    }
+    void drop(std::size_t index)
+    {
+        if (!m_way.empty())
+            m_way.erase(m_way.begin() + static_cast<std::ptrdiff_t>(index % m_way.size()));
+    }
+    std::uint64_t sum() const
+    {
+        std::uint64_t total = 0;
+        for (const auto &vm : m_vms)
+            total += vm->share("row").value_or(0);
+        return total;
+    }
+
+private:
+    struct OnTheWay
+    {
+        VmId from;
+        VmId to;
+        PeerBody body;
+    };
+    std::vector<ShareAllocator::Member> m_members;
+    std::vector<std::unique_ptr<ShareAllocator>> m_vms;
+    std::vector<OnTheWay> m_way;
+};
+
+} // namespace
+
+TEST_GROUP(Shares)
+{
+    Fleet fleet{4};
+
+    void beginAll(std::uint64_t limit, ShareEpoch epoch = {1, 1})
+    {
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            fleet.begin(i, epoch, limit);
+    }
+    void settle()
+    {
+        for (int round = 0; round < 20; ++round) {
+            for (std::size_t i = 0; i < fleet.size(); ++i) {
+                fleet.vm(i).tick();
+                fleet.collect(i);
+            }
+            for (int i = 0; i < 200; ++i)
+                fleet.deliver(0, false);
+        }
+    }
+};
+
+TEST(Shares, areZeroUntilAllHaveConfirmed)
+{
+    beginAll(kLimit);
+    LONGS_EQUAL(0, fleet.sum());
+    fleet.confirmAll();
+    LONGS_EQUAL(kLimit, fleet.sum());
+}
+
+TEST(Shares, giveARestToSome)
+{
+    beginAll(3);
+    fleet.confirmAll();
+    LONGS_EQUAL(3, fleet.sum());
+}
+
+TEST_GROUP_BASE(SettledShares,
+                TEST_GROUP_CppUTestGroupShares){void setup() override{beginAll(kLimit);
+fleet.confirmAll();
+}
+}
+;
+
+TEST(SettledShares, followDemand)
+{
+    fleet.vm(0).noteDemand("row", 25, 90);
+    settle();
+    CHECK(*fleet.vm(0).share("row") >= 80);
+    CHECK(fleet.sum() <= kLimit);
+}
+
+TEST(SettledShares, keepWhatIsInUse)
+{
+    fleet.vm(1).noteDemand("row", 20, 20);
+    fleet.vm(0).noteDemand("row", 25, 100);
+    settle();
+    CHECK(*fleet.vm(1).share("row") >= 20);
+}
+
+TEST(SettledShares, areLoweredAtOnceAndRaisedWhenAllKnow)
+{
+    fleet.begin(0, {2, 1}, 8);
+    LONGS_EQUAL(2, *fleet.vm(0).share("row"));
+    fleet.begin(1, {3, 1}, 200);
+    LONGS_EQUAL(25, *fleet.vm(1).share("row"));
+    CHECK(fleet.sum() <= kLimit);
+}
+
+TEST(SettledShares, areFrozenWhenCutOff)
+{
+    fleet.begin(0, {1, 2}, kLimit);
+    fleet.confirm(0, 1);
+    LONGS_EQUAL(25, *fleet.vm(0).share("row"));
+    fleet.vm(0).noteDemand("row", 25, 100);
+    settle();
+    CHECK(*fleet.vm(0).share("row") <= 25);
+}
+
+TEST(SettledShares, ofAnotherLifeStartAtZero)
+{
+    ShareAllocator fresh({VmId{1}, Incarnation{99}}, 1);
+    const std::vector<ShareAllocator::Member> members = {{VmId{1}, Incarnation{1}}};
+    fresh.beginEpoch({1, 1}, members);
+    fresh.setLimit("row", kLimit);
+    fresh.onConfirmed(members[0], {1, 1});
+    LONGS_EQUAL(0, *fresh.share("row"));
+}
+
+TEST(Shares, neverExceedTheLimitInAnyOrder)
+{
+    const bool isGood = rc::check("messages are lost, repeated and reordered", [] {
+        Fleet fleet(3);
+        ShareEpoch newest{1, 1};
+        const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+            rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange(0, 1'000)));
+        for (const auto &[kind, value] : steps) {
+            const auto i = static_cast<std::size_t>(value) % fleet.size();
+            const auto other = static_cast<std::size_t>(value / 7) % fleet.size();
+            switch (kind) {
+            case 0:
+                newest.listRevision += 1;
+                break;
+            case 1:
+            case 2:
+                fleet.begin(i, newest, kLimit);
+                break;
+            case 3:
+            case 4:
+                fleet.confirm(i, other);
+                break;
+            case 5: {
+                const std::uint64_t used = fleet.vm(i).share("row").value_or(0);
+                fleet.vm(i).noteDemand("row", used, static_cast<std::uint64_t>(value % 120));
+                fleet.vm(i).tick();
+                fleet.collect(i);
+                break;
+            }
+            case 6:
+                fleet.deliver(static_cast<std::size_t>(value), false);
+                break;
+            case 7:
+                fleet.deliver(static_cast<std::size_t>(value), true);
+                break;
+            case 8:
+                fleet.drop(static_cast<std::size_t>(value));
+                break;
+            }
+            RC_ASSERT(fleet.sum() <= kLimit);
+        }
+    });
+    CHECK(isGood);
+}
+
+TEST_GROUP(ALimitGate)
+{
+    ShareAllocator shares{{VmId{1}, Incarnation{1}}, 1};
+    LimitGate gate{shares};
+    const LimitRow limited{"saw", "ask", 1, 1'000, 2, 0};
+    const LimitRow open{"saw", "open", 1, 0, 0, 0};
+    TimePoint now{std::chrono::seconds{10}};
+
+    void setup() override
+    {
+        const std::vector<ShareAllocator::Member> members = {{VmId{1}, Incarnation{1}}};
+        shares.beginEpoch({1, 1}, members);
+        gate.setRow(limited);
+    }
+};
+
+TEST(ALimitGate, letsARowWithoutLimitsPass)
+{
+    CHECK(gate.mayStart(open, now));
+}
+
+TEST(ALimitGate, countsWhatRuns)
+{
+    now += std::chrono::seconds{1};
+    CHECK(gate.mayStart(limited, now));
+    gate.onStarted(limited, 1, now);
+    gate.onStarted(limited, 1, now);
+    CHECK_FALSE(gate.mayStart(limited, now));
+    gate.onEnded(limited);
+    CHECK(gate.mayStart(limited, now));
+}
+
+TEST(ALimitGate, letsARateGoIntoDebtOnceAndBePaidBack)
+{
+    now += std::chrono::seconds{1};
+    CHECK(gate.mayStart(limited, now));
+    gate.onStarted(limited, 5'000, now);
+    gate.onEnded(limited);
+    CHECK_FALSE(gate.mayStart(limited, now + std::chrono::seconds{3}));
+    CHECK(gate.mayStart(limited, now + std::chrono::seconds{6}));
+}
