--- /dev/null
+++ b/docs/examples/embedding.cpp
@@ -0,0 +1,84 @@
+// Embeds two parts: a fair queue decides whose call is next, the at-most-once record whether it may
+// be sent. The table service is a map here; yours is a database with conditional writes.
+#include "arbutuspier/fairqueue.h"
+#include "arbutuspier/onceledger.h"
+
+#include <cstdio>
+#include <map>
+#include <string>
+
+using namespace arbutuspier;
+
+namespace {
+
+/// A table service with conditional writes, in memory.
+class MapTable
+{
+public:
+    TableOutcome apply(const TableRequest &request)
+    {
+        if (const auto *read = std::get_if<TableRead>(&request))
+            return TableRows{{row(read->key)}};
+        TableConflict conflict;
+        const auto &writes = std::get<TableTransaction>(request).writes;
+        for (const ConditionalWrite &write : writes) {
+            if (row(write.key).version != write.expected)
+                conflict.rows.push_back(row(write.key));
+        }
+        if (!conflict.rows.empty())
+            return conflict;
+        for (const ConditionalWrite &write : writes)
+            m_rows[write.key] = {write.key, write.expected + 1, write.value};
+        return TableCommitted{};
+    }
+
+private:
+    TableRow row(const std::string &key) const
+    {
+        auto it = m_rows.find(key);
+        return it == m_rows.end() ? TableRow{key, 0, {}} : it->second;
+    }
+    std::map<std::string, TableRow> m_rows;
+};
+
+} // namespace
+
+int main()
+{
+    MapTable table;
+    Random random(1);
+    FairQueue queue;
+    OnceLedger ledger(OnceOptions{}, TableOpId{1});
+    const TimePoint now{std::chrono::seconds{1}};
+    const WallTime wall{std::chrono::seconds{1'000'000}};
+
+    // Two teams; the second sends the same key twice.
+    const std::map<RequestId, std::string> keys
+        = {{RequestId{1}, "saw/a"}, {RequestId{2}, "mill/b"}, {RequestId{3}, "mill/b"}};
+    queue.push(RequestId{1}, "order", "saw", Lane::Short, 1, 1);
+    queue.push(RequestId{2}, "order", "mill", Lane::Short, 1, 1);
+    queue.push(RequestId{3}, "order", "mill", Lane::Short, 1, 1);
+
+    int sent = 0;
+    int replayed = 0;
+    while (const auto request = queue.pop(Lane::Short)) {
+        const AttemptId attempt{request->value};
+        ledger.begin(*request, attempt, keys.at(*request), wall, Fingerprint{7}, wall);
+        for (auto actions = ledger.takeActions(); !actions.empty();
+             actions = ledger.takeActions()) {
+            for (const OnceLedger::Action &action : actions) {
+                if (const auto *call = std::get_if<OnceLedger::Call>(&action)) {
+                    ledger.onTableReply(call->op, table.apply(call->request), now, random);
+                } else if (const auto *send = std::get_if<OnceLedger::SendNow>(&action)) {
+                    ++sent;
+                    ledger.onRan(send->attempt, 200, "booked");
+                } else if (const auto *replay = std::get_if<OnceLedger::Replay>(&action)) {
+                    ++replayed;
+                    std::printf("a repeat gets: %s\n", replay->result.c_str());
+                }
+            }
+        }
+    }
+    std::printf("%d sent, %d replayed\n", sent, replayed);
+    return sent == 2 && replayed == 1 ? 0 : 1;
+}
