--- a/tests/limitstabletest.cpp
+++ b/tests/limitstabletest.cpp
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
+#include <cstdio>
 #include <set>
 
 using namespace arbutuspier;
@@ -238,6 +239,184 @@
     CHECK(isGood);
 }
 
+// --- every order of two operators' steps ---
+
+namespace {
+
+struct Move
+{
+    enum Kind { Effect, Reply, LoseReply, LateEffect, Tick, Crash } kind;
+    int vm;
+};
+
+/// Two VMs with an operator's edit each, made of the same version.
+class Replay
+{
+public:
+    explicit Replay(const std::vector<Move> &moves)
+    {
+        for (int vm = 0; vm < 2; ++vm)
+            vms[vm].edit(editOf(0, std::to_string(vm), static_cast<std::uint32_t>(vm) + 2));
+        for (const Move &move : moves)
+            play(move);
+    }
+
+    std::vector<Move> possible() const
+    {
+        std::vector<Move> moves;
+        for (int vm = 0; vm < 2; ++vm) {
+            if (!late[vm].empty())
+                moves.push_back({Move::LateEffect, vm});
+            if (isCrashed[vm])
+                continue;
+            const bool hasCall = !vms[vm].calls.empty();
+            if (hasCall && !isEffective[vm])
+                moves.push_back({Move::Effect, vm});
+            if (hasCall && isEffective[vm])
+                moves.push_back({Move::Reply, vm});
+            if (hasCall && losses[vm] < 2)
+                moves.push_back({Move::LoseReply, vm});
+            if (!hasCall && ticks[vm] < 4)
+                moves.push_back({Move::Tick, vm});
+            moves.push_back({Move::Crash, vm});
+        }
+        return moves;
+    }
+
+    /// Says what is wrong; empty if nothing is.
+    std::string fault() const
+    {
+        int accepted = 0;
+        for (const Vm &vm : vms) {
+            for (const EditAnswer &answer : vm.answers)
+                accepted += answer.outcome == EditOutcome::Accepted ? 1 : 0;
+            for (std::size_t i = 1; i < vm.versions.size(); ++i) {
+                if (vm.versions[i] <= vm.versions[i - 1])
+                    return "a VM went back";
+            }
+        }
+        // Both edits start from version 0: one of them at most may win.
+        if (accepted > 1 || stored() > 1)
+            return "two edits of one version were accepted";
+        return accepted > 0 && stored() == 0 ? "an accepted edit is not stored" : "";
+    }
+
+    std::string state() const
+    {
+        std::string text;
+        for (const auto &[key, row] : table.rows())
+            text += key + std::to_string(row.version) + row.value;
+        for (int vm = 0; vm < 2; ++vm) {
+            text += '|' + std::to_string(vms[vm].limits.version()) + std::to_string(isCrashed[vm])
+                + std::to_string(isEffective[vm]) + std::to_string(losses[vm])
+                + std::to_string(ticks[vm]) + 'a';
+            for (const EditAnswer &answer : vms[vm].answers)
+                text += std::to_string(static_cast<int>(answer.outcome));
+            for (const LimitsTable::Call &call : vms[vm].calls)
+                text += describe(call.request);
+            for (const TableTransaction &write : late[vm])
+                text += 'l' + describe(write);
+        }
+        return text;
+    }
+
+private:
+    std::uint64_t stored() const
+    {
+        auto it = table.rows().find("limits/head");
+        return it == table.rows().end() ? 0 : LimitsHead::decode(it->second.value)->version;
+    }
+    static std::string describe(const TableRequest &request)
+    {
+        if (const auto *read = std::get_if<TableRead>(&request))
+            return 'r' + read->key;
+        const ConditionalWrite &write = std::get<TableTransaction>(request).writes.back();
+        return 'w' + std::to_string(write.expected) + write.value;
+    }
+    void keepForLater(int vm)
+    {
+        if (const auto *write = std::get_if<TableTransaction>(&vms[vm].calls.front().request))
+            late[vm].push_back(*write);
+    }
+    void play(const Move &move)
+    {
+        const int vm = move.vm;
+        const TimePoint now = at(700 * ++m_step);
+        switch (move.kind) {
+        case Move::Effect:
+            outcome[vm] = table.apply(vms[vm].calls.front().request, now);
+            isEffective[vm] = true;
+            return;
+        case Move::Reply:
+        case Move::LoseReply: {
+            const bool isLost = move.kind == Move::LoseReply;
+            if (isLost && !isEffective[vm])
+                keepForLater(vm);
+            const LimitsTable::Call call = vms[vm].calls.front();
+            vms[vm].calls.erase(vms[vm].calls.begin());
+            isEffective[vm] = false;
+            losses[vm] += isLost ? 1 : 0;
+            vms[vm].limits.onTableReply(call.op, isLost ? TableOutcome(TableUnknown{}) : outcome[vm],
+                                        now, vms[vm].random);
+            vms[vm].collect();
+            return;
+        }
+        case Move::LateEffect:
+            table.apply(late[vm].front(), now);
+            late[vm].erase(late[vm].begin());
+            return;
+        case Move::Tick:
+            ++ticks[vm];
+            vms[vm].tick(now);
+            return;
+        case Move::Crash:
+            isCrashed[vm] = true;
+            if (!vms[vm].calls.empty() && !isEffective[vm])
+                keepForLater(vm);
+            return;
+        }
+    }
+
+    model::TableModel table{model::TableModelOptions{1e9, 1e9}};
+    Vm vms[2] = {Vm{1}, Vm{2}};
+    TableOutcome outcome[2];
+    bool isEffective[2] = {};
+    bool isCrashed[2] = {};
+    int losses[2] = {};
+    int ticks[2] = {};
+    std::vector<TableTransaction> late[2];
+    int m_step = 0;
+};
+
+} // namespace
+
+TEST(ALimitsTable, acceptsOneOfTwoEditsInEveryOrderOfSteps)
+{
+    constexpr std::size_t kDepth = 14;
+    std::set<std::string> seen;
+    std::vector<std::vector<Move>> frontier = {{}};
+    std::string fault;
+    for (std::size_t depth = 0; depth < kDepth && !frontier.empty(); ++depth) {
+        std::vector<std::vector<Move>> next;
+        for (const std::vector<Move> &moves : frontier) {
+            for (const Move &move : Replay(moves).possible()) {
+                std::vector<Move> longer = moves;
+                longer.push_back(move);
+                const Replay replay(longer);
+                if (fault.empty())
+                    fault = replay.fault();
+                if (seen.insert(replay.state()).second)
+                    next.push_back(std::move(longer));
+            }
+        }
+        frontier = std::move(next);
+    }
+    std::printf("limits table: %zu states of two VMs, %zu left at the depth of %zu\n", seen.size(),
+                frontier.size(), kDepth);
+    STRCMP_EQUAL("", fault.c_str());
+    CHECK(seen.size() > 100);
+}
+
 TEST_GROUP(ALimitsCsv){};
 
 TEST(ALimitsCsv, goesThereAndBack)
