--- a/bench/policybench.cpp
+++ b/bench/policybench.cpp
@@ -347,7 +347,7 @@
     for (std::uint64_t i = 1; i <= kEngines; ++i)
         busy += world.engine(UpstreamId{i})->busySeconds();
     outcome.metrics["engine_busy"] =
-        busy / (static_cast<double>(kEngines) * toSeconds(scenario.length));
+        busy / (static_cast<double>(kEngines) * toSeconds(world.now() - world.startedAt()));
 }
 
 Outcome run(const Scenario &scenario, const Policy &policy)
--- a/docs/examples/embedding.cpp
+++ b/docs/examples/embedding.cpp
@@ -53,8 +53,8 @@
     const WallTime wall{std::chrono::seconds{1'000'000}};
 
     // Two teams; the second sends the same key twice.
-    const std::map<RequestId, std::string> keys
-        = {{RequestId{1}, "saw/a"}, {RequestId{2}, "mill/b"}, {RequestId{3}, "mill/b"}};
+    const std::map<RequestId, std::string> keys = {
+        {RequestId{1}, "saw/a"}, {RequestId{2}, "mill/b"}, {RequestId{3}, "mill/b"}};
     queue.push(RequestId{1}, "order", "saw", Lane::Short, 1, 1);
     queue.push(RequestId{2}, "order", "mill", Lane::Short, 1, 1);
     queue.push(RequestId{3}, "order", "mill", Lane::Short, 1, 1);
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -196,10 +196,10 @@
     // A VM that is on no list may be too new for it: only a VM that was listed before is gone.
     for (auto &entry : m_members) {
         Member &member = entry.second;
-        const bool isListed
-            = std::any_of(list.vms.begin(), list.vms.end(), [&](const ListedVm &listed) {
-                  return listed.vm == member.info.id && listed.incarnation == member.incarnation;
-              });
+        const bool isListed =
+            std::any_of(list.vms.begin(), list.vms.end(), [&](const ListedVm &listed) {
+                return listed.vm == member.info.id && listed.incarnation == member.incarnation;
+            });
         const bool isSilent = severity(member.state) >= severity(MemberState::Suspect);
         if (!isListed && isSilent && member.incarnation.isValid())
             setState(member, MemberState::Gone, now);
--- a/src/model/enginemodel.cpp
+++ b/src/model/enginemodel.cpp
@@ -260,9 +260,9 @@
 
 void EngineModel::cacheBlocks(const std::vector<std::uint64_t> &blocks)
 {
-    const auto capacity = static_cast<std::size_t>(
-        static_cast<double>(m_options.memoryTokens)
-        / static_cast<double>(kPrefixBlockTokens) * m_options.cachePart);
+    const auto capacity =
+        static_cast<std::size_t>(static_cast<double>(m_options.memoryTokens)
+                                 / static_cast<double>(kPrefixBlockTokens) * m_options.cachePart);
     for (std::uint64_t block : blocks) {
         if (m_cache.contains(block))
             continue;
--- a/src/net/promptreader.cpp
+++ b/src/net/promptreader.cpp
@@ -96,10 +96,9 @@
 
     bool readMaxTokens(simdjson::ondemand::value value)
     {
-        const bool isNumber
-            = value.get_uint64().get(m_summary.maxTokens) == simdjson::SUCCESS;
-        const bool isGood
-            = isNumber && m_summary.maxTokens > 0 && m_summary.maxTokens <= kMaxMaxTokens;
+        const bool isNumber = value.get_uint64().get(m_summary.maxTokens) == simdjson::SUCCESS;
+        const bool isGood =
+            isNumber && m_summary.maxTokens > 0 && m_summary.maxTokens <= kMaxMaxTokens;
         return isGood || fail("max_tokens: expected a whole number from 1 to 1000000");
     }
 
@@ -156,8 +155,7 @@
             return Error("prompt or messages: missing or empty");
         if (m_summary.maxTokens == 0)
             m_summary.maxTokens = kDefaultMaxTokens;
-        m_summary.promptTokens
-            = std::max<std::uint64_t>(1, m_digester.bytes() / kBytesPerToken);
+        m_summary.promptTokens = std::max<std::uint64_t>(1, m_digester.bytes() / kBytesPerToken);
         m_summary.prefixBlocks = m_digester.takeBlocks();
         return std::move(m_summary);
     }
--- a/src/net/upstreamcontrol.cpp
+++ b/src/net/upstreamcontrol.cpp
@@ -103,8 +103,8 @@
 
 Duration UpstreamControl::loadInterval() const
 {
-    const Duration fair = std::chrono::microseconds{1'000'000} * m_settings.upstreams.size()
-        / kMaxLoadReadsPerSecond;
+    const Duration fair =
+        std::chrono::microseconds{1'000'000} * m_settings.upstreams.size() / kMaxLoadReadsPerSecond;
     return std::max(kLoadInterval, fair);
 }
 
--- /dev/null
+++ b/src/policy/routerlearning.cpp
@@ -0,0 +1,225 @@
+// Learning: what own attempts, reports and failures say of each upstream.
+#include "arbutuspier/router.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace arbutuspier {
+
+namespace {
+
+constexpr double kPaceRate = 0.1;
+constexpr double kMinPace = 0.5;
+constexpr double kMaxPace = 4.0;
+constexpr int kFailuresToEject = 2;
+constexpr int kMaxEjectionDoublings = 5;
+
+} // namespace
+
+void Router::onOpened(AttemptId attempt, const Route &route, const RequestSpec &spec, Lane lane,
+                      TimePoint now)
+{
+    State *state = find(route.upstream);
+    if (!state)
+        return;
+    OpenAttempt open;
+    open.upstream = route.upstream;
+    open.context = spec.promptTokens;
+    open.believedCached = route.cachedTokens;
+    open.uncached = spec.promptTokens - std::min(spec.promptTokens, route.cachedTokens);
+    open.heldTokens = lane == Lane::Gang ? 0 : spec.promptTokens + spec.maxTokens;
+    open.lane = lane;
+    open.openedAt = now;
+    const double seconds = work(*state, open);
+    open.wasAlone = backlog(*state, Lane::Gang, now) < seconds / 4;
+    open.predicted = backlog(*state, lane, now) + seconds;
+    state->ownBacklog[static_cast<std::size_t>(lane)] += seconds;
+    state->dispatchedSinceReport[static_cast<std::size_t>(lane)] += seconds;
+    ++state->ownStreams;
+    ++state->streamsSinceReport;
+    state->ownHeld += open.heldTokens;
+    state->heldSinceReport += open.heldTokens;
+    if (m_options.usesPrefixCache)
+        state->cache.expect(spec.prefixBlocks);
+    m_open[attempt] = open;
+}
+
+void Router::forget(const OpenAttempt &open)
+{
+    State *state = find(open.upstream);
+    --state->ownStreams;
+    state->ownHeld -= open.heldTokens;
+    if (!open.firstTokenAt)
+        takeOff(state->ownBacklog, open.lane, work(*state, open));
+    if (state->ownStreams == 0)
+        state->ownBacklog = {};
+}
+
+void Router::onFirstToken(AttemptId attempt, TimePoint now)
+{
+    auto it = m_open.find(attempt);
+    if (it == m_open.end() || it->second.firstTokenAt)
+        return;
+    OpenAttempt &open = it->second;
+    State *state = find(open.upstream);
+    takeOff(state->ownBacklog, open.lane, work(*state, open));
+    if (m_options.learnsPace && open.predicted > 0) {
+        const double ratio =
+            std::clamp(toSeconds(now - open.openedAt) / open.predicted, kMinPace, kMaxPace);
+        state->pace += kPaceRate * (ratio - state->pace);
+    }
+    if (open.wasAlone)
+        state->cost.learnPrefill(open.uncached, open.context, now - open.openedAt);
+    open.firstTokenAt = now;
+}
+
+void Router::onDone(AttemptId attempt, std::uint64_t tokens, std::uint64_t cachedTokens,
+                    TimePoint now)
+{
+    auto it = m_open.find(attempt);
+    if (it == m_open.end())
+        return;
+    const OpenAttempt open = it->second;
+    State *state = find(open.upstream);
+    state->failures = 0;
+    state->cache.learn(open.believedCached, cachedTokens);
+    if (open.firstTokenAt && tokens > 1)
+        state->cost.learnDecode(tokens - 1, now - *open.firstTokenAt);
+    forget(open);
+    m_open.erase(it);
+}
+
+void Router::onEnded(AttemptId attempt)
+{
+    auto it = m_open.find(attempt);
+    if (it == m_open.end())
+        return;
+    forget(it->second);
+    m_open.erase(it);
+}
+
+void Router::onFailure(UpstreamId upstream, TimePoint now)
+{
+    State *state = find(upstream);
+    if (!state || ++state->failures < kFailuresToEject)
+        return;
+    const auto &group = m_byTarget.find(state->info.target)->second;
+    const auto ejected = std::count_if(group.begin(), group.end(), [&](std::size_t i) {
+        return now < m_states[i].ejectedUntil || m_states[i].isDead;
+    });
+    const double allowed = std::floor(static_cast<double>(group.size()) * m_options.maxEjectedPart);
+    if (static_cast<double>(ejected) >= allowed)
+        return;
+    const int doublings = std::min(state->failures - kFailuresToEject, kMaxEjectionDoublings);
+    state->ejectedUntil = now + m_options.ejection * (1 << doublings);
+}
+
+void Router::onReport(const LoadReport &report, TimePoint now)
+{
+    State *state = find(report.upstream);
+    if (!state)
+        return;
+    const bool isNewLife = state->incarnation != report.incarnation;
+    if (isNewLife) {
+        // The first report ever is of an upstream that was running; later ones are restarts.
+        if (state->incarnation.isValid() || state->isDead)
+            state->startedAt = now;
+        state->incarnation = report.incarnation;
+        state->isLeaving = false;
+        state->cache.clear();
+        state->failures = 0;
+        state->ejectedUntil = {};
+    }
+    state->isDead = false;
+    state->silentSince.reset();
+    state->isLeaving = state->isLeaving || report.isLeaving;
+    const TimePoint at = now - report.age;
+    if (state->hasReport && !isNewLife && at < state->reportedAt)
+        return;
+    state->hasReport = true;
+    state->reportedAt = at;
+    state->reportedQueued = report.queuedTokens;
+    state->reportedRunning = report.running;
+    state->reportedFree = report.freeTokens;
+    state->dispatchedSinceReport = {};
+    state->streamsSinceReport = 0;
+    state->heldSinceReport = 0;
+    for (const auto &[attempt, open] : m_open) {
+        if (open.upstream != report.upstream || open.openedAt <= at)
+            continue;
+        state->dispatchedSinceReport[static_cast<std::size_t>(open.lane)] += work(*state, open);
+        ++state->streamsSinceReport;
+        state->heldSinceReport += open.heldTokens;
+    }
+}
+
+void Router::onDead(UpstreamId upstream, TimePoint)
+{
+    State *state = find(upstream);
+    if (!state)
+        return;
+    state->isDead = true;
+    state->silentSince.reset();
+    state->hasReport = false;
+    state->cache.clear();
+}
+
+void Router::onSilent(UpstreamId upstream, TimePoint now)
+{
+    State *state = find(upstream);
+    if (!state)
+        return;
+    if (!state->silentSince)
+        state->silentSince = now;
+    onFailure(upstream, now);
+}
+
+std::optional<TimePoint> Router::silentSince(UpstreamId upstream) const
+{
+    const State *state = find(upstream);
+    return state ? state->silentSince : std::nullopt;
+}
+
+void Router::onCacheEvents(const CacheEvents &events)
+{
+    if (State *state = find(events.upstream))
+        state->cache.apply(events.sequence, events.added, events.removed);
+}
+
+void Router::markLeaving(UpstreamId upstream)
+{
+    if (State *state = find(upstream))
+        state->isLeaving = true;
+}
+
+bool Router::isLeaving(UpstreamId upstream) const
+{
+    const State *state = find(upstream);
+    return state && state->isLeaving;
+}
+
+bool Router::isPresent(UpstreamId upstream) const
+{
+    const State *state = find(upstream);
+    return state && !state->isLeaving && !state->isDead && !state->silentSince;
+}
+
+bool Router::isUsable(UpstreamId upstream, TimePoint now) const
+{
+    const State *state = find(upstream);
+    return state && isUsable(*state, now);
+}
+
+Incarnation Router::incarnation(UpstreamId upstream) const
+{
+    const State *state = find(upstream);
+    return state ? state->incarnation : Incarnation{};
+}
+
+std::size_t Router::inFlight(UpstreamId upstream) const
+{
+    const State *state = find(upstream);
+    return state ? state->ownStreams : 0;
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/settings/settingrules.h
@@ -0,0 +1,91 @@
+// The rules that drive the checks, the defaults and the reference page of settings.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace arbutuspier {
+
+enum class SettingType { Integer, Text, Bool, IpAddress, TextList };
+
+struct SettingCheck
+{
+    std::string_view section;
+    std::string_view key;
+    SettingType type;
+    bool isRequired;
+    std::int64_t minimum;
+    std::int64_t maximum;
+    std::string_view fallback;
+    std::string_view description;
+};
+
+inline constexpr std::int64_t kMaxId = 1'000'000'000;
+inline constexpr std::int64_t kMaxMs = 86'400'000;
+
+inline constexpr std::array kRules = {
+    SettingCheck{"vm", "id", SettingType::Integer, true, 1, kMaxId, "",
+                 "Number of this VM, unique in the fleet"},
+    SettingCheck{"vm", "zone", SettingType::Text, true, 0, 0, "", "Availability zone of this VM"},
+    SettingCheck{"vm", "listen", SettingType::IpAddress, true, 0, 0, "", "Where callers connect"},
+    SettingCheck{"vm", "admin", SettingType::IpAddress, true, 0, 0, "",
+                 "Where arbutuspierctl connects"},
+    SettingCheck{"vm", "peer", SettingType::IpAddress, true, 0, 0, "",
+                 "Where other entry VMs connect"},
+    SettingCheck{"vm", "traffic_threads", SettingType::Integer, false, 1, 64, "2",
+                 "Threads that move answers"},
+    SettingCheck{"vm", "max_watched", SettingType::Integer, false, 3, 10'000, "64",
+                 "Upstreams of one model or service that this VM watches and uses at most"},
+    SettingCheck{"platform", "address", SettingType::IpAddress, true, 0, 0, "",
+                 "Table service and VM list"},
+    SettingCheck{"security", "peer_key", SettingType::Text, true, 0, 0, "",
+                 "Shared key of all entry VMs"},
+    SettingCheck{"security", "ctl_token", SettingType::Text, true, 0, 0, "",
+                 "Token arbutuspierctl must show"},
+    SettingCheck{"http", "max_body_bytes", SettingType::Integer, false, 1024, 1LL << 32, "67108864",
+                 "Largest request body"},
+    SettingCheck{"http", "max_header_bytes", SettingType::Integer, false, 512, 1 << 20, "16384",
+                 "Largest request header"},
+    SettingCheck{"http", "max_connections", SettingType::Integer, false, 1, 1'000'000, "10000",
+                 "Callers connected at once"},
+    SettingCheck{"http", "slow_sender_ms", SettingType::Integer, false, 100, kMaxMs, "30000",
+                 "Time in which a request must have arrived"},
+    SettingCheck{"http", "idle_ms", SettingType::Integer, false, 100, kMaxMs, "60000",
+                 "Time a connection may wait between requests"},
+    SettingCheck{"admission", "short_first_token_ms", SettingType::Integer, false, 1, kMaxMs, "900",
+                 "A short prompt that cannot have its first token by then is refused"},
+    SettingCheck{"admission", "short_deadline_ms", SettingType::Integer, false, 1, kMaxMs, "30000",
+                 "Time a short prompt may take"},
+    SettingCheck{"admission", "long_deadline_ms", SettingType::Integer, false, 1, kMaxMs, "600000",
+                 "Time a longer prompt may take"},
+    SettingCheck{"admission", "call_deadline_ms", SettingType::Integer, false, 1, kMaxMs, "10000",
+                 "Time a call to a plain service may take"},
+    SettingCheck{"admission", "max_queued", SettingType::Integer, false, 1, 1'000'000, "20000",
+                 "Requests in this VM's care at once"},
+    SettingCheck{"peers", "id", SettingType::Integer, true, 1, kMaxId, "",
+                 "Number of the other VM"},
+    SettingCheck{"peers", "zone", SettingType::Text, true, 0, 0, "", "Its availability zone"},
+    SettingCheck{"peers", "address", SettingType::IpAddress, true, 0, 0, "", "Its peer address"},
+    SettingCheck{"upstreams", "id", SettingType::Integer, true, 1, kMaxId, "",
+                 "Number of the upstream"},
+    SettingCheck{"upstreams", "name", SettingType::Text, true, 0, 0, "", "Name for people"},
+    SettingCheck{"upstreams", "kind", SettingType::Text, true, 0, 0, "",
+                 "\"engine\" or \"service\""},
+    SettingCheck{"upstreams", "target", SettingType::Text, true, 0, 0, "",
+                 "Model or service it serves"},
+    SettingCheck{"upstreams", "zone", SettingType::Text, true, 0, 0, "", "Its availability zone"},
+    SettingCheck{"upstreams", "address", SettingType::IpAddress, true, 0, 0, "",
+                 "Where it listens"},
+    SettingCheck{"upstreams", "memory_tokens", SettingType::Integer, false, 0, 1LL << 40, "0",
+                 "KV cache of an engine, in tokens"},
+    SettingCheck{"upstreams", "checks_fence", SettingType::Bool, false, 0, 0, "false",
+                 "It refuses orders with an old fencing number"},
+    SettingCheck{"upstreams", "not_repeatable", SettingType::TextList, false, 0, 0, "[]",
+                 "Calls that run at most once, as \"METHOD /path-prefix\""},
+    SettingCheck{"teams", "name", SettingType::Text, true, 0, 0, "", "Team"},
+    SettingCheck{"teams", "class", SettingType::Text, true, 0, 0, "", "Class of work of this key"},
+    SettingCheck{"teams", "key", SettingType::Text, true, 0, 0, "", "API key of callers"},
+};
+
+} // namespace arbutuspier
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,6 +1,8 @@
 // One table of rules drives the checks, the defaults and the reference page.
 #include "settings/settings.h"
 
+#include "settings/settingrules.h"
+
 #include <toml++/toml.h>
 
 #include <algorithm>
@@ -14,75 +16,6 @@
 
 namespace {
 
-enum class Type { Integer, Text, Bool, IpAddress, TextList };
-
-struct Rule
-{
-    std::string_view section;
-    std::string_view key;
-    Type type;
-    bool isRequired;
-    std::int64_t minimum;
-    std::int64_t maximum;
-    std::string_view fallback;
-    std::string_view description;
-};
-
-constexpr std::int64_t kMaxId = 1'000'000'000;
-constexpr std::int64_t kMaxMs = 86'400'000;
-
-constexpr std::array kRules = {
-    Rule{"vm", "id", Type::Integer, true, 1, kMaxId, "", "Number of this VM, unique in the fleet"},
-    Rule{"vm", "zone", Type::Text, true, 0, 0, "", "Availability zone of this VM"},
-    Rule{"vm", "listen", Type::IpAddress, true, 0, 0, "", "Where callers connect"},
-    Rule{"vm", "admin", Type::IpAddress, true, 0, 0, "", "Where arbutuspierctl connects"},
-    Rule{"vm", "peer", Type::IpAddress, true, 0, 0, "", "Where other entry VMs connect"},
-    Rule{"vm", "traffic_threads", Type::Integer, false, 1, 64, "2", "Threads that move answers"},
-    Rule{"vm", "max_watched", Type::Integer, false, 3, 10'000, "64",
-         "Upstreams of one model or service that this VM watches and uses at most"},
-    Rule{"platform", "address", Type::IpAddress, true, 0, 0, "", "Table service and VM list"},
-    Rule{"security", "peer_key", Type::Text, true, 0, 0, "", "Shared key of all entry VMs"},
-    Rule{"security", "ctl_token", Type::Text, true, 0, 0, "", "Token arbutuspierctl must show"},
-    Rule{"http", "max_body_bytes", Type::Integer, false, 1024, 1LL << 32, "67108864",
-         "Largest request body"},
-    Rule{"http", "max_header_bytes", Type::Integer, false, 512, 1 << 20, "16384",
-         "Largest request header"},
-    Rule{"http", "max_connections", Type::Integer, false, 1, 1'000'000, "10000",
-         "Callers connected at once"},
-    Rule{"http", "slow_sender_ms", Type::Integer, false, 100, kMaxMs, "30000",
-         "Time in which a request must have arrived"},
-    Rule{"http", "idle_ms", Type::Integer, false, 100, kMaxMs, "60000",
-         "Time a connection may wait between requests"},
-    Rule{"admission", "short_first_token_ms", Type::Integer, false, 1, kMaxMs, "900",
-         "A short prompt that cannot have its first token by then is refused"},
-    Rule{"admission", "short_deadline_ms", Type::Integer, false, 1, kMaxMs, "30000",
-         "Time a short prompt may take"},
-    Rule{"admission", "long_deadline_ms", Type::Integer, false, 1, kMaxMs, "600000",
-         "Time a longer prompt may take"},
-    Rule{"admission", "call_deadline_ms", Type::Integer, false, 1, kMaxMs, "10000",
-         "Time a call to a plain service may take"},
-    Rule{"admission", "max_queued", Type::Integer, false, 1, 1'000'000, "20000",
-         "Requests in this VM's care at once"},
-    Rule{"peers", "id", Type::Integer, true, 1, kMaxId, "", "Number of the other VM"},
-    Rule{"peers", "zone", Type::Text, true, 0, 0, "", "Its availability zone"},
-    Rule{"peers", "address", Type::IpAddress, true, 0, 0, "", "Its peer address"},
-    Rule{"upstreams", "id", Type::Integer, true, 1, kMaxId, "", "Number of the upstream"},
-    Rule{"upstreams", "name", Type::Text, true, 0, 0, "", "Name for people"},
-    Rule{"upstreams", "kind", Type::Text, true, 0, 0, "", "\"engine\" or \"service\""},
-    Rule{"upstreams", "target", Type::Text, true, 0, 0, "", "Model or service it serves"},
-    Rule{"upstreams", "zone", Type::Text, true, 0, 0, "", "Its availability zone"},
-    Rule{"upstreams", "address", Type::IpAddress, true, 0, 0, "", "Where it listens"},
-    Rule{"upstreams", "memory_tokens", Type::Integer, false, 0, 1LL << 40, "0",
-         "KV cache of an engine, in tokens"},
-    Rule{"upstreams", "checks_fence", Type::Bool, false, 0, 0, "false",
-         "It refuses orders with an old fencing number"},
-    Rule{"upstreams", "not_repeatable", Type::TextList, false, 0, 0, "[]",
-         "Calls that run at most once, as \"METHOD /path-prefix\""},
-    Rule{"teams", "name", Type::Text, true, 0, 0, "", "Team"},
-    Rule{"teams", "class", Type::Text, true, 0, 0, "", "Class of work of this key"},
-    Rule{"teams", "key", Type::Text, true, 0, 0, "", "API key of callers"},
-};
-
 constexpr std::array<std::string_view, 3> kListSections = {"peers", "upstreams", "teams"};
 
 bool isListSection(std::string_view section)
@@ -90,18 +23,18 @@
     return std::find(kListSections.begin(), kListSections.end(), section) != kListSections.end();
 }
 
-std::string_view typeName(Type type)
+std::string_view typeName(SettingType type)
 {
     switch (type) {
-    case Type::Integer:
+    case SettingType::Integer:
         return "whole number";
-    case Type::Text:
+    case SettingType::Text:
         return "text";
-    case Type::Bool:
+    case SettingType::Bool:
         return "true or false";
-    case Type::IpAddress:
+    case SettingType::IpAddress:
         return "IP:port";
-    case Type::TextList:
+    case SettingType::TextList:
         return "list of text";
     }
     return "text";
@@ -177,9 +110,9 @@
     {
         for (const auto &entry : document) {
             const std::string_view section = entry.first.str();
-            const bool isKnown = std::any_of(kRules.begin(), kRules.end(), [&](const Rule &rule) {
-                return rule.section == section;
-            });
+            const bool isKnown =
+                std::any_of(kRules.begin(), kRules.end(),
+                            [&](const SettingCheck &rule) { return rule.section == section; });
             if (!isKnown)
                 add(entry.second.source(), section, "unknown section");
         }
@@ -220,7 +153,7 @@
                 add(node.source(), std::string(section) + '.' + std::string(key.str()),
                     "unknown key");
         }
-        for (const Rule &rule : kRules) {
+        for (const SettingCheck &rule : kRules) {
             if (rule.section != section)
                 continue;
             const std::string name = std::string(section) + '.' + std::string(rule.key);
@@ -235,42 +168,42 @@
         }
     }
 
-    static const Rule *ruleFor(std::string_view section, std::string_view key)
+    static const SettingCheck *ruleFor(std::string_view section, std::string_view key)
     {
-        for (const Rule &rule : kRules) {
+        for (const SettingCheck &rule : kRules) {
             if (rule.section == section && rule.key == key)
                 return &rule;
         }
         return nullptr;
     }
 
-    void checkValue(const Rule &rule, const toml::node &node, const std::string &name)
+    void checkValue(const SettingCheck &rule, const toml::node &node, const std::string &name)
     {
         bool isGood = false;
         std::string expected(typeName(rule.type));
         switch (rule.type) {
-        case Type::Integer: {
+        case SettingType::Integer: {
             const auto value = node.value_exact<std::int64_t>();
             isGood = value && *value >= rule.minimum && *value <= rule.maximum;
             expected +=
                 " from " + std::to_string(rule.minimum) + " to " + std::to_string(rule.maximum);
             break;
         }
-        case Type::Text: {
+        case SettingType::Text: {
             const auto value = node.value_exact<std::string>();
             isGood = value && !value->empty();
             break;
         }
-        case Type::Bool:
+        case SettingType::Bool:
             isGood = node.is_boolean();
             break;
-        case Type::IpAddress: {
+        case SettingType::IpAddress: {
             const auto value = node.value_exact<std::string>();
             Address address;
             isGood = value && parseAddress(*value, address);
             break;
         }
-        case Type::TextList:
+        case SettingType::TextList:
             isGood = node.is_array()
                 && (node.as_array()->empty()
                     || node.as_array()->is_homogeneous(toml::node_type::string));
@@ -461,7 +394,7 @@
 std::vector<SettingRule> settingRules()
 {
     std::vector<SettingRule> rules;
-    for (const Rule &rule : kRules)
+    for (const SettingCheck &rule : kRules)
         rules.push_back({rule.section, rule.key, typeName(rule.type), rule.isRequired,
                          rule.fallback, rule.description});
     return rules;
--- a/tests/limitstabletest.cpp
+++ b/tests/limitstabletest.cpp
@@ -356,8 +356,8 @@
             vms[vm].calls.erase(vms[vm].calls.begin());
             isEffective[vm] = false;
             losses[vm] += isLost ? 1 : 0;
-            vms[vm].limits.onTableReply(call.op, isLost ? TableOutcome(TableUnknown{}) : outcome[vm],
-                                        now, vms[vm].random);
+            vms[vm].limits.onTableReply(
+                call.op, isLost ? TableOutcome(TableUnknown{}) : outcome[vm], now, vms[vm].random);
             vms[vm].collect();
             return;
         }
--- a/tools/load/loadrun.cpp
+++ b/tools/load/loadrun.cpp
@@ -65,10 +65,10 @@
         value = static_cast<T>(table[key].value_or(static_cast<std::int64_t>(value)));
 }
 
-const std::array<std::string_view, 15> kKeys
-    = {"targets",   "key",       "model",     "seconds",  "rate",    "crest_rate",    "crest_at",
-       "short_min", "short_max", "long_part", "long_min", "long_max", "answer_tokens", "seed",
-       ""};
+const std::array<std::string_view, 15> kKeys = {
+    "targets",    "key",      "model",         "seconds",   "rate",
+    "crest_rate", "crest_at", "short_min",     "short_max", "long_part",
+    "long_min",   "long_max", "answer_tokens", "seed",      ""};
 
 } // namespace
 
@@ -108,27 +108,31 @@
     readNumber(table, "long_max", profile.longMax);
     readNumber(table, "answer_tokens", profile.answerTokens);
     readNumber(table, "seed", profile.seed);
-    const bool isWhole = !profile.targets.empty() && !profile.key.empty()
-        && !profile.model.empty() && profile.rate > 0 && profile.seconds > 0
-        && profile.shortMin > 0 && profile.shortMax >= profile.shortMin
-        && profile.longMin > 0 && profile.longMax >= profile.longMin;
+    const bool isWhole = !profile.targets.empty() && !profile.key.empty() && !profile.model.empty()
+        && profile.rate > 0 && profile.seconds > 0 && profile.shortMin > 0
+        && profile.shortMax >= profile.shortMin && profile.longMin > 0
+        && profile.longMax >= profile.longMin;
     if (!isWhole)
-        return Error(fileName + ": targets, key and model are needed; rate, seconds and lengths "
-                                "must be above zero");
+        return Error(fileName
+                     + ": targets, key and model are needed; rate, seconds and lengths "
+                       "must be above zero");
     return profile;
 }
 
 LoadRun::LoadRun(Profile profile, bool printsProgress)
-    : m_profile(std::move(profile)), m_printsProgress(printsProgress), m_random(m_profile.seed)
+    : m_profile(std::move(profile))
+    , m_printsProgress(printsProgress)
+    , m_random(m_profile.seed)
 {
 }
 
 std::uint64_t LoadRun::drawLength()
 {
     const bool isLong = uniform(m_random) < m_profile.longPart;
-    const double low = std::log(static_cast<double>(isLong ? m_profile.longMin : m_profile.shortMin));
-    const double high
-        = std::log(static_cast<double>(isLong ? m_profile.longMax : m_profile.shortMax));
+    const double low =
+        std::log(static_cast<double>(isLong ? m_profile.longMin : m_profile.shortMin));
+    const double high =
+        std::log(static_cast<double>(isLong ? m_profile.longMax : m_profile.shortMax));
     return static_cast<std::uint64_t>(std::exp(low + (high - low) * uniform(m_random)));
 }
 
@@ -200,8 +204,8 @@
         while (parser.is_header_done() && !parser.is_done()) {
             parser.get().body().data = bytes.data();
             parser.get().body().size = bytes.size();
-            const auto [error, size]
-                = co_await http::async_read_some(stream, buffer, parser, kAwait);
+            const auto [error, size] =
+                co_await http::async_read_some(stream, buffer, parser, kAwait);
             events.feed(std::string_view(bytes.data(), bytes.size() - parser.get().body().size));
             while (const auto event = events.next()) {
                 if (event->id == 0)
