net, tests: Answer Expect, linger before exit, test late attempts harder

Cause: a caller with a body over a megabyte waited a second for the word to go on; a drain could end while a request was on its way in. Change: 100 Continue is sent; an exit waits for 300 ms without a request and up to 60 s for callers to read; the property says exactly which pieces pass, and a test names the late attempt.

--- a/programs/arbutuspierd/main.cpp
+++ b/programs/arbutuspierd/main.cpp
@@ -31,7 +31,10 @@
 constexpr int kExitBadSettings = 2;
 constexpr int kExitCannotListen = 3;
 constexpr unsigned kRequestIdShift = 20;
-constexpr Duration kLastAnswers = std::chrono::seconds{5};
+/// Time a caller may take to read the rest of its answer.
+constexpr Duration kLastAnswers = std::chrono::seconds{60};
+/// Requests that were on their way when the drain began get their refusal within this.
+constexpr Duration kQuietBeforeExit = std::chrono::milliseconds{300};
 
 using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
 
@@ -96,7 +99,13 @@
 {
     asio::steady_timer timer(m_context);
     const TimePoint end = std::chrono::steady_clock::now() + kLastAnswers;
-    while (m_hub.size() > 0 && std::chrono::steady_clock::now() < end) {
+    TimePoint quietSince = std::chrono::steady_clock::now();
+    while (true) {
+        const TimePoint now = std::chrono::steady_clock::now();
+        if (m_hub.size() > 0)
+            quietSince = now;
+        if (now >= end || now >= quietSince + kQuietBeforeExit)
+            break;
         timer.expires_after(kTickInterval);
         co_await timer.async_wait(kAwait);
     }
--- a/src/net/httpfront.cpp
+++ b/src/net/httpfront.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -127,7 +129,7 @@
     beast::flat_buffer buffer;
     bool isKept = true;
     while (isKept) {
-        http::request_parser<http::string_body> parser;
+        RequestParser parser;
         parser.header_limit(m_settings.http.maxHeaderBytes);
         parser.body_limit(m_settings.http.maxBodyBytes);
         stream.expires_after(m_settings.http.idle);
@@ -137,7 +139,7 @@
         if (waitError)
             break;
         stream.expires_after(m_settings.http.slowSender);
-        const auto [error, size] = co_await http::async_read(stream, buffer, parser, kAwait);
+        const ErrorCode error = co_await readRequest(stream, buffer, parser);
         stream.expires_never();
         if (error == http::error::body_limit || error == http::error::header_limit) {
             Request none;
@@ -167,6 +169,27 @@
     --m_connections;
 }
 
+Task<ErrorCode> HttpFront::readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer,
+                                       RequestParser &parser)
+{
+    const auto [headerError, headerSize] =
+        co_await http::async_read_header(stream, buffer, parser, kAwait);
+    if (headerError)
+        co_return headerError;
+    // A caller with a large body waits for this word before it sends it.
+    const bool isWaiting =
+        beast::iequals(parser.get()[http::field::expect], "100-continue") && !parser.is_done();
+    if (isWaiting) {
+        constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+        const auto [error, size] =
+            co_await asio::async_write(stream, asio::buffer(kContinue), kAwait);
+        if (error)
+            co_return error;
+    }
+    const auto [error, size] = co_await http::async_read(stream, buffer, parser, kAwait);
+    co_return error;
+}
+
 Task<bool> HttpFront::serveRequest(beast::tcp_stream &stream, Request request)
 {
     const std::string target(view(request.target()));
--- a/src/net/httpfront.h
+++ b/src/net/httpfront.h
@@ -13,6 +13,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <atomic>
@@ -41,6 +42,10 @@
 
 private:
     Task<void> serveConnection(Tcp::socket socket);
+    using RequestParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    Task<ErrorCode> readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer,
+                                RequestParser &parser);
     Task<bool> serveRequest(beast::tcp_stream &stream, Request request);
     Task<bool> servePrompt(beast::tcp_stream &stream, Request request);
     Task<Result<PromptSummary>> readBody(const std::string &body);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -394,6 +394,7 @@
 std::vector<SettingRule> settingRules()
 {
     std::vector<SettingRule> rules;
+    rules.reserve(kRules.size());
     for (const SettingCheck &rule : kRules)
         rules.push_back({rule.section, rule.key, typeName(rule.type), rule.isRequired,
                          rule.fallback, rule.description});
--- a/tests/policytest.cpp
+++ b/tests/policytest.cpp
@@ -228,22 +228,40 @@
         const auto pieces =
             *rc::gen::container<std::vector<std::tuple<int, int, int>>>(rc::gen::tuple(
                 rc::gen::inRange(1, 4), rc::gen::inRange(0, 12), rc::gen::inRange(1, 5)));
-        for (const auto &[attempt, offset, count] : pieces) {
+        for (const auto &[number, from, length] : pieces) {
+            const AttemptId attempt{static_cast<std::uint64_t>(number)};
+            const auto offset = static_cast<std::uint64_t>(from);
+            const auto count = static_cast<std::uint64_t>(length);
             if (count == 4)
-                assembler.setAttempt(AttemptId{static_cast<std::uint64_t>(attempt)});
-            const auto decision = assembler.offer(AttemptId{static_cast<std::uint64_t>(attempt)},
-                                                  static_cast<std::uint64_t>(offset),
-                                                  static_cast<std::uint64_t>(count));
-            if (decision.take != StreamAssembler::Take::Pass)
+                assembler.setAttempt(attempt);
+            const auto decision = assembler.offer(attempt, offset, count);
+            const bool isPassed = decision.take == StreamAssembler::Take::Pass;
+            const bool isWanted =
+                attempt == assembler.attempt() && offset <= next && offset + count > next;
+            RC_ASSERT(isPassed == isWanted);
+            if (!isPassed)
                 continue;
-            RC_ASSERT(static_cast<std::uint64_t>(offset) + decision.skip == next);
-            next = static_cast<std::uint64_t>(offset + count);
+            RC_ASSERT(offset + decision.skip == next);
+            RC_ASSERT(decision.skip < count);
+            next = offset + count;
             RC_ASSERT(assembler.delivered() == next);
         }
     });
     CHECK(isGood);
 }
 
+TEST(AStreamAssembler, dropsWhatALateAttemptSends)
+{
+    StreamAssembler assembler;
+    assembler.setAttempt(AttemptId{1});
+    CHECK(assembler.offer(AttemptId{1}, 0, 2).take == StreamAssembler::Take::Pass);
+    assembler.setAttempt(AttemptId{2});
+    CHECK(assembler.offer(AttemptId{1}, 2, 1).take == StreamAssembler::Take::Drop);
+    CHECK(assembler.offer(AttemptId{2}, 3, 1).take == StreamAssembler::Take::Gap);
+    CHECK(assembler.offer(AttemptId{2}, 1, 1).take == StreamAssembler::Take::Drop);
+    CHECK(assembler.offer(AttemptId{2}, 2, 1).take == StreamAssembler::Take::Pass);
+}
+
 TEST_GROUP(ARetryBudget){};
 
 TEST(ARetryBudget, boundsRetriesToAPartOfTheWork)
