net, tests: Open doors and search orders in one place each

Cause: four copies of the code that opens a port, two of the search over all orders of steps. Change: openAcceptor and searchAllOrders.

--- a/src/daemon/adminserver.cpp
+++ b/src/daemon/adminserver.cpp
@@ -2,7 +2,7 @@
 #include "daemon/adminserver.h"
 
 #include "kernel/logline.h"
-#include "net/httpchannel.h"
+#include "net/listen.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -127,18 +127,10 @@
 
 Result<bool> AdminServer::listen()
 {
-    const Tcp::endpoint endpoint = endpointOf(m_settings.admin);
-    m_acceptor = std::make_unique<Tcp::acceptor>(m_context);
-    ErrorCode error;
-    m_acceptor->open(endpoint.protocol(), error);
-    if (!error)
-        m_acceptor->set_option(Tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_acceptor->bind(endpoint, error);
-    if (!error)
-        m_acceptor->listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return Error("vm.admin " + m_settings.admin.text() + ": " + error.message());
+    auto acceptor = openAcceptor(m_context, m_settings.admin, "vm.admin");
+    if (!acceptor)
+        return acceptor.error();
+    m_acceptor = std::move(*acceptor);
     return true;
 }
 
--- a/src/net/httpfront.cpp
+++ b/src/net/httpfront.cpp
@@ -1,7 +1,7 @@
 // Checks a request as far as can be done without the core; a bad one touches no upstream.
 #include "net/httpfront.h"
 
-#include "net/httpchannel.h"
+#include "net/listen.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -85,18 +85,10 @@
 
 Result<bool> HttpFront::listen(asio::io_context &context)
 {
-    const Tcp::endpoint endpoint = endpointOf(m_settings.listen);
-    m_acceptor = std::make_unique<Tcp::acceptor>(context);
-    ErrorCode error;
-    m_acceptor->open(endpoint.protocol(), error);
-    if (!error)
-        m_acceptor->set_option(Tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_acceptor->bind(endpoint, error);
-    if (!error)
-        m_acceptor->listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return Error("vm.listen " + m_settings.listen.text() + ": " + error.message());
+    auto acceptor = openAcceptor(context, m_settings.listen, "vm.listen");
+    if (!acceptor)
+        return acceptor.error();
+    m_acceptor = std::move(*acceptor);
     return true;
 }
 
--- /dev/null
+++ b/src/net/listen.cpp
@@ -0,0 +1,29 @@
+// The same four steps for every door.
+#include "net/listen.h"
+
+#include "net/httpchannel.h"
+
+#include <string>
+
+namespace arbutuspier {
+
+Result<std::unique_ptr<Tcp::acceptor>> openAcceptor(asio::io_context &context,
+                                                    const Address &address,
+                                                    std::string_view setting)
+{
+    const Tcp::endpoint endpoint = endpointOf(address);
+    auto acceptor = std::make_unique<Tcp::acceptor>(context);
+    ErrorCode error;
+    acceptor->open(endpoint.protocol(), error);
+    if (!error)
+        acceptor->set_option(Tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor->bind(endpoint, error);
+    if (!error)
+        acceptor->listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return Error(std::string(setting) + ' ' + address.text() + ": " + error.message());
+    return acceptor;
+}
+
+} // namespace arbutuspier
--- a/src/net/peerlink.cpp
+++ b/src/net/peerlink.cpp
@@ -3,6 +3,7 @@
 
 #include "kernel/logline.h"
 #include "net/httpchannel.h"
+#include "net/listen.h"
 #include "net/peercodec.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -191,18 +192,10 @@
 
 Result<bool> PeerLink::listen()
 {
-    const Tcp::endpoint endpoint = endpointOf(m_settings.peer);
-    m_acceptor = std::make_unique<Tcp::acceptor>(m_context);
-    ErrorCode error;
-    m_acceptor->open(endpoint.protocol(), error);
-    if (!error)
-        m_acceptor->set_option(Tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_acceptor->bind(endpoint, error);
-    if (!error)
-        m_acceptor->listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return Error("vm.peer " + m_settings.peer.text() + ": " + error.message());
+    auto acceptor = openAcceptor(m_context, m_settings.peer, "vm.peer");
+    if (!acceptor)
+        return acceptor.error();
+    m_acceptor = std::move(*acceptor);
     return true;
 }
 
--- /dev/null
+++ b/tests/allorders.h
@@ -0,0 +1,56 @@
+// Searches every order of the steps that two VMs and the world around them can take.
+#pragma once
+
+#include <cstddef>
+#include <cstdio>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace arbutuspier {
+
+struct SearchResult
+{
+    std::size_t states = 0;
+    /// States at the greatest depth whose further steps were not looked at.
+    std::size_t left = 0;
+    /// The first fault found; empty if there is none.
+    std::string fault;
+};
+
+/// `Replay` is made from a list of moves and has `possible()`, `state()` and `fault()`; two replays
+/// of one state go on alike.
+template <class Replay, class Move>
+SearchResult searchAllOrders(std::size_t depth)
+{
+    SearchResult result;
+    std::set<std::string> seen;
+    std::vector<std::vector<Move>> frontier = {{}};
+    for (std::size_t step = 0; step < depth && !frontier.empty(); ++step) {
+        std::vector<std::vector<Move>> next;
+        for (const std::vector<Move> &moves : frontier) {
+            for (const Move &move : Replay(moves).possible()) {
+                std::vector<Move> longer = moves;
+                longer.push_back(move);
+                const Replay replay(longer);
+                if (result.fault.empty())
+                    result.fault = replay.fault();
+                if (seen.insert(replay.state()).second)
+                    next.push_back(std::move(longer));
+            }
+        }
+        frontier = std::move(next);
+    }
+    result.states = seen.size();
+    result.left = frontier.size();
+    return result;
+}
+
+/// Prints what a search covered.
+inline void printSearch(const char *what, const SearchResult &result, std::size_t depth)
+{
+    std::printf("%s: %zu states of two VMs, %zu left at the depth of %zu\n", what, result.states,
+                result.left, depth);
+}
+
+} // namespace arbutuspier
--- a/tests/limitstabletest.cpp
+++ b/tests/limitstabletest.cpp
@@ -1,13 +1,11 @@
 // The limits table: edits, races, lost replies, and that no VM ever goes back.
 #include "arbutuspier/limitstable.h"
+#include "allorders.h"
 #include "model/tablemodel.h"
 
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
-#include <cstdio>
-#include <set>
-
 using namespace arbutuspier;
 
 namespace {
@@ -393,28 +391,10 @@
 TEST(ALimitsTable, acceptsOneOfTwoEditsInEveryOrderOfSteps)
 {
     constexpr std::size_t kDepth = 14;
-    std::set<std::string> seen;
-    std::vector<std::vector<Move>> frontier = {{}};
-    std::string fault;
-    for (std::size_t depth = 0; depth < kDepth && !frontier.empty(); ++depth) {
-        std::vector<std::vector<Move>> next;
-        for (const std::vector<Move> &moves : frontier) {
-            for (const Move &move : Replay(moves).possible()) {
-                std::vector<Move> longer = moves;
-                longer.push_back(move);
-                const Replay replay(longer);
-                if (fault.empty())
-                    fault = replay.fault();
-                if (seen.insert(replay.state()).second)
-                    next.push_back(std::move(longer));
-            }
-        }
-        frontier = std::move(next);
-    }
-    std::printf("limits table: %zu states of two VMs, %zu left at the depth of %zu\n", seen.size(),
-                frontier.size(), kDepth);
-    STRCMP_EQUAL("", fault.c_str());
-    CHECK(seen.size() > 100);
+    const auto result = searchAllOrders<Replay, Move>(kDepth);
+    printSearch("limits table", result, kDepth);
+    STRCMP_EQUAL("", result.fault.c_str());
+    CHECK(result.states > 100);
 }
 
 TEST_GROUP(ALimitsCsv){};
--- a/tests/oncetest.cpp
+++ b/tests/oncetest.cpp
@@ -1,13 +1,11 @@
 // The at-most-once record: the story of one key, and a check over every order of two VMs' steps.
+#include "allorders.h"
 #include "arbutuspier/onceledger.h"
 #include "model/tablemodel.h"
 
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
-#include <map>
-#include <set>
-
 using namespace arbutuspier;
 
 namespace {
@@ -263,7 +261,8 @@
         return moves;
     }
 
-    int sends() const { return vms[0].sends + vms[1].sends; }
+    /// Says what is wrong; empty if nothing is.
+    std::string fault() const { return vms[0].sends + vms[1].sends > 1 ? "sent twice" : ""; }
 
     /// Two replays in the same state go on alike.
     std::string state() const
@@ -373,27 +372,10 @@
 TEST(TwoVmsWithOneKey, sendAtMostOnceInEveryOrderOfSteps)
 {
     constexpr std::size_t kDepth = 14;
-    std::set<std::string> seen;
-    std::vector<std::vector<Move>> frontier = {{}};
-    std::size_t bad = 0;
-    for (std::size_t depth = 0; depth < kDepth && !frontier.empty(); ++depth) {
-        std::vector<std::vector<Move>> next;
-        for (const std::vector<Move> &moves : frontier) {
-            for (const Move &move : Replay(moves).possible()) {
-                std::vector<Move> longer = moves;
-                longer.push_back(move);
-                const Replay replay(longer);
-                bad += replay.sends() > 1 ? 1 : 0;
-                if (seen.insert(replay.state()).second)
-                    next.push_back(std::move(longer));
-            }
-        }
-        frontier = std::move(next);
-    }
-    std::printf("at-most-once record: %zu states of two VMs, %zu left at the depth of %zu\n",
-                seen.size(), frontier.size(), kDepth);
-    LONGS_EQUAL(0, bad);
-    CHECK(seen.size() > 100);
+    const auto result = searchAllOrders<Replay, Move>(kDepth);
+    printSearch("at-most-once record", result, kDepth);
+    STRCMP_EQUAL("", result.fault.c_str());
+    CHECK(result.states > 100);
 }
 
 TEST(TwoVmsWithOneKey, keepTheirRowsReadable)
--- a/tools/standin/simpleserver.cpp
+++ b/tools/standin/simpleserver.cpp
@@ -1,7 +1,7 @@
 // Accept, read, hand over, repeat.
 #include "simpleserver.h"
 
-#include "net/httpchannel.h"
+#include "net/listen.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -56,20 +56,12 @@
 
 bool serve(asio::io_context &context, const Address &address, Handler handler)
 {
-    const Tcp::endpoint endpoint = endpointOf(address);
-    auto acceptor = std::make_shared<Tcp::acceptor>(context);
-    ErrorCode error;
-    acceptor->open(endpoint.protocol(), error);
-    if (!error)
-        acceptor->set_option(Tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        acceptor->bind(endpoint, error);
-    if (!error)
-        acceptor->listen(asio::socket_base::max_listen_connections, error);
-    if (error) {
-        std::cerr << "standin: " << address.text() << ": " << error.message() << '\n';
+    auto opened = openAcceptor(context, address, "standin");
+    if (!opened) {
+        std::cerr << opened.error().message << '\n';
         return false;
     }
+    const std::shared_ptr<Tcp::acceptor> acceptor = std::move(*opened);
     asio::co_spawn(context,
                    accept(context, acceptor, std::make_shared<Handler>(std::move(handler))),
                    asio::detached);
