limits: Let idle VMs give their shares and name the limit in refusals

Cause: a new test of the whole core put all demand of a limited team on one of four VMs: fewer than 3 of its 4 units ran. A VM that had no request of the row knew no share of it and answered no request for it. Change: a request for a share brings the row; a request that waited for its team's limit is refused as over-limit, not as late.

--- a/include/arbutuspier/limitgate.h
+++ b/include/arbutuspier/limitgate.h
@@ -7,7 +7,10 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace arbutuspier {
@@ -36,6 +39,8 @@
     /// Rows that have limits, to be set anew when the table changes.
     std::vector<LimitRow> rows() const;
     std::uint32_t running(const LimitRow &row) const;
+    /// Class and team that a share's key names; nothing if it is no such key.
+    static std::optional<std::pair<std::string, std::string>> namesOf(std::string_view shareKey);
 
 private:
     struct State
--- a/src/node/admission.cpp
+++ b/src/node/admission.cpp
@@ -152,6 +152,7 @@
 
 void Admission::endLate(Request &request)
 {
+    const bool isHeldByLimit = m_dispatcher.isHeldByLimit(request);
     m_dispatcher.withdraw(request);
     if (request.isOnce()) {
         m_once.onDeadline(request);
@@ -159,11 +160,13 @@
     }
     const bool mayHaveRun = request.mayHaveRun || request.phase == Phase::Running;
     m_answers.refuse(request, mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun,
-                     Reason::DeadlinePassed);
+                     isHeldByLimit ? Reason::OverLimit : Reason::DeadlinePassed);
 }
 
-void Admission::endQueued(Request &request, Reason reason)
+void Admission::endQueued(Request &request)
 {
+    const Reason reason =
+        m_dispatcher.isHeldByLimit(request) ? Reason::OverLimit : Reason::CannotMeetDeadline;
     m_dispatcher.withdraw(request);
     m_answers.refuse(request, Verdict::NotRun, reason,
                      jittered(m_context.random, kQueueFullRetryAfter));
@@ -173,7 +176,7 @@
 {
     for (RequestId id : m_dispatcher.takeDoomed()) {
         if (Request *request = m_store.find(id))
-            endQueued(*request, Reason::CannotMeetDeadline);
+            endQueued(*request);
     }
 }
 
@@ -188,7 +191,7 @@
     for (RequestId id : m_store.doomed(m_context.now)) {
         Request *request = m_store.find(id);
         if (request && request->phase == Phase::Queued && !request->mayHaveRun)
-            endQueued(*request, Reason::CannotMeetDeadline);
+            endQueued(*request);
         else if (request)
             m_store.noteStarted(*request);
     }
--- a/src/node/admission.h
+++ b/src/node/admission.h
@@ -41,7 +41,7 @@
     bool refuseLate(const CallerRequest &event, const Request &request);
     Duration timeAllowed(const RequestSpec &spec, const LimitRow &row, Lane lane) const;
     void endLate(Request &request);
-    void endQueued(Request &request, Reason reason);
+    void endQueued(Request &request);
 
     NodeContext &m_context;
     RequestStore &m_store;
--- a/src/node/controlflow.cpp
+++ b/src/node/controlflow.cpp
@@ -93,7 +93,14 @@
         void operator()(const SuspectNotice &body) const { flow.onSuspectNotice(body); }
         void operator()(const ShareTransfer &body) const { shares.onTransfer(from, body); }
         void operator()(const ShareTransferAck &body) const { shares.onTransferAck(from, body); }
-        void operator()(const ShareRequest &body) const { shares.onRequest(from, body); }
+        void operator()(const ShareRequest &body) const
+        {
+            // A VM that had no request of the row yet holds a share of it all the same.
+            if (const auto names = LimitGate::namesOf(body.rowKey))
+                flow.m_context.service<LimitGate>(service::kGate)
+                    .setRow(limits.row(names->second, names->first));
+            shares.onRequest(from, body);
+        }
         void operator()(const LeavingNotice &body) const
         {
             const Incarnation known =
--- a/src/node/dispatcher.cpp
+++ b/src/node/dispatcher.cpp
@@ -64,6 +64,11 @@
     std::erase(it->second.first, request.id);
 }
 
+bool Dispatcher::isHeldByLimit(const Request &request) const
+{
+    return request.phase == Phase::Queued && m_limitedTeams.contains(queueKey(request));
+}
+
 std::size_t Dispatcher::queuedCount() const
 {
     std::size_t count = 0;
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -49,6 +49,8 @@
     /// Time a new request would wait here before it is sent.
     Duration expectedWait(const Request &request) const;
     std::size_t queuedCount() const;
+    /// True if the request waits for its team's limit, not for an upstream.
+    bool isHeldByLimit(const Request &request) const;
     /// Opens an attempt. The request must be in no line.
     void open(Request &request, const Route &route, AttemptId attempt);
     /// Charges queued teams with service that other VMs gave them.
--- a/src/policy/limitgate.cpp
+++ b/src/policy/limitgate.cpp
@@ -123,6 +123,16 @@
     return found;
 }
 
+std::optional<std::pair<std::string, std::string>> LimitGate::namesOf(std::string_view shareKey)
+{
+    constexpr std::size_t kPrefixSize = 2;
+    const auto slash = shareKey.find('/');
+    if (shareKey.size() <= kPrefixSize || slash == std::string_view::npos || slash < kPrefixSize)
+        return std::nullopt;
+    const std::string_view className = shareKey.substr(kPrefixSize, slash - kPrefixSize);
+    return std::pair(std::string(className), std::string(shareKey.substr(slash + 1)));
+}
+
 std::uint32_t LimitGate::running(const LimitRow &row) const
 {
     auto it = m_states.find(key(row));
--- /dev/null
+++ b/tests/entrynodetest.cpp
@@ -0,0 +1,172 @@
+// The whole core in small worlds: limits over the fleet, admission, outages.
+#include "model/traceauditor.h"
+#include "model/world.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace arbutuspier;
+using namespace arbutuspier::model;
+
+namespace {
+
+const std::vector<std::string> kZones = {"north", "south", "islands"};
+
+WorldOptions fleet(std::uint64_t seed)
+{
+    WorldOptions options;
+    options.seed = seed;
+    for (std::uint64_t i = 0; i < 4; ++i)
+        options.vms.push_back({VmId{i + 1}, kZones[i % kZones.size()]});
+    for (std::uint64_t i = 0; i < 6; ++i)
+        options.upstreams.push_back({UpstreamId{i + 1}, "engine-" + std::to_string(i + 1),
+                                     RequestKind::Prompt, "grain", kZones[i % kZones.size()],
+                                     400'000, true});
+    return options;
+}
+
+RequestSpec ask(std::uint64_t number, double limit = 30)
+{
+    RequestSpec spec;
+    spec.team = "saw";
+    spec.className = "ask";
+    spec.target = "grain";
+    spec.promptTokens = 1'500;
+    spec.maxTokens = 100;
+    spec.fingerprint = Fingerprint{number + 1};
+    spec.timeLimit = fromSeconds(limit);
+    return spec;
+}
+
+} // namespace
+
+TEST_GROUP(AFleet)
+{
+    World world{fleet(3)};
+
+    void submitAt(double seconds, std::uint64_t number)
+    {
+        world.at(fromSeconds(seconds),
+                 [this, number] { world.submit(VmId{number % 4 + 1}, ask(number)); });
+    }
+    std::size_t count(Verdict verdict, Reason reason)
+    {
+        const auto &ended = world.ended();
+        return static_cast<std::size_t>(
+            std::count_if(ended.begin(), ended.end(), [&](const RequestEnded &e) {
+                return e.verdict == verdict && e.reason == reason;
+            }));
+    }
+    void checkPromises()
+    {
+        world.finish();
+        for (const Violation &violation : TraceAuditor().audit(world.trace()))
+            FAIL(violation.what.c_str());
+    }
+};
+
+TEST_GROUP_BASE(AFleetWithALimit, TEST_GROUP_CppUTestGroupAFleet){
+    void setup() override{world.at(fromSeconds(1), [this] {
+        LimitsSnapshot edit{0, "limit", "operator", {{"saw", "ask", 1, 0, 4, 0}}};
+        world.tell(VmId{1}, LimitsEdit{edit});
+    });
+}
+std::size_t running() const
+{
+    std::size_t streams = 0;
+    for (std::uint64_t id = 1; id <= 6; ++id)
+        streams += const_cast<World &>(world).engine(UpstreamId{id})->streams();
+    return streams;
+}
+}
+;
+
+TEST(AFleetWithALimit, neverRunsMoreThanTheLimitOverAllVms)
+{
+    std::size_t most = 0;
+    for (std::uint64_t i = 0; i < 200; ++i)
+        submitAt(8 + 0.02 * static_cast<double>(i), i);
+    for (int i = 0; i < 2'000; ++i)
+        world.at(fromSeconds(8 + 0.01 * i), [&] { most = std::max(most, running()); });
+    world.runUntil(std::chrono::seconds{60});
+    CHECK(most >= 3);
+    CHECK(most <= 4);
+    checkPromises();
+}
+
+TEST(AFleetWithALimit, saysThatTheTeamIsAtItsLimit)
+{
+    for (std::uint64_t i = 0; i < 100; ++i)
+        submitAt(8, i);
+    world.runUntil(std::chrono::seconds{60});
+    CHECK(count(Verdict::NotRun, Reason::OverLimit) > 0);
+    CHECK(count(Verdict::Ran, Reason::None) > 0);
+    checkPromises();
+}
+
+TEST(AFleetWithALimit, movesSharesToTheVmThatHasTheDemand)
+{
+    std::size_t most = 0;
+    for (std::uint64_t i = 0; i < 400; ++i)
+        world.at(fromSeconds(8 + 0.05 * static_cast<double>(i)),
+                 [this, i] { world.submit(VmId{1}, ask(i)); });
+    for (int i = 0; i < 1'000; ++i)
+        world.at(fromSeconds(15 + 0.01 * i), [&] { most = std::max(most, running()); });
+    world.runUntil(std::chrono::seconds{60});
+    CHECK(most >= 3);
+    CHECK(most <= 4);
+    checkPromises();
+}
+
+TEST(AFleet, servesPromptsThroughAnHourWithoutThePlatform)
+{
+    WorldOptions options = fleet(4);
+    options.keepsTrace = false;
+    World outage(options);
+    outage.at(fromSeconds(5), [&] { outage.tableFaults.isDown = true; });
+    outage.at(fromSeconds(3'605), [&] { outage.tableFaults.isDown = false; });
+    for (std::uint64_t i = 0; i < 1'200; ++i)
+        outage.at(fromSeconds(4 + 3 * static_cast<double>(i)),
+                  [&outage, i] { outage.submit(VmId{i % 4 + 1}, ask(i)); });
+    std::uint64_t readsBefore = 0;
+    outage.at(fromSeconds(3'604), [&] { readsBefore = outage.table().reads(); });
+    outage.runUntil(fromSeconds(3'610));
+    const auto &ended = outage.ended();
+    CHECK(std::all_of(ended.begin(), ended.end(),
+                      [](const RequestEnded &e) { return e.verdict == Verdict::Ran; }));
+    // Five seconds after its return the table has had a few reads of each VM, no storm.
+    CHECK(outage.table().reads() - readsBefore < 100);
+}
+
+TEST(AFleet, servesItsZoneWhenItIsCutOffFromEverything)
+{
+    const auto cut = [this](bool isCut) {
+        world.cutZones("north", "south", isCut);
+        world.cutZones("north", "islands", isCut);
+        world.cutPlatform("north", isCut);
+    };
+    world.at(fromSeconds(5), [cut] { cut(true); });
+    for (std::uint64_t i = 0; i < 40; ++i)
+        world.at(fromSeconds(10 + 0.3 * static_cast<double>(i)),
+                 [this, i] { world.submit(VmId{i % 2 == 0 ? 1u : 4u}, ask(i)); });
+    world.at(fromSeconds(30), [cut] { cut(false); });
+    world.runUntil(std::chrono::seconds{60});
+    LONGS_EQUAL(40, count(Verdict::Ran, Reason::None));
+    checkPromises();
+}
+
+TEST(AFleet, refusesAtTheDoorWhatCannotBeOnTimeAndSaysWhenToComeBack)
+{
+    Duration retryAfter{};
+    world.onCommand = [&](VmId, const Command &command) {
+        if (const auto *refuse = std::get_if<RefuseCaller>(&command))
+            retryAfter = refuse->retryAfter;
+    };
+    for (std::uint64_t i = 0; i < 600; ++i)
+        submitAt(5 + 0.001 * static_cast<double>(i), i);
+    world.runUntil(std::chrono::seconds{60});
+    CHECK(count(Verdict::NotRun, Reason::CannotMeetDeadline) > 0);
+    CHECK(retryAfter > Duration::zero());
+    checkPromises();
+}
