node: Take out two members that nothing reads

Cause: a last read of the whole change found Dispatcher's hasRoom flags and Admission's isStopped unused. Change: both are gone. Conclusion: no behaviour changed.

--- a/src/node/admission.h
+++ b/src/node/admission.h
@@ -32,7 +32,6 @@
     void endDoomed();
     /// From now on nothing is admitted.
     void stop() { m_isStopped = true; }
-    bool isStopped() const { return m_isStopped; }
 
 private:
     bool refuseUnfit(const CallerRequest &event);
--- a/src/node/dispatcher.h
+++ b/src/node/dispatcher.h
@@ -76,7 +76,6 @@
         FairQueue queue;
         std::deque<RequestId> first;
         std::array<DrainRate, kLaneCount> drain;
-        std::array<bool, kLaneCount> hasRoom{true, true, true, true};
     };
     using TeamKey = std::pair<std::string, std::string>;
 
