--- /dev/null
+++ b/include/arbutuspier/fleetload.h
@@ -0,0 +1,90 @@
+// What runs on each replica, as this VM and its peers know it.
+//
+// Every VM tells the others what it dispatches, so that the load of a replica is known within a
+// message's time instead of a report's lag. Work of a VM that falls silent is dropped as a whole.
+#pragma once
+
+#include "arbutuspier/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace arbutuspier {
+
+/// What one replica does for one request.
+struct WorkPart
+{
+    std::string replica;
+    /// Time that the replica needs to read its part of the prompt, on its own.
+    double readMs = 0;
+    /// Context of a token step while the answer is written.
+    std::uint64_t contextTokens = 0;
+    /// Memory taken while the request runs.
+    std::uint64_t memoryTokens = 0;
+    /// The replica also writes the answer; it then takes a slot there.
+    bool isWriter = false;
+};
+
+struct Work
+{
+    /// Unique among the work of one VM's life.
+    std::uint64_t id = 0;
+    /// Longest pause between events that is on time; zero if there are no events.
+    Duration gapObjective{};
+    bool isWriting = false;
+    std::vector<WorkPart> parts;
+};
+
+/// The sum of what is known to run on one replica.
+struct ReplicaLoad
+{
+    /// Requests that take a slot.
+    std::uint32_t running = 0;
+    /// Requests that write their answer.
+    std::uint32_t writers = 0;
+    /// Prompts that are read in part for other replicas.
+    std::uint32_t helping = 0;
+    std::uint64_t contextTokens = 0;
+    std::uint64_t memoryTokens = 0;
+    /// When the prompts dispatched so far are read.
+    TimePoint busyUntil{};
+    /// Gap objectives of the requests that write.
+    std::vector<Duration> gapObjectives;
+
+    /// Writers that a pause of this length would make late.
+    std::uint32_t writersHarmedBy(Duration pause) const;
+};
+
+class FleetLoad
+{
+public:
+    void begin(std::string_view vm, Work work, TimePoint now);
+    /// The prompt is read; the answer is being written.
+    void beginWriting(std::string_view vm, std::uint64_t work, TimePoint now);
+    void end(std::string_view vm, std::uint64_t work, TimePoint now);
+    /// Everything that a VM runs at present.
+    void replace(std::string_view vm, std::vector<Work> works, TimePoint now);
+    void dropVm(std::string_view vm, TimePoint now);
+
+    const ReplicaLoad &of(std::string_view replica) const;
+    std::vector<Work> worksOf(std::string_view vm) const;
+
+private:
+    using Works = std::map<std::uint64_t, Work>;
+    using Loads = std::map<std::string, ReplicaLoad, std::less<>>;
+
+    void addPart(const Work &work, const WorkPart &part, TimePoint now);
+    void removePart(const Work &work, const WorkPart &part, TimePoint now);
+    void startWriting(Work &work, TimePoint now);
+    void finish(const Work &work, TimePoint now);
+
+    std::map<std::string, Works, std::less<>> m_works;
+    /// Invariant: the sum over m_works.
+    Loads m_loads;
+};
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/coordination/upstreamdirectory.cpp
@@ -0,0 +1,170 @@
+// One rule: a life that drains stays away; everything else follows the newest list.
+#include "arbutuspier/upstreamdirectory.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace arbutuspier {
+
+namespace {
+
+ReplicaLife lifeOf(const ReplicaEntry &entry)
+{
+    return {entry.id, entry.bornMs};
+}
+
+} // namespace
+
+void UpstreamDirectory::replaceAll(const std::vector<ReplicaRow> &rows, TimePoint now)
+{
+    std::set<std::string, std::less<>> present;
+    for (const ReplicaRow &row : rows) {
+        if (row.entry)
+            present.insert(row.id);
+    }
+    std::vector<std::string> missing;
+    for (const auto &[id, slot] : m_entries) {
+        if (present.count(id) == 0)
+            missing.push_back(id);
+    }
+    for (const std::string &id : missing)
+        drop(id, now);
+    apply(rows, now);
+}
+
+void UpstreamDirectory::apply(const std::vector<ReplicaRow> &rows, TimePoint now)
+{
+    for (const ReplicaRow &row : rows) {
+        if (row.entry)
+            put(*row.entry);
+        else
+            drop(row.id, now);
+    }
+}
+
+void UpstreamDirectory::put(const ReplicaEntry &entry)
+{
+    const auto found = m_entries.find(entry.id);
+    if (found != m_entries.end() && found->second.entry.bornMs > entry.bornMs)
+        return;
+    const bool isNew = found == m_entries.end() || found->second.entry.bornMs != entry.bornMs
+        || found->second.entry.state != entry.state || found->second.goneAt;
+    if (entry.state == ReplicaState::Draining)
+        recordLeft({lifeOf(entry), true});
+    const auto left = m_left.find(lifeOf(entry));
+    const bool isBack = left != m_left.end() && !left->second.isDraining;
+    if (isBack)
+        m_left.erase(left);
+    m_entries[entry.id] = Slot{entry, std::nullopt};
+    if (isNew || isBack)
+        ++m_revision;
+}
+
+void UpstreamDirectory::drop(const std::string &id, TimePoint now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    const bool mayComeBack = !m_isReachable || now < m_graceEnd;
+    if (mayComeBack) {
+        if (!found->second.goneAt)
+            found->second.goneAt = now;
+        return;
+    }
+    recordLeft({lifeOf(found->second.entry), false});
+    m_entries.erase(found);
+    ++m_revision;
+}
+
+void UpstreamDirectory::setUnreachable()
+{
+    m_isReachable = false;
+}
+
+void UpstreamDirectory::setReachable(TimePoint now)
+{
+    if (m_isReachable)
+        return;
+    m_isReachable = true;
+    m_graceEnd = now + m_options.lapseGrace;
+}
+
+bool UpstreamDirectory::markLeaving(const Departure &departure)
+{
+    const auto found = m_left.find(departure.life);
+    const bool isKnown =
+        found != m_left.end() && (found->second.isDraining || !departure.isDraining);
+    if (isKnown)
+        return false;
+    recordLeft(departure);
+    ++m_revision;
+    return true;
+}
+
+void UpstreamDirectory::recordLeft(const Departure &departure)
+{
+    auto [it, isNew] = m_left.try_emplace(departure.life);
+    const bool isNews = isNew || (departure.isDraining && !it->second.isDraining);
+    if (!isNews)
+        return;
+    it->second = {departure.isDraining, m_leftCount++};
+    m_newlyLeft.push_back(departure);
+    if (m_left.size() > m_options.maxLeft)
+        forgetOldest();
+}
+
+void UpstreamDirectory::forgetOldest()
+{
+    const auto isOlder = [](const auto &a, const auto &b) {
+        return a.second.order < b.second.order;
+    };
+    m_left.erase(std::min_element(m_left.begin(), m_left.end(), isOlder));
+}
+
+void UpstreamDirectory::tick(TimePoint now)
+{
+    if (!m_isReachable || now < m_graceEnd)
+        return;
+    for (auto it = m_entries.begin(); it != m_entries.end();) {
+        if (!it->second.goneAt) {
+            ++it;
+            continue;
+        }
+        recordLeft({lifeOf(it->second.entry), false});
+        it = m_entries.erase(it);
+        ++m_revision;
+    }
+}
+
+std::vector<const ReplicaEntry *> UpstreamDirectory::usable(std::string_view service) const
+{
+    std::vector<const ReplicaEntry *> result;
+    for (const auto &[id, slot] : m_entries) {
+        const ReplicaEntry &entry = slot.entry;
+        if (entry.service == service && entry.state == ReplicaState::Ready
+            && !hasLeft(lifeOf(entry)))
+            result.push_back(&entry);
+    }
+    return result;
+}
+
+const ReplicaEntry *UpstreamDirectory::find(std::string_view id) const
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second.entry;
+}
+
+bool UpstreamDirectory::isUsable(const ReplicaLife &life) const
+{
+    const ReplicaEntry *entry = find(life.id);
+    return entry && entry->bornMs == life.bornMs && entry->state == ReplicaState::Ready
+        && !hasLeft(life);
+}
+
+std::vector<Departure> UpstreamDirectory::takeNewlyLeft()
+{
+    return std::exchange(m_newlyLeft, {});
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/boundedlog.cpp
@@ -0,0 +1,68 @@
+// A token bucket before a descriptor in non-blocking mode.
+#include "gateway/boundedlog.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace arbutuspier {
+
+BoundedLog::BoundedLog(int descriptor, BoundedLogOptions options, const Clock &clock)
+    : m_descriptor(descriptor)
+    , m_options(options)
+    , m_clock(clock)
+    , m_refilledAt(clock.now())
+    , m_tokens(options.burstLines)
+{
+    const int flags = ::fcntl(descriptor, F_GETFL);
+    if (flags >= 0)
+        ::fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+}
+
+bool BoundedLog::takeToken()
+{
+    const TimePoint now = m_clock.now();
+    m_tokens += toSeconds(now - m_refilledAt) * m_options.linesPerSecond;
+    m_tokens = std::min(m_tokens, m_options.burstLines);
+    m_refilledAt = now;
+    if (m_tokens < 1)
+        return false;
+    m_tokens -= 1;
+    return true;
+}
+
+bool BoundedLog::write(const std::string &line)
+{
+    return ::write(m_descriptor, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+}
+
+void BoundedLog::send(google::LogSeverity severity, const char * /*fullFileName*/,
+                      const char * /*baseFileName*/, int /*line*/,
+                      const google::LogMessageTime & /*time*/, const char *message,
+                      std::size_t size)
+{
+    const auto wall =
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.wallNow().time_since_epoch());
+    std::string line = "ts=" + std::to_string(wall.count())
+        + " level=" + google::GetLogSeverityName(severity) + ' ';
+    line.append(message, size);
+    line += '\n';
+    const bool isUrgent = severity >= google::GLOG_WARNING;
+    if (!takeToken() && !isUrgent) {
+        ++m_dropped;
+        return;
+    }
+    if (!write(line)) {
+        ++m_dropped;
+        return;
+    }
+    if (m_dropped == m_reported)
+        return;
+    const std::uint64_t newly = m_dropped - m_reported;
+    if (write("event=log_lines_dropped count=" + std::to_string(newly) + '\n'))
+        m_reported = m_dropped;
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/callerconnection.cpp
@@ -0,0 +1,255 @@
+// While a request is answered one read stays open, so that a close is noticed at once; what it
+// reads belongs to the next request.
+#include "gateway/callerconnection.h"
+
+#include "gateway/exchange.h"
+#include "kernel/logline.h"
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <glog/logging.h>
+
+namespace arbutuspier {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr int kHttp11 = 11;
+/// Bytes of further requests that are read while one is answered.
+constexpr std::size_t kMaxReadAhead = 64 * 1024;
+constexpr std::size_t kReadAheadStep = 4 * 1024;
+/// A caller that does not take its answer for this long is given up.
+constexpr Duration kWriteTimeout = std::chrono::seconds{10};
+
+} // namespace
+
+CallerConnection::CallerConnection(Tcp::socket socket, GateState &state)
+    : m_stream(std::move(socket))
+    , m_state(state)
+    , m_watchEnded(m_stream.get_executor())
+{
+}
+
+Task<void> CallerConnection::run([[maybe_unused]] std::shared_ptr<CallerConnection> self)
+{
+    bool isKept = true;
+    while (isKept) {
+        Parser parser;
+        isKept = co_await readRequest(parser);
+        if (!isKept)
+            break;
+        m_isBusy = true;
+        Request request = parser.release();
+        m_wantsKeepAlive = request.keep_alive();
+        startWatch();
+        {
+            Exchange exchange(m_state, *this, request);
+            co_await exchange.run();
+        }
+        onGone = nullptr;
+        co_await stopWatch();
+        m_isBusy = false;
+        isKept = !m_isGone && !m_isClosing && m_wantsKeepAlive;
+    }
+    ErrorCode ignored;
+    m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    m_stream.close();
+}
+
+void CallerConnection::closeIfIdle()
+{
+    if (!m_isBusy && m_buffer.size() == 0)
+        m_stream.close();
+}
+
+Task<bool> CallerConnection::readRequest(Parser &parser)
+{
+    const CallerLimits limits = m_state.routes() ? m_state.routes()->limits() : CallerLimits{};
+    parser.header_limit(limits.maxHeaderBytes);
+    parser.body_limit(limits.maxBodyBytes);
+    if (m_buffer.size() == 0) {
+        m_stream.expires_after(limits.idleTimeout);
+        const auto [error, size] =
+            co_await m_stream.async_read_some(m_buffer.prepare(kReadAheadStep), kAwait);
+        if (error)
+            co_return false;
+        m_buffer.commit(size);
+    }
+    m_isBusy = true;
+    m_stream.expires_after(limits.headerTimeout);
+    const auto [headError, headSize] =
+        co_await http::async_read_header(m_stream, m_buffer, parser, kAwait);
+    ErrorCode error = headError;
+    if (!error) {
+        m_stream.expires_after(limits.idleTimeout);
+        error = co_await readBody(parser);
+    }
+    m_stream.expires_never();
+    m_isBusy = false;
+    if (!error)
+        co_return true;
+    co_return co_await answerBadRequest(error);
+}
+
+Task<ErrorCode> CallerConnection::readBody(Parser &parser)
+{
+    const bool isWaiting =
+        beast::iequals(parser.get()[http::field::expect], "100-continue") && !parser.is_done();
+    if (isWaiting && !co_await write("HTTP/1.1 100 Continue\r\n\r\n"))
+        co_return asio::error::connection_reset;
+    const auto [error, size] = co_await http::async_read(m_stream, m_buffer, parser, kAwait);
+    co_return error;
+}
+
+Task<bool> CallerConnection::answerBadRequest(ErrorCode error)
+{
+    m_wantsKeepAlive = false;
+    int status = 0;
+    if (error == http::error::header_limit)
+        status = 431;
+    else if (error == http::error::body_limit)
+        status = 413;
+    else if (error == beast::error::timeout)
+        status = 408;
+    else if (error.category() == http::make_error_code(http::error::bad_method).category()
+             && error != http::error::end_of_stream && error != http::error::partial_message)
+        status = 400;
+    if (status == 0)
+        co_return false;
+    LOG(INFO) << LogLine("request_rejected")
+                     .add("status", static_cast<std::uint64_t>(status))
+                     .add("cause", error.message())
+                     .text();
+    m_state.metrics.count("rejected", std::to_string(status));
+    co_await sendWhole(status, {}, {});
+    co_return false;
+}
+
+bool CallerConnection::staysOpen() const
+{
+    return m_wantsKeepAlive && !m_isClosing && !m_state.isDraining();
+}
+
+Task<bool> CallerConnection::write(const std::string &bytes)
+{
+    if (m_isGone)
+        co_return false;
+    m_stream.expires_after(kWriteTimeout);
+    const auto [error, size] = co_await asio::async_write(m_stream, asio::buffer(bytes), kAwait);
+    m_stream.expires_never();
+    if (error)
+        m_isClosing = true;
+    co_return !error;
+}
+
+Task<bool> CallerConnection::sendWhole(int status, platform::Fields fields, std::string body)
+{
+    if (m_isGone)
+        co_return false;
+    m_wantsKeepAlive = staysOpen();
+    http::response<http::string_body> response;
+    static_cast<http::fields &>(response.base()) = std::move(fields);
+    response.version(kHttp11);
+    response.result(static_cast<unsigned>(status));
+    response.body() = std::move(body);
+    response.content_length(response.body().size());
+    response.keep_alive(m_wantsKeepAlive);
+    m_stream.expires_after(kWriteTimeout);
+    const auto [error, size] = co_await http::async_write(m_stream, response, kAwait);
+    m_stream.expires_never();
+    if (error)
+        m_isClosing = true;
+    co_return !error;
+}
+
+Task<bool> CallerConnection::sendStreamHead(int status, platform::Fields fields)
+{
+    if (m_isGone)
+        co_return false;
+    m_wantsKeepAlive = staysOpen();
+    http::response<http::empty_body> response;
+    static_cast<http::fields &>(response.base()) = std::move(fields);
+    response.version(kHttp11);
+    response.result(static_cast<unsigned>(status));
+    response.chunked(true);
+    response.keep_alive(m_wantsKeepAlive);
+    http::response_serializer<http::empty_body> serializer(response);
+    m_stream.expires_after(kWriteTimeout);
+    const auto [error, size] = co_await http::async_write_header(m_stream, serializer, kAwait);
+    m_stream.expires_never();
+    if (error)
+        m_isClosing = true;
+    co_return !error;
+}
+
+Task<bool> CallerConnection::sendStreamBytes(const std::string &bytes)
+{
+    if (m_isGone)
+        co_return false;
+    m_stream.expires_after(kWriteTimeout);
+    const auto [error, size] =
+        co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(bytes)), kAwait);
+    m_stream.expires_never();
+    if (error)
+        m_isClosing = true;
+    co_return !error;
+}
+
+Task<bool> CallerConnection::endStream()
+{
+    co_return co_await write("0\r\n\r\n");
+}
+
+void CallerConnection::abort()
+{
+    m_isClosing = true;
+}
+
+void CallerConnection::noteGone()
+{
+    if (m_isGone)
+        return;
+    m_isGone = true;
+    if (onGone)
+        onGone();
+}
+
+void CallerConnection::startWatch()
+{
+    if (m_buffer.size() >= kMaxReadAhead)
+        return;
+    m_isWatching = true;
+    m_stream.socket().async_read_some(
+        m_buffer.prepare(kReadAheadStep),
+        asio::bind_cancellation_slot(
+            m_stopWatch.slot(), [self = shared_from_this()](ErrorCode error, std::size_t size) {
+                self->m_isWatching = false;
+                self->m_buffer.commit(size);
+                if (!error && !self->m_isStopping)
+                    self->startWatch();
+                else if (error && error != asio::error::operation_aborted)
+                    self->noteGone();
+                if (!self->m_isWatching)
+                    self->m_watchEnded.cancel();
+            }));
+}
+
+Task<void> CallerConnection::stopWatch()
+{
+    m_isStopping = true;
+    while (m_isWatching) {
+        m_watchEnded.expires_at(asio::steady_timer::time_point::max());
+        m_stopWatch.emit(asio::cancellation_type::terminal);
+        co_await m_watchEnded.async_wait(kAwait);
+    }
+    m_isStopping = false;
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/dispatcher.cpp
@@ -0,0 +1,211 @@
+// The choice itself is in PlacementPlan; this keeps the line of those who wait.
+#include "gateway/dispatcher.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace arbutuspier {
+
+namespace {
+
+std::uint64_t packingOrder(const std::string &replica)
+{
+    return XXH64(replica.data(), replica.size(), 0);
+}
+
+Duration fromMs(double ms)
+{
+    constexpr double kMsPerSecond = 1000.0;
+    return fromSeconds(ms / kMsPerSecond);
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(asio::any_io_executor executor, const Clock &clock, std::string vm,
+                       std::string zone, const UpstreamDirectory &directory, FleetLoad &load,
+                       const ReplicaHealth &health)
+    : m_executor(std::move(executor))
+    , m_clock(clock)
+    , m_vm(std::move(vm))
+    , m_zone(std::move(zone))
+    , m_directory(directory)
+    , m_load(load)
+    , m_health(health)
+{
+}
+
+std::shared_ptr<Dispatcher::Ticket> Dispatcher::makeTicket(DispatchNeed need)
+{
+    auto ticket = std::make_shared<Ticket>();
+    ticket->need = std::move(need);
+    ticket->order = m_nextOrder++;
+    ticket->wake = std::make_shared<asio::steady_timer>(m_executor);
+    return ticket;
+}
+
+Task<DispatchResult> Dispatcher::acquire(std::shared_ptr<Ticket> ticket)
+{
+    if (trySettle(*ticket))
+        co_return ticket->result;
+    const auto isLater = [&](const std::shared_ptr<Ticket> &other) {
+        return std::pair(other->need.priority, other->order)
+            > std::pair(ticket->need.priority, ticket->order);
+    };
+    m_waiting.insert(std::find_if(m_waiting.begin(), m_waiting.end(), isLater), ticket);
+    ticket->wake->expires_at(ticket->need.until);
+    co_await ticket->wake->async_wait(kAwait);
+    if (!ticket->isSettled) {
+        m_waiting.remove(ticket);
+        refuse(*ticket, DispatchRefusal::NoRoom);
+    }
+    co_return ticket->result;
+}
+
+void Dispatcher::cancel(Ticket &ticket)
+{
+    if (ticket.isSettled)
+        return;
+    refuse(ticket, DispatchRefusal::Cancelled);
+    std::erase_if(m_waiting, [&](const auto &other) { return other.get() == &ticket; });
+}
+
+void Dispatcher::settle(Ticket &ticket)
+{
+    ticket.isSettled = true;
+    ticket.wake->cancel();
+}
+
+void Dispatcher::refuse(Ticket &ticket, DispatchRefusal refusal)
+{
+    ticket.result.refusal = refusal;
+    settle(ticket);
+}
+
+std::vector<PlacementCandidate> Dispatcher::candidates(const DispatchNeed &need) const
+{
+    const TimePoint now = m_clock.now();
+    std::vector<PlacementCandidate> result;
+    for (const ReplicaEntry *entry : m_directory.usable(need.service)) {
+        if (need.excluded.count(entry->id) != 0)
+            continue;
+        const ReplicaLife life{entry->id, entry->bornMs};
+        PlacementCandidate candidate;
+        candidate.replica = entry->id;
+        candidate.slots = entry->slots;
+        candidate.load = m_load.of(entry->id);
+        candidate.pace = m_health.pace(life);
+        candidate.isShunned = m_health.isShunned(life, now);
+        candidate.isLocalZone = entry->zone == m_zone;
+        candidate.order = packingOrder(entry->id);
+        result.push_back(std::move(candidate));
+    }
+    return result;
+}
+
+bool Dispatcher::trySettle(Ticket &ticket)
+{
+    const ServiceSpec *service = ticket.need.table->service(ticket.need.service);
+    std::vector<PlacementCandidate> all = candidates(ticket.need);
+    if (all.empty() && !ticket.need.excluded.empty()) {
+        // Rather a replica that failed this request before than none.
+        ticket.need.excluded.clear();
+        all = candidates(ticket.need);
+    }
+    if (all.empty()) {
+        refuse(ticket, DispatchRefusal::NoReplica);
+        return true;
+    }
+    if (!service || !service->engine) {
+        const auto replica = placeCall(all);
+        if (replica)
+            grantCall(ticket, *replica);
+        return replica.has_value();
+    }
+    const EngineFigures &figures = *service->engine;
+    const auto placement = placePrompt(figures, ticket.need.prompt, all, m_options, m_clock.now());
+    if (placement) {
+        grantPrompt(ticket, *placement);
+        return true;
+    }
+    const std::uint64_t needed = ticket.need.prompt.promptTokens + ticket.need.prompt.answerTokens;
+    if (needed > figures.memoryTokens) {
+        refuse(ticket, DispatchRefusal::TooLarge);
+        return true;
+    }
+    return false;
+}
+
+void Dispatcher::grantPrompt(Ticket &ticket, const Placement &placement)
+{
+    const PromptShape &prompt = ticket.need.prompt;
+    DispatchGrant grant;
+    grant.replica = *m_directory.find(placement.replica);
+    for (const std::string &helper : placement.helpers)
+        grant.helpers.push_back(*m_directory.find(helper));
+    grant.work = m_nextWork++;
+    grant.forecast = fromMs(placement.firstEventMs);
+    const ReplicaLoad &load = m_load.of(placement.replica);
+    grant.wasIdle = load.busyUntil <= m_clock.now() && placement.helpers.empty();
+    Work work;
+    work.id = grant.work;
+    work.gapObjective = prompt.gapObjective;
+    const std::uint64_t parts = placement.helpers.size() + 1;
+    work.parts.push_back({placement.replica, placement.partReadMs, prompt.promptTokens / parts,
+                          prompt.promptTokens + prompt.answerTokens, true});
+    for (const std::string &helper : placement.helpers)
+        work.parts.push_back({helper, placement.partReadMs, 0, 0, false});
+    ticket.result.grant = std::move(grant);
+    begin(std::move(work));
+    settle(ticket);
+}
+
+void Dispatcher::grantCall(Ticket &ticket, const std::string &replica)
+{
+    DispatchGrant grant;
+    grant.replica = *m_directory.find(replica);
+    grant.work = m_nextWork++;
+    grant.wasIdle = m_load.of(replica).running == 0;
+    Work work;
+    work.id = grant.work;
+    work.parts.push_back({replica, 0, 0, 0, true});
+    ticket.result.grant = std::move(grant);
+    begin(std::move(work));
+    settle(ticket);
+}
+
+void Dispatcher::begin(Work work)
+{
+    if (onNews)
+        onNews({WorkNews::Kind::Began, work.id, work});
+    m_load.begin(m_vm, std::move(work), m_clock.now());
+}
+
+void Dispatcher::beginWriting(std::uint64_t work)
+{
+    m_load.beginWriting(m_vm, work, m_clock.now());
+    if (onNews)
+        onNews({WorkNews::Kind::Writing, work, std::nullopt});
+    pump();
+}
+
+void Dispatcher::end(std::uint64_t work)
+{
+    m_load.end(m_vm, work, m_clock.now());
+    if (onNews)
+        onNews({WorkNews::Kind::Ended, work, std::nullopt});
+    pump();
+}
+
+void Dispatcher::pump()
+{
+    for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+        const std::shared_ptr<Ticket> ticket = *it;
+        if (trySettle(*ticket))
+            it = m_waiting.erase(it);
+        else
+            ++it;
+    }
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/dispatcher.h
@@ -0,0 +1,128 @@
+// Hands requests to replicas: at once where there is room, else in order of urgency.
+#pragma once
+
+#include "arbutuspier/fleetload.h"
+#include "arbutuspier/placementplan.h"
+#include "arbutuspier/replicahealth.h"
+#include "arbutuspier/routetable.h"
+#include "arbutuspier/upstreamdirectory.h"
+#include "net/asiotypes.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace arbutuspier {
+
+/// What a request needs of a replica.
+struct DispatchNeed
+{
+    std::shared_ptr<const RouteTable> table;
+    std::string service;
+    PromptShape prompt;
+    /// Zero is the most urgent.
+    std::uint32_t priority = 0;
+    /// Waits for room no longer than this.
+    TimePoint until{};
+    /// Replicas that were tried already.
+    std::set<std::string> excluded;
+};
+
+struct DispatchGrant
+{
+    ReplicaEntry replica;
+    std::vector<ReplicaEntry> helpers;
+    /// Names the work until it is ended.
+    std::uint64_t work = 0;
+    /// Forecast of the first event; zero for plain calls.
+    Duration forecast{};
+    /// The replica had nothing else to read, so that its time tells its pace.
+    bool wasIdle = false;
+};
+
+enum class DispatchRefusal : std::uint8_t {
+    /// No replica of the service is known to be up.
+    NoReplica,
+    /// No replica had room in time.
+    NoRoom,
+    /// The prompt is larger than what replicas can hold.
+    TooLarge,
+    Cancelled,
+};
+
+struct DispatchResult
+{
+    std::optional<DispatchGrant> grant;
+    DispatchRefusal refusal = DispatchRefusal::NoRoom;
+};
+
+/// What VMs tell each other about their work.
+struct WorkNews
+{
+    enum class Kind : std::uint8_t { Began, Writing, Ended };
+    Kind kind = Kind::Began;
+    std::uint64_t id = 0;
+    /// Set where the work began.
+    std::optional<Work> work;
+};
+
+class Dispatcher
+{
+public:
+    /// A request that waits. Its owner may cancel it.
+    struct Ticket
+    {
+        DispatchNeed need;
+        std::uint64_t order = 0;
+        std::shared_ptr<asio::steady_timer> wake;
+        DispatchResult result;
+        bool isSettled = false;
+    };
+
+    Dispatcher(asio::any_io_executor executor, const Clock &clock, std::string vm, std::string zone,
+               const UpstreamDirectory &directory, FleetLoad &load, const ReplicaHealth &health);
+
+    /// Waits for a replica. The grant must be ended with `end`.
+    Task<DispatchResult> acquire(std::shared_ptr<Ticket> ticket);
+    std::shared_ptr<Ticket> makeTicket(DispatchNeed need);
+    /// The request's caller has gone.
+    void cancel(Ticket &ticket);
+    void beginWriting(std::uint64_t work);
+    void end(std::uint64_t work);
+    /// Room or replicas changed: grants what can be granted.
+    void pump();
+
+    std::size_t waiting() const { return m_waiting.size(); }
+    std::size_t running() const { return m_load.worksOf(m_vm).size(); }
+    /// Called with each change of this VM's own work.
+    std::function<void(const WorkNews &)> onNews;
+
+private:
+    bool trySettle(Ticket &ticket);
+    std::vector<PlacementCandidate> candidates(const DispatchNeed &need) const;
+    void grantPrompt(Ticket &ticket, const Placement &placement);
+    void grantCall(Ticket &ticket, const std::string &replica);
+    void begin(Work work);
+    void settle(Ticket &ticket);
+    void refuse(Ticket &ticket, DispatchRefusal refusal);
+
+    asio::any_io_executor m_executor;
+    const Clock &m_clock;
+    std::string m_vm;
+    std::string m_zone;
+    const UpstreamDirectory &m_directory;
+    FleetLoad &m_load;
+    const ReplicaHealth &m_health;
+    PlacementOptions m_options;
+    /// Invariant: sorted by (priority, order); none is settled.
+    std::list<std::shared_ptr<Ticket>> m_waiting;
+    std::uint64_t m_nextOrder = 1;
+    std::uint64_t m_nextWork = 1;
+};
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/exchange.h
@@ -0,0 +1,102 @@
+// One request from its reading to the end of its answer: route, wait, send, send again, answer.
+#pragma once
+
+#include "arbutuspier/ids.h"
+#include "arbutuspier/streamsplice.h"
+#include "arbutuspier/verdict.h"
+#include "gateway/callerconnection.h"
+#include "gateway/dispatcher.h"
+#include "gateway/gatestate.h"
+#include "gateway/upstreamattempt.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace arbutuspier {
+
+class Exchange
+{
+public:
+    using Request = CallerConnection::Request;
+
+    Exchange(GateState &state, CallerConnection &caller, const Request &request);
+    ~Exchange();
+
+    Task<void> run();
+
+private:
+    /// How one attempt ended.
+    enum class End : std::uint8_t {
+        /// The caller has its whole answer.
+        Answered,
+        /// The replica did not run the request.
+        NotRun,
+        /// The replica answered that it failed; the answer may be passed on.
+        Failed,
+        /// The answer broke off, was no answer, or did not come in time.
+        Lost,
+        CallerGone,
+    };
+
+    bool checkRequest();
+    bool checkKey();
+    void limitTime();
+    PromptShape promptShape() const;
+    Task<void> attemptUntilAnswered();
+    Task<End> attempt(const DispatchGrant &grant);
+    Task<End> readWhole(UpstreamAttempt &attempt, const DispatchGrant &grant);
+    Task<End> readStream(UpstreamAttempt &attempt, const DispatchGrant &grant);
+    Task<bool> passOn(UpstreamAttempt &attempt, const DispatchGrant &grant,
+                      const std::string &events);
+    bool isTrustworthy(const UpstreamAttempt &attempt) const;
+    UpstreamAttempt::Request upstreamRequest(const DispatchGrant &grant) const;
+    DispatchNeed need() const;
+    bool mayRetry(End end);
+    void noteEnd(End end, const UpstreamAttempt &attempt, const DispatchGrant &grant);
+    void noteDeath(const DispatchGrant &grant);
+    TimePoint patienceEnd(const DispatchGrant &grant) const;
+    bool couldRepeat() const;
+    bool canSplit() const { return m_canSplit; }
+
+    Task<void> refuse(int status, std::string_view reason, std::optional<Duration> retryAfter);
+    Task<void> answerFailure(End last);
+    Duration timeLeft() const;
+    TimePoint deadline() const;
+    void log(std::string_view outcome, std::string_view reason);
+
+    GateState &m_state;
+    CallerConnection &m_caller;
+    const Request &m_request;
+    platform::CallerHead m_head;
+    std::shared_ptr<const RouteTable> m_table;
+    const ServiceRoute *m_route = nullptr;
+    std::string m_team;
+    std::uint32_t m_priority = 0;
+    std::string m_service;
+    Fingerprint m_fingerprint;
+    TimePoint m_arrived;
+    /// When the caller gives up, and when the route's time is over.
+    TimePoint m_callerEnd;
+    TimePoint m_routeEnd;
+
+    std::shared_ptr<Dispatcher::Ticket> m_ticket;
+    UpstreamAttempt *m_attempt = nullptr;
+    std::optional<StreamSplice> m_splice;
+    std::set<std::string> m_tried;
+    /// Sends that reached a replica.
+    std::uint32_t m_sends = 0;
+    /// Sends that may have run.
+    std::uint32_t m_runs = 0;
+    std::uint32_t m_unreachable = 0;
+    bool m_canSplit = true;
+    bool m_hasHead = false;
+    bool m_wasLogged = false;
+    Duration m_queued{};
+    std::optional<Duration> m_firstEvent;
+    std::string m_replicas;
+};
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/gatesettings.cpp
@@ -0,0 +1,140 @@
+// Required keys are named in full when they are missing; unknown keys are ignored, as the platform
+// may render settings for a newer version.
+#include "gateway/gatesettings.h"
+
+#include <toml++/toml.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace arbutuspier {
+
+namespace {
+
+class Reader
+{
+public:
+    explicit Reader(const toml::table &document)
+        : m_document(document)
+    {
+    }
+
+    std::string text(const char *path)
+    {
+        const auto value = m_document.at_path(path).value<std::string>();
+        if (!value || value->empty())
+            fail(path, "text");
+        return value.value_or("");
+    }
+
+    Address address(const char *path)
+    {
+        Address result;
+        const auto value = m_document.at_path(path).value<std::string>();
+        if (!value || !parseAddress(*value, result))
+            fail(path, "IP:port");
+        return result;
+    }
+
+    Duration milliseconds(const char *path, Duration fallback)
+    {
+        return scaled(path, fallback, 1e-3);
+    }
+
+    Duration seconds(const char *path, Duration fallback) { return scaled(path, fallback, 1.0); }
+
+    double number(const char *path, double fallback)
+    {
+        const toml::node_view node = m_document.at_path(path);
+        if (!node)
+            return fallback;
+        const auto value = node.value<double>();
+        if (!value || *value < 0) {
+            fail(path, "a number that is not negative");
+            return fallback;
+        }
+        return *value;
+    }
+
+    std::vector<std::string> texts(const char *path)
+    {
+        std::vector<std::string> result;
+        const toml::array *list = m_document.at_path(path).as_array();
+        if (!list)
+            return result;
+        for (const toml::node &item : *list) {
+            if (const auto value = item.value<std::string>())
+                result.push_back(*value);
+        }
+        return result;
+    }
+
+    const std::string &errors() const { return m_errors; }
+
+private:
+    Duration scaled(const char *path, Duration fallback, double unit)
+    {
+        return fromSeconds(number(path, toSeconds(fallback) / unit) * unit);
+    }
+
+    void fail(const char *path, const char *expected)
+    {
+        if (!m_errors.empty())
+            m_errors += '\n';
+        m_errors += std::string(path) + ": expected " + expected;
+    }
+
+    const toml::table &m_document;
+    std::string m_errors;
+};
+
+GateSettings read(Reader &reader)
+{
+    GateSettings settings;
+    settings.vm = reader.text("vm.name");
+    settings.zone = reader.text("vm.zone");
+    settings.callers = reader.address("listen.callers");
+    settings.readiness = reader.address("listen.readiness");
+    settings.peers = reader.address("listen.peers");
+    settings.metrics = reader.address("listen.metrics");
+    settings.store = reader.address("platform.store");
+    for (const std::string &seed : reader.texts("peers.seeds"))
+        settings.seedHosts.push_back(seed.substr(0, seed.rfind(':')));
+    settings.replicaHeartbeat =
+        reader.milliseconds("platform.replica_heartbeat_ms", settings.replicaHeartbeat);
+    settings.drainBound = reader.milliseconds("bounds.drain_ms", settings.drainBound);
+    settings.configBound = reader.milliseconds("bounds.config_ms", settings.configBound);
+    settings.grace = reader.seconds("bounds.grace_s", settings.grace);
+    settings.retryRatio = reader.number("retries.ratio", settings.retryRatio);
+    settings.retrySlack = reader.number("retries.slack", settings.retrySlack);
+    settings.retryWindow = reader.seconds("retries.window_s", settings.retryWindow);
+    return settings;
+}
+
+} // namespace
+
+Result<GateSettings> parseGateSettings(std::string_view text, const std::string &fileName)
+{
+    try {
+        const toml::table document = toml::parse(text, fileName);
+        Reader reader(document);
+        GateSettings settings = read(reader);
+        if (!reader.errors().empty())
+            return Error(fileName + ": " + reader.errors());
+        return settings;
+    } catch (const toml::parse_error &error) {
+        return Error(fileName + ": " + std::string(error.description()));
+    }
+}
+
+Result<GateSettings> loadGateSettings(const std::string &fileName)
+{
+    std::ifstream file(fileName);
+    if (!file)
+        return Error(fileName + ": can't be read");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseGateSettings(text.str(), fileName);
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/gatesettings.h
@@ -0,0 +1,48 @@
+// Settings of the gate, the process between callers and replicas on the platform, read from TOML.
+#pragma once
+
+#include "arbutuspier/clock.h"
+#include "arbutuspier/result.h"
+#include "settings/settings.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace arbutuspier {
+
+struct GateSettings
+{
+    /// Name of this VM; its life has a number of its own.
+    std::string vm;
+    std::string zone;
+    /// Where callers connect.
+    Address callers;
+    /// Where the balancer asks whether this VM takes new connections.
+    Address readiness;
+    /// Where peers send hints (UDP) and fetch the configuration (TCP); the port is the same on all.
+    Address peers;
+    Address metrics;
+    Address store;
+    /// IP numbers of VMs that may know others, for a start while the store is away.
+    std::vector<std::string> seedHosts;
+    /// Time between two signs of life of a replica in the store.
+    Duration replicaHeartbeat = std::chrono::milliseconds{1200};
+    /// A replica gets no new work this long after it was seen to leave.
+    Duration drainBound = std::chrono::seconds{2};
+    /// A new configuration is in force within this time.
+    Duration configBound = std::chrono::seconds{2};
+    /// Time from SIGTERM to SIGKILL.
+    Duration grace = std::chrono::seconds{8};
+    /// Repeats that the fleet may send for each request, and beside that, in a window.
+    double retryRatio = 0.2;
+    double retrySlack = 100;
+    Duration retryWindow = std::chrono::seconds{10};
+};
+
+/// Reads and checks the settings. The error lists every mistake as "key: expected ...".
+Result<GateSettings> parseGateSettings(std::string_view text, const std::string &fileName);
+Result<GateSettings> loadGateSettings(const std::string &fileName);
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/gatestate.h
@@ -0,0 +1,64 @@
+// What one gate knows and counts; owned by the control thread and read by the exchanges.
+#pragma once
+
+#include "arbutuspier/quarantine.h"
+#include "arbutuspier/random.h"
+#include "arbutuspier/replicahealth.h"
+#include "arbutuspier/retryallowance.h"
+#include "arbutuspier/routetable.h"
+#include "arbutuspier/upstreamdirectory.h"
+#include "gateway/dispatcher.h"
+#include "gateway/gatemetrics.h"
+#include "gateway/gatesettings.h"
+#include "gateway/upstreampool.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace arbutuspier {
+
+class GateState
+{
+public:
+    GateState(asio::any_io_executor executor, const GateSettings &settings, const Clock &clock);
+
+    /// Puts a configuration in force unless one as new is. True if it was newer.
+    bool applyConfiguration(std::shared_ptr<const RouteTable> table, std::string_view source);
+    /// The configuration in force; null while none is known.
+    const std::shared_ptr<const RouteTable> &routes() const { return m_routes; }
+
+    RetryAllowance &allowance(const std::string &service);
+    /// VMs that serve at present, this one among them.
+    std::size_t vmCount() const { return m_vmCount; }
+    void setVmCount(std::size_t count) { m_vmCount = count; }
+
+    bool isDraining() const { return m_drainEnd.has_value(); }
+    /// When everything in flight must have ended, once the VM drains.
+    const std::optional<TimePoint> &drainEnd() const { return m_drainEnd; }
+    void beginDrain(TimePoint end) { m_drainEnd = end; }
+
+    const GateSettings &settings;
+    const Clock &clock;
+    asio::any_io_executor executor;
+    UpstreamDirectory directory;
+    FleetLoad load;
+    ReplicaHealth health;
+    UpstreamPool pool;
+    Quarantine quarantine;
+    Dispatcher dispatcher;
+    GateMetrics metrics;
+    Random random;
+    /// Requests that a replica's crash made suspects, for peers.
+    std::function<void(const SuspectNotice &)> onSuspect;
+
+private:
+    std::shared_ptr<const RouteTable> m_routes;
+    std::map<std::string, RetryAllowance> m_allowances;
+    std::size_t m_vmCount = 1;
+    std::optional<TimePoint> m_drainEnd;
+};
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,58 @@
+// The process between callers and replicas: puts its parts together, starts and drains them.
+#pragma once
+
+#include "gateway/callerconnection.h"
+#include "gateway/gatestate.h"
+#include "gateway/peerhints.h"
+#include "gateway/statusserver.h"
+#include "gateway/storewatch.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace arbutuspier {
+
+class Gateway
+{
+public:
+    Gateway(GateSettings settings, std::string settingsFile, const Clock &clock);
+
+    /// Opens all ports. The error names the one that can't be had.
+    Result<bool> listen();
+    /// Serves until the drain that SIGTERM begins is over.
+    void run();
+
+private:
+    bool isReady() const;
+    StatusAnswer answerStatus(std::string_view path) const;
+    std::string metricsText();
+    Task<void> acceptCallers();
+    Task<void> tick();
+    Task<void> drain();
+    Task<void> watchSignals();
+    void beginDrain();
+    void closeIdleCallers();
+    void noteFreeze(TimePoint now);
+
+    GateSettings m_settings;
+    std::string m_settingsFile;
+    const Clock &m_clock;
+    asio::io_context m_context{1};
+    GateState m_state;
+    StoreWatch m_store;
+    PeerHints m_hints;
+    StatusServer m_readiness;
+    StatusServer m_peers;
+    StatusServer m_metrics;
+    std::unique_ptr<Tcp::acceptor> m_callers;
+    std::vector<std::weak_ptr<CallerConnection>> m_connections;
+    asio::signal_set m_signals;
+    bool m_wasReady = false;
+    TimePoint m_lastTick{};
+    std::chrono::nanoseconds m_lastBoot{};
+};
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/peerhints.h
@@ -0,0 +1,75 @@
+// Sends hints to the other VMs and takes theirs.
+#pragma once
+
+#include "gateway/gatestate.h"
+#include "gateway/hintcodec.h"
+#include "gateway/storewatch.h"
+#include "net/asiotypes.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace arbutuspier {
+
+class PeerHints
+{
+public:
+    PeerHints(asio::io_context &context, GateState &state, StoreWatch &store);
+
+    Result<bool> open();
+    void start();
+    void setVms(const std::vector<VmRow> &vms);
+    /// Tells all peers soon; several pieces of news share one datagram.
+    void tell(const WorkNews &news);
+    void tell(const SuspectNotice &notice);
+    /// Tells peers of replicas that left, and of a new configuration.
+    void tellChanges();
+    /// Peers heard of late.
+    std::size_t alivePeers() const;
+
+private:
+    using Udp = asio::ip::udp;
+
+    struct Peer
+    {
+        Udp::endpoint endpoint;
+        std::string vm;
+        std::uint64_t life = 0;
+        std::uint64_t sequence = 0;
+        std::uint64_t configVersion = 0;
+        TimePoint heardAt{};
+        TimePoint knownAt{};
+        bool isHeard = false;
+        bool isLeaving = false;
+    };
+
+    Task<void> receive();
+    Task<void> beat();
+    Task<void> fetchConfiguration(Udp::endpoint endpoint);
+    void take(const Hint &hint, const Udp::endpoint &from);
+    void takeNews(const Hint &hint);
+    void scheduleFlush();
+    void send(Hint hint);
+    void forgetSilent(TimePoint now);
+    Hint emptyHint();
+
+    asio::io_context &m_context;
+    GateState &m_state;
+    StoreWatch &m_store;
+    Udp::socket m_socket;
+    asio::steady_timer m_flushTimer;
+    Hint m_outbox;
+    bool m_isFlushDue = false;
+    bool m_isFetching = false;
+    std::uint64_t m_life;
+    std::uint64_t m_sequence = 0;
+    std::map<Udp::endpoint, Peer> m_peers;
+    std::array<char, 65536> m_buffer{};
+};
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/statusserver.h
@@ -0,0 +1,41 @@
+// A small HTTP server for questions about this VM: readiness, metrics, the configuration for peers.
+#pragma once
+
+#include "net/asiotypes.h"
+#include "settings/settings.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace arbutuspier {
+
+struct StatusAnswer
+{
+    int status = 404;
+    std::string contentType = "text/plain";
+    std::string body;
+};
+
+class StatusServer
+{
+public:
+    using Handler = std::function<StatusAnswer(std::string_view path)>;
+
+    StatusServer(asio::io_context &context, Address address, Handler handler);
+
+    /// Opens the port; `setting` names it in the error.
+    Result<bool> listen(std::string_view setting);
+    Task<void> accept();
+
+private:
+    Task<void> serve(Tcp::socket socket);
+
+    asio::io_context &m_context;
+    Address m_address;
+    Handler m_handler;
+    std::unique_ptr<Tcp::acceptor> m_acceptor;
+};
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/storewatch.cpp
@@ -0,0 +1,241 @@
+// The configuration is awaited, as it changes seldom; the replicas are read at a pace, as every
+// sign of life of each of them would end a wait.
+#include "gateway/storewatch.h"
+
+#include "kernel/logline.h"
+#include "platform/configdecoder.h"
+#include "platform/replicadecoder.h"
+#include "platform/tablenames.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace arbutuspier {
+
+using Outcome = platform::StoreRead::Outcome;
+
+namespace {
+
+constexpr Duration kCallTimeout = std::chrono::milliseconds{800};
+/// A wait for a change that hears nothing is asked anew after this, in case it is not heard at all.
+constexpr double kConfigWaitPart = 0.6;
+/// Part of the drain bound between two reads of the replicas.
+constexpr double kReplicaReadPart = 0.3;
+constexpr Duration kVmInterval = std::chrono::seconds{8};
+constexpr Duration kFirstBackoff = std::chrono::milliseconds{100};
+constexpr Duration kMaxBackoff = std::chrono::milliseconds{800};
+constexpr std::uint32_t kMaxDoublings = 4;
+
+Duration scaled(double part, Duration duration)
+{
+    return fromSeconds(part * toSeconds(duration));
+}
+
+} // namespace
+
+StoreWatch::StoreWatch(asio::io_context &context, GateState &state)
+    : m_context(context)
+    , m_state(state)
+    , m_configClient(context.get_executor(), state.settings.store)
+    , m_replicaClient(context.get_executor(), state.settings.store)
+    , m_vmClient(context.get_executor(), state.settings.store)
+    , m_replicaTimer(context)
+{
+}
+
+void StoreWatch::start()
+{
+    asio::co_spawn(m_context, watchConfiguration(), asio::detached);
+    asio::co_spawn(m_context, watchReplicas(), asio::detached);
+    asio::co_spawn(m_context, watchVms(), asio::detached);
+}
+
+void StoreWatch::refresh()
+{
+    m_replicaTimer.cancel();
+}
+
+std::uint64_t StoreWatch::calls() const
+{
+    return m_configClient.calls() + m_replicaClient.calls() + m_vmClient.calls();
+}
+
+Task<void> StoreWatch::pause(asio::steady_timer &timer, Duration duration)
+{
+    timer.expires_after(duration);
+    co_await timer.async_wait(kAwait);
+}
+
+Duration StoreWatch::backoff(std::uint32_t failures)
+{
+    const Duration base = kFirstBackoff * (1U << std::min(failures, kMaxDoublings));
+    return jittered(m_state.random, std::min(base, kMaxBackoff));
+}
+
+void StoreWatch::noteStore(bool isUp, std::string_view reader, int status)
+{
+    if (isUp == m_isStoreUp)
+        return;
+    m_isStoreUp = isUp;
+    LOG(INFO) << LogLine(isUp ? "store_regained" : "store_lost")
+                     .add("reader", reader)
+                     .add("status", static_cast<std::uint64_t>(status))
+                     .add("replica_revision", m_replicaRevision)
+                     .add("config", m_state.routes() ? m_state.routes()->version() : 0)
+                     .text();
+}
+
+bool StoreWatch::offerConfiguration(const std::string &bytes, std::string_view source)
+{
+    auto table = platform::decodeConfiguration(bytes);
+    if (!table) {
+        LOG(WARNING) << LogLine("configuration_unreadable")
+                            .add("source", source)
+                            .add("error", table.error().message)
+                            .text();
+        return false;
+    }
+    if (!m_state.applyConfiguration(std::move(*table), source))
+        return true;
+    m_configurationBytes = bytes;
+    if (onConfiguration)
+        onConfiguration();
+    return true;
+}
+
+void StoreWatch::takeConfiguration(const platform::StoreRead &read)
+{
+    m_configRevision = std::max(m_configRevision, read.revision);
+    for (const platform::StoreRow &row : read.rows) {
+        if (row.key == platform::kConfigurationRow && !row.isDeleted)
+            offerConfiguration(row.bytes, "store");
+    }
+}
+
+Task<void> StoreWatch::watchConfiguration()
+{
+    asio::steady_timer timer(m_context);
+    std::uint32_t failures = 0;
+    bool isWhole = true;
+    while (true) {
+        platform::StoreRead read;
+        if (isWhole) {
+            read = co_await m_configClient.readTable(platform::kOperatorTable, kCallTimeout);
+        } else {
+            read = co_await m_configClient.readChanges(
+                platform::kOperatorTable, m_configRevision,
+                scaled(kConfigWaitPart, m_state.settings.configBound), kCallTimeout);
+        }
+        if (read.outcome == Outcome::Done) {
+            failures = 0;
+            takeConfiguration(read);
+            isWhole = !m_state.routes();
+            if (isWhole)
+                co_await pause(timer, backoff(0));
+            continue;
+        }
+        isWhole = isWhole || read.outcome == Outcome::HistoryGone;
+        if (read.outcome != Outcome::HistoryGone)
+            co_await pause(timer, backoff(failures++));
+    }
+}
+
+void StoreWatch::takeReplicas(const platform::StoreRead &read, bool isWhole)
+{
+    // An answer from the past would bring back what has left.
+    if (read.revision < m_replicaRevision) {
+        LOG(INFO) << LogLine("stale_read")
+                         .add("revision", read.revision)
+                         .add("known", m_replicaRevision)
+                         .text();
+        return;
+    }
+    const TimePoint now = m_state.clock.now();
+    m_replicaRevision = read.revision;
+    std::vector<ReplicaRow> rows;
+    for (const platform::StoreRow &row : read.rows) {
+        ReplicaRow decoded{row.key, std::nullopt};
+        if (!row.isDeleted)
+            decoded.entry = platform::decodeReplica(row.key, row.bytes);
+        rows.push_back(std::move(decoded));
+    }
+    m_state.directory.setReachable(now);
+    const std::uint64_t before = m_state.directory.revision();
+    if (isWhole)
+        m_state.directory.replaceAll(rows, now);
+    else
+        m_state.directory.apply(rows, now);
+    if (m_state.directory.revision() != before) {
+        LOG(INFO) << LogLine("replicas_changed")
+                         .add("store_revision", read.revision)
+                         .add("directory", m_state.directory.revision())
+                         .add("known", m_state.directory.size())
+                         .text();
+    }
+    m_hasReplicas = true;
+    if (onReplicas)
+        onReplicas();
+}
+
+Task<void> StoreWatch::watchReplicas()
+{
+    std::uint32_t failures = 0;
+    bool isWhole = true;
+    const Duration interval = scaled(kReplicaReadPart, m_state.settings.drainBound);
+    while (true) {
+        platform::StoreRead read;
+        if (isWhole) {
+            read = co_await m_replicaClient.readTable(platform::kReplicaTable, kCallTimeout);
+        } else {
+            read = co_await m_replicaClient.readChanges(platform::kReplicaTable, m_replicaRevision,
+                                                        Duration::zero(), kCallTimeout);
+        }
+        noteStore(read.outcome == Outcome::Done, "replicas", read.status);
+        if (read.outcome == Outcome::Done) {
+            failures = 0;
+            takeReplicas(read, isWhole);
+            isWhole = false;
+            co_await pause(m_replicaTimer, interval);
+            continue;
+        }
+        isWhole = isWhole || read.outcome == Outcome::HistoryGone;
+        if (read.outcome == Outcome::HistoryGone)
+            continue;
+        m_state.directory.setUnreachable();
+        co_await pause(m_replicaTimer, backoff(failures++));
+    }
+}
+
+Task<bool> StoreWatch::registerSelf()
+{
+    co_return co_await m_vmClient.write(platform::kVmTable, m_state.settings.vm,
+                                        m_state.settings.peers.text(), kCallTimeout);
+}
+
+Task<void> StoreWatch::watchVms()
+{
+    asio::steady_timer timer(m_context);
+    std::uint32_t failures = 0;
+    bool isRegistered = false;
+    while (true) {
+        if (!isRegistered)
+            isRegistered = co_await registerSelf();
+        const platform::StoreRead read =
+            co_await m_vmClient.readTable(platform::kVmTable, kCallTimeout);
+        const bool isDone = isRegistered && read.outcome == Outcome::Done;
+        std::vector<VmRow> vms;
+        for (const platform::StoreRow &row : read.rows)
+            vms.push_back({row.key, row.bytes});
+        if (read.outcome == Outcome::Done && onVms)
+            onVms(vms);
+        if (isDone)
+            failures = 0;
+        co_await pause(timer, isDone ? jittered(m_state.random, kVmInterval) : backoff(failures++));
+    }
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/storewatch.h
@@ -0,0 +1,67 @@
+// Follows the platform's store: the configuration, the replicas, the other VMs.
+#pragma once
+
+#include "gateway/gatestate.h"
+#include "platform/storeclient.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace arbutuspier {
+
+/// A VM as it registered itself in the store.
+struct VmRow
+{
+    std::string vm;
+    /// Where it takes hints, "IP:PORT".
+    std::string address;
+};
+
+class StoreWatch
+{
+public:
+    StoreWatch(asio::io_context &context, GateState &state);
+
+    void start();
+    /// Reads the replicas anew at once, as what is known may be long out of date.
+    void refresh();
+
+    /// The bytes of the configuration in force, for peers.
+    const std::string &configurationBytes() const { return m_configurationBytes; }
+    /// Takes a configuration from the store or a peer. False if it can't be read.
+    bool offerConfiguration(const std::string &bytes, std::string_view source);
+    /// True once the replicas were read after the start.
+    bool hasReplicas() const { return m_hasReplicas; }
+    std::uint64_t calls() const;
+
+    std::function<void(const std::vector<VmRow> &)> onVms;
+    std::function<void()> onConfiguration;
+    std::function<void()> onReplicas;
+
+private:
+    Task<void> watchConfiguration();
+    Task<void> watchReplicas();
+    Task<void> watchVms();
+    Task<bool> registerSelf();
+    Task<void> pause(asio::steady_timer &timer, Duration duration);
+    void takeConfiguration(const platform::StoreRead &read);
+    void takeReplicas(const platform::StoreRead &read, bool isWhole);
+    void noteStore(bool isUp, std::string_view reader, int status);
+    Duration backoff(std::uint32_t failures);
+
+    asio::io_context &m_context;
+    GateState &m_state;
+    platform::StoreClient m_configClient;
+    platform::StoreClient m_replicaClient;
+    platform::StoreClient m_vmClient;
+    asio::steady_timer m_replicaTimer;
+    std::string m_configurationBytes;
+    std::uint64_t m_configRevision = 0;
+    std::uint64_t m_replicaRevision = 0;
+    bool m_hasReplicas = false;
+    bool m_isStoreUp = true;
+};
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/upstreamattempt.cpp
@@ -0,0 +1,138 @@
+// Closing the socket is the one way to stop an attempt: every pending step then ends with an error,
+// and the replica learns at once that nobody waits any more.
+#include "gateway/upstreamattempt.h"
+
+#include "net/httpchannel.h"
+#include "settings/settings.h"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+
+namespace arbutuspier {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
+
+} // namespace
+
+UpstreamAttempt::UpstreamAttempt(asio::any_io_executor executor, UpstreamPool &pool,
+                                 ReplicaLife life)
+    : m_executor(std::move(executor))
+    , m_pool(pool)
+    , m_life(std::move(life))
+    , m_timer(std::make_shared<asio::steady_timer>(m_executor))
+{
+}
+
+UpstreamAttempt::~UpstreamAttempt()
+{
+    m_timer->cancel();
+}
+
+void UpstreamAttempt::cancel()
+{
+    m_isCancelled = true;
+    m_timer->cancel();
+    if (m_connection)
+        m_connection->stream.close();
+}
+
+void UpstreamAttempt::expireAt(TimePoint at)
+{
+    m_timer->expires_at(at);
+    m_timer->async_wait([this, timer = std::weak_ptr(m_timer), at](ErrorCode error) {
+        const auto live = timer.lock();
+        // A timer that was set anew after it had fired is not due yet.
+        const bool isDue = !error && live && live->expiry() <= at;
+        if (!isDue)
+            return;
+        m_hasExpired = true;
+        if (m_connection)
+            m_connection->stream.close();
+    });
+}
+
+Task<bool> UpstreamAttempt::connect(const std::string &address, Duration timeout)
+{
+    Address target;
+    if (!parseAddress(address, target))
+        co_return false;
+    m_connection = std::make_unique<UpstreamConnection>(m_executor);
+    m_isNewConnection = true;
+    m_connection->stream.expires_after(timeout);
+    const auto [error] = co_await m_connection->stream.async_connect(endpointOf(target), kAwait);
+    if (error)
+        co_return false;
+    m_connection->stream.expires_never();
+    ErrorCode ignored;
+    m_connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
+    co_return !m_isCancelled && !m_hasExpired;
+}
+
+Task<UpstreamAttempt::Sent> UpstreamAttempt::send(const Request &request,
+                                                  const std::string &address, bool isSafe,
+                                                  Duration connectTimeout)
+{
+    m_connection = m_pool.take(m_life, isSafe, std::chrono::steady_clock::now());
+    if (!m_connection && !co_await connect(address, connectTimeout))
+        co_return Sent::Nothing;
+    m_wasReached = true;
+    const auto [writeError, written] =
+        co_await http::async_write(m_connection->stream, request, kAwait);
+    m_wasWritten = !writeError;
+    if (m_isCancelled || m_hasExpired)
+        co_return Sent::NoAnswer;
+    // A replica may answer and stop reading; what it said is read even if the write failed.
+    m_parser.emplace();
+    m_parser->body_limit(boost::none);
+    m_parser->header_limit(kMaxHeadBytes);
+    const auto [readError, size] = co_await http::async_read_header(
+        m_connection->stream, m_connection->buffer, *m_parser, kAwait);
+    if (readError || m_isCancelled || m_hasExpired)
+        co_return Sent::NoAnswer;
+    m_status = m_parser->get().result_int();
+    m_head = platform::readAnswerHead(m_status, m_parser->get().base());
+    m_isFramed = m_parser->content_length().has_value() || m_parser->chunked();
+    m_isWhole = m_parser->is_done();
+    co_return Sent::Answered;
+}
+
+Task<UpstreamAttempt::Body> UpstreamAttempt::read(std::string &bytes)
+{
+    if (m_parser->is_done()) {
+        m_isWhole = true;
+        co_return Body::End;
+    }
+    std::array<char, kReadBytes> piece;
+    m_parser->get().body().data = piece.data();
+    m_parser->get().body().size = piece.size();
+    const auto [error, size] = co_await http::async_read_some(
+        m_connection->stream, m_connection->buffer, *m_parser, kAwait);
+    bytes.append(piece.data(), piece.size() - m_parser->get().body().size);
+    if (m_isCancelled || m_hasExpired)
+        co_return Body::Broken;
+    if (error && error != http::error::need_buffer)
+        co_return Body::Broken;
+    m_isWhole = m_parser->is_done();
+    co_return m_isWhole ? Body::End : Body::More;
+}
+
+void UpstreamAttempt::release(TimePoint now)
+{
+    m_timer->cancel();
+    const bool isClean = m_connection && m_isWhole && m_wasWritten && !m_isCancelled
+        && !m_hasExpired && m_parser && m_parser->get().keep_alive() && !m_parser->need_eof()
+        && m_connection->buffer.size() == 0;
+    if (!isClean)
+        return;
+    m_connection->keepAlive = m_head.keepAlive.value_or(Duration::zero());
+    m_pool.give(m_life, std::move(m_connection), now);
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/upstreamattempt.h
@@ -0,0 +1,80 @@
+// One send of one request to one replica, over a kept or a new connection.
+#pragma once
+
+#include "gateway/upstreampool.h"
+#include "net/asiotypes.h"
+#include "platform/dialect.h"
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace arbutuspier {
+
+class UpstreamAttempt
+{
+public:
+    using Request = boost::beast::http::request<boost::beast::http::string_body>;
+
+    enum class Sent : std::uint8_t {
+        /// No connection came about; the replica saw nothing.
+        Nothing,
+        /// Bytes were sent, and no head of an answer came.
+        NoAnswer,
+        Answered,
+    };
+    enum class Body : std::uint8_t { More, End, Broken };
+
+    UpstreamAttempt(asio::any_io_executor executor, UpstreamPool &pool, ReplicaLife life);
+    ~UpstreamAttempt();
+
+    /// Connects if need be, sends the request and reads the head of the answer.
+    Task<Sent> send(const Request &request, const std::string &address, bool isSafe,
+                    Duration connectTimeout);
+    /// Appends the next bytes of the body.
+    Task<Body> read(std::string &bytes);
+
+    /// Ends whatever is under way by closing the connection.
+    void cancel();
+    /// Cancels at this time unless it is set anew.
+    void expireAt(TimePoint at);
+    bool hasExpired() const { return m_hasExpired; }
+    bool isCancelled() const { return m_isCancelled; }
+
+    int status() const { return m_status; }
+    const platform::AnswerHead &head() const { return m_head; }
+    const platform::Fields &fields() const { return m_parser->get().base(); }
+    bool usedNewConnection() const { return m_isNewConnection; }
+    bool wasReached() const { return m_wasReached; }
+    /// True if the answer says how long it is, so that its end can be told from a break.
+    bool isFramed() const { return m_isFramed; }
+
+    /// Keeps the connection for the next request, if the answer was whole.
+    void release(TimePoint now);
+
+private:
+    Task<bool> connect(const std::string &address, Duration timeout);
+
+    asio::any_io_executor m_executor;
+    UpstreamPool &m_pool;
+    ReplicaLife m_life;
+    std::unique_ptr<UpstreamConnection> m_connection;
+    std::shared_ptr<asio::steady_timer> m_timer;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
+    platform::AnswerHead m_head;
+    int m_status = 0;
+    bool m_isNewConnection = false;
+    bool m_wasReached = false;
+    bool m_isFramed = false;
+    bool m_wasWritten = false;
+    bool m_isWhole = false;
+    bool m_hasExpired = false;
+    bool m_isCancelled = false;
+};
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/upstreampool.cpp
@@ -0,0 +1,60 @@
+// Last in, first out: few connections stay busy and the others age and close.
+#include "gateway/upstreampool.h"
+
+#include "net/httpchannel.h"
+
+namespace arbutuspier {
+
+bool UpstreamPool::isFresh(const UpstreamConnection &connection, bool isSafe, TimePoint now) const
+{
+    const double part = isSafe ? m_options.safePart : m_options.freshPart;
+    return now < connection.idleSince + fromSeconds(part * toSeconds(connection.keepAlive));
+}
+
+std::unique_ptr<UpstreamConnection> UpstreamPool::take(const ReplicaLife &life, bool isSafe,
+                                                       TimePoint now)
+{
+    const auto found = m_idle.find(life);
+    if (found == m_idle.end())
+        return nullptr;
+    auto &connections = found->second;
+    while (!connections.empty()) {
+        if (!isFresh(*connections.back(), isSafe, now))
+            return nullptr;
+        auto connection = std::move(connections.back());
+        connections.pop_back();
+        if (!isStale(connection->stream))
+            return connection;
+    }
+    return nullptr;
+}
+
+void UpstreamPool::give(const ReplicaLife &life, std::unique_ptr<UpstreamConnection> connection,
+                        TimePoint now)
+{
+    connection->idleSince = now;
+    connection->wasUsed = true;
+    if (connection->keepAlive == Duration::zero())
+        connection->keepAlive = m_options.defaultKeepAlive;
+    m_idle[life].push_back(std::move(connection));
+}
+
+void UpstreamPool::tick(TimePoint now)
+{
+    for (auto it = m_idle.begin(); it != m_idle.end();) {
+        std::erase_if(it->second, [&](const std::unique_ptr<UpstreamConnection> &connection) {
+            return !isFresh(*connection, false, now);
+        });
+        it = it->second.empty() ? m_idle.erase(it) : std::next(it);
+    }
+}
+
+std::size_t UpstreamPool::idleCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[life, connections] : m_idle)
+        count += connections.size();
+    return count;
+}
+
+} // namespace arbutuspier
--- a/src/net/httpchannel.cpp
+++ b/src/net/httpchannel.cpp
@@ -16,7 +16,8 @@
 constexpr int kHttp11 = 11;
 constexpr std::uint64_t kMaxReplyBytes = 64ULL * 1024 * 1024;
 
-/// A kept connection that the other side has closed, or sent unasked bytes on, is of no use.
+} // namespace
+
 bool isStale(beast::tcp_stream &stream)
 {
     ErrorCode error;
@@ -27,8 +28,6 @@
     return error != asio::error::would_block;
 }
 
-} // namespace
-
 Tcp::endpoint endpointOf(const Address &address)
 {
     ErrorCode error;
--- a/src/net/httpchannel.h
+++ b/src/net/httpchannel.h
@@ -63,6 +63,9 @@
 /// One call over a connection of its own.
 Task<HttpReply> callOnce(Address address, HttpRequest request);
 
+/// True if a kept connection was closed by the other side, or has bytes that nobody asked for.
+bool isStale(beast::tcp_stream &stream);
+
 /// The endpoint of an address that settings have checked.
 Tcp::endpoint endpointOf(const Address &address);
 
--- /dev/null
+++ b/src/policy/fleetload.cpp
@@ -0,0 +1,174 @@
+// The sums are kept up to date part by part, so that a look at a replica costs nothing.
+#include "arbutuspier/fleetload.h"
+
+#include <algorithm>
+#include <set>
+
+namespace arbutuspier {
+
+namespace {
+
+Duration milliseconds(double value)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
+}
+
+template <class T>
+void subtract(T &from, T amount)
+{
+    from -= std::min(from, amount);
+}
+
+} // namespace
+
+std::uint32_t ReplicaLoad::writersHarmedBy(Duration pause) const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(gapObjectives.begin(), gapObjectives.end(),
+                      [&](Duration gap) { return gap > Duration::zero() && gap < pause; }));
+}
+
+void FleetLoad::addPart(const Work &work, const WorkPart &part, TimePoint now)
+{
+    ReplicaLoad &load = m_loads[part.replica];
+    load.memoryTokens += part.memoryTokens;
+    if (part.isWriter)
+        ++load.running;
+    else
+        ++load.helping;
+    if (!work.isWriting) {
+        load.busyUntil = std::max(load.busyUntil, now) + milliseconds(part.readMs);
+        return;
+    }
+    if (!part.isWriter)
+        return;
+    ++load.writers;
+    load.contextTokens += part.contextTokens;
+    load.gapObjectives.push_back(work.gapObjective);
+}
+
+void FleetLoad::removePart(const Work &work, const WorkPart &part, TimePoint now)
+{
+    const auto found = m_loads.find(part.replica);
+    if (found == m_loads.end())
+        return;
+    ReplicaLoad &load = found->second;
+    subtract(load.memoryTokens, part.memoryTokens);
+    subtract(part.isWriter ? load.running : load.helping, 1U);
+    if (!work.isWriting)
+        load.busyUntil = std::max(now, load.busyUntil - milliseconds(part.readMs));
+    if (work.isWriting && part.isWriter) {
+        subtract(load.writers, 1U);
+        subtract(load.contextTokens, part.contextTokens);
+        const auto gap =
+            std::find(load.gapObjectives.begin(), load.gapObjectives.end(), work.gapObjective);
+        if (gap != load.gapObjectives.end())
+            load.gapObjectives.erase(gap);
+    }
+    const bool isIdle = load.running == 0 && load.helping == 0;
+    if (isIdle)
+        m_loads.erase(found);
+}
+
+void FleetLoad::begin(std::string_view vm, Work work, TimePoint now)
+{
+    Works &works = m_works[std::string(vm)];
+    if (works.count(work.id) != 0)
+        return;
+    for (const WorkPart &part : work.parts)
+        addPart(work, part, now);
+    works.emplace(work.id, std::move(work));
+}
+
+void FleetLoad::startWriting(Work &work, TimePoint now)
+{
+    if (work.isWriting)
+        return;
+    for (const WorkPart &part : work.parts)
+        removePart(work, part, now);
+    work.isWriting = true;
+    // Helpers without a part of the memory are done once the prompt is read.
+    std::erase_if(work.parts,
+                  [](const WorkPart &part) { return !part.isWriter && part.memoryTokens == 0; });
+    for (const WorkPart &part : work.parts)
+        addPart(work, part, now);
+}
+
+void FleetLoad::beginWriting(std::string_view vm, std::uint64_t work, TimePoint now)
+{
+    const auto works = m_works.find(vm);
+    if (works == m_works.end())
+        return;
+    const auto found = works->second.find(work);
+    if (found != works->second.end())
+        startWriting(found->second, now);
+}
+
+void FleetLoad::finish(const Work &work, TimePoint now)
+{
+    for (const WorkPart &part : work.parts)
+        removePart(work, part, now);
+}
+
+void FleetLoad::end(std::string_view vm, std::uint64_t work, TimePoint now)
+{
+    const auto works = m_works.find(vm);
+    if (works == m_works.end())
+        return;
+    const auto found = works->second.find(work);
+    if (found == works->second.end())
+        return;
+    finish(found->second, now);
+    works->second.erase(found);
+}
+
+void FleetLoad::replace(std::string_view vm, std::vector<Work> works, TimePoint now)
+{
+    Works &present = m_works[std::string(vm)];
+    std::set<std::uint64_t> ids;
+    for (const Work &work : works)
+        ids.insert(work.id);
+    for (auto it = present.begin(); it != present.end();) {
+        if (ids.count(it->first) != 0) {
+            ++it;
+            continue;
+        }
+        finish(it->second, now);
+        it = present.erase(it);
+    }
+    for (Work &work : works) {
+        const bool isWriting = work.isWriting;
+        const std::uint64_t id = work.id;
+        begin(vm, std::move(work), now);
+        if (isWriting)
+            beginWriting(vm, id, now);
+    }
+}
+
+void FleetLoad::dropVm(std::string_view vm, TimePoint now)
+{
+    replace(vm, {}, now);
+    const auto found = m_works.find(vm);
+    if (found != m_works.end())
+        m_works.erase(found);
+}
+
+const ReplicaLoad &FleetLoad::of(std::string_view replica) const
+{
+    static const ReplicaLoad kIdle;
+    const auto found = m_loads.find(replica);
+    return found == m_loads.end() ? kIdle : found->second;
+}
+
+std::vector<Work> FleetLoad::worksOf(std::string_view vm) const
+{
+    std::vector<Work> result;
+    const auto found = m_works.find(vm);
+    if (found == m_works.end())
+        return result;
+    for (const auto &[id, work] : found->second)
+        result.push_back(work);
+    return result;
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/policy/retryallowance.cpp
@@ -0,0 +1,40 @@
+// Exact counts over a sliding window; a VM sees few requests a second.
+#include "arbutuspier/retryallowance.h"
+
+#include <algorithm>
+
+namespace arbutuspier {
+
+void RetryAllowance::expire(TimePoint now)
+{
+    while (!m_requests.empty() && m_requests.front() + m_options.window <= now)
+        m_requests.pop_front();
+    while (!m_repeats.empty() && m_repeats.front() + m_options.window <= now)
+        m_repeats.pop_front();
+}
+
+void RetryAllowance::onRequest(TimePoint now)
+{
+    expire(now);
+    m_requests.push_back(now);
+}
+
+bool RetryAllowance::trySpend(TimePoint now, std::size_t vmCount)
+{
+    expire(now);
+    const double share = m_options.slack / static_cast<double>(std::max<std::size_t>(vmCount, 1));
+    const double allowed =
+        m_options.margin * (m_options.ratio * static_cast<double>(m_requests.size()) + share);
+    if (static_cast<double>(m_repeats.size()) + 1 > allowed)
+        return false;
+    m_repeats.push_back(now);
+    return true;
+}
+
+std::size_t RetryAllowance::spent(TimePoint now)
+{
+    expire(now);
+    return m_repeats.size();
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/policy/streamsplice.cpp
@@ -0,0 +1,66 @@
+// Events are kept byte for byte; only their ids are read.
+#include "arbutuspier/streamsplice.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace arbutuspier {
+
+namespace {
+
+constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kIdField = "id:";
+
+/// The number in the event's `id` field, if there is one.
+std::optional<std::uint64_t> eventId(std::string_view event)
+{
+    std::size_t at = 0;
+    while (at < event.size()) {
+        const std::size_t end = std::min(event.find('\n', at), event.size());
+        std::string_view line = event.substr(at, end - at);
+        at = end + 1;
+        if (line.substr(0, kIdField.size()) != kIdField)
+            continue;
+        line.remove_prefix(kIdField.size());
+        if (!line.empty() && line.front() == ' ')
+            line.remove_prefix(1);
+        std::uint64_t id = 0;
+        const auto [rest, error] = std::from_chars(line.data(), line.data() + line.size(), id);
+        return error == std::errc{} ? std::optional(id) : std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<std::string> StreamSplice::feed(std::string_view bytes)
+{
+    m_pending += bytes;
+    std::string whole;
+    std::size_t start = 0;
+    while (true) {
+        const std::size_t end = m_pending.find(kEventEnd, start);
+        if (end == std::string::npos)
+            break;
+        const std::size_t next = end + kEventEnd.size();
+        const std::string_view event(m_pending.data() + start, next - start);
+        start = next;
+        const std::optional<std::uint64_t> id = eventId(event);
+        const bool isRepeated = id && m_lastId && *id <= *m_lastId;
+        if (isRepeated)
+            continue;
+        const bool skipsIds = id && m_lastId && *id > *m_lastId + 1;
+        if (skipsIds)
+            return std::nullopt;
+        if (id)
+            m_lastId = id;
+        ++m_passed;
+        whole += event;
+    }
+    m_pending.erase(0, start);
+    if (m_pending.size() > kMaxEventBytes)
+        return std::nullopt;
+    return whole;
+}
+
+} // namespace arbutuspier
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -21,6 +21,9 @@
     std::string text() const { return host + ':' + std::to_string(port); }
 };
 
+/// Reads "IP:PORT". False, and `out` untouched, if the text is anything else.
+bool parseAddress(std::string_view text, Address &out);
+
 /// A call that must not be repeated, as "METHOD /path-prefix".
 struct CallPattern
 {
