policy: Forecast replicas by their passes and spare writers near their gap

Change: the forecast follows a replica's passes (what waits is read together in the next one), and a pause counts as harm in part from 0.65 of a gap objective on.

--- a/include/arbutuspier/fleetload.h
+++ b/include/arbutuspier/fleetload.h
@@ -39,6 +39,13 @@
     std::vector<WorkPart> parts;
 };
 
+/// A prompt, or a part of one, that a replica has not read to its end yet.
+struct PendingRead
+{
+    TimePoint sentAt{};
+    double readMs = 0;
+};
+
 /// The sum of what is known to run on one replica.
 struct ReplicaLoad
 {
@@ -50,13 +57,14 @@
     std::uint32_t helping = 0;
     std::uint64_t contextTokens = 0;
     std::uint64_t memoryTokens = 0;
-    /// When the prompts dispatched so far are read.
-    TimePoint busyUntil{};
+    /// In the order in which they were sent.
+    std::vector<PendingRead> reads;
     /// Gap objectives of the requests that write.
     std::vector<Duration> gapObjectives;
 
-    /// Writers that a pause of this length would make late.
-    std::uint32_t writersHarmedBy(Duration pause) const;
+    /// Writers that a pause of this length is likely to make late. A pause near an objective counts
+    /// in part, as it may turn out longer.
+    double writersHarmedBy(Duration pause) const;
 };
 
 class FleetLoad
@@ -65,7 +73,7 @@
     void begin(std::string_view vm, Work work, TimePoint now);
     /// The prompt is read; the answer is being written.
     void beginWriting(std::string_view vm, std::uint64_t work, TimePoint now);
-    void end(std::string_view vm, std::uint64_t work, TimePoint now);
+    void end(std::string_view vm, std::uint64_t work);
     /// Everything that a VM runs at present.
     void replace(std::string_view vm, std::vector<Work> works, TimePoint now);
     void dropVm(std::string_view vm, TimePoint now);
@@ -78,9 +86,9 @@
     using Loads = std::map<std::string, ReplicaLoad, std::less<>>;
 
     void addPart(const Work &work, const WorkPart &part, TimePoint now);
-    void removePart(const Work &work, const WorkPart &part, TimePoint now);
+    void removePart(const Work &work, const WorkPart &part);
     void startWriting(Work &work, TimePoint now);
-    void finish(const Work &work, TimePoint now);
+    void finish(const Work &work);
 
     std::map<std::string, Works, std::less<>> m_works;
     /// Invariant: the sum over m_works.
--- a/include/arbutuspier/forecast.h
+++ b/include/arbutuspier/forecast.h
@@ -1,8 +1,8 @@
 // What an engine will take for a prompt, from its published figures.
 //
-// An engine works in passes. A pass with writers runs a fixed number of token steps, and reads
-// prompts between them; the first event of an answer comes at the end of the pass that reads the
-// last of its prompt.
+// An engine works in passes. A pass with writers runs a fixed number of token steps and reads all
+// prompts that wait at its start between them; what comes meanwhile waits for the next pass. Events
+// come at the end of a pass.
 #pragma once
 
 #include "arbutuspier/fleetload.h"
@@ -15,12 +15,31 @@
 /// Milliseconds that one idle replica takes to read a prompt of `tokens`.
 double readMs(const EngineFigures &figures, std::uint64_t tokens);
 
-/// Milliseconds of a pass with the writers of `load` and `extraContext` tokens of one more writer.
-double passMs(const EngineFigures &figures, const ReplicaLoad &load, std::uint64_t extraContext);
+/// Milliseconds of the token steps of a pass with `writers` and their `contextTokens`.
+double stepsMs(const EngineFigures &figures, std::uint32_t writers, std::uint64_t contextTokens);
+
+/// Where a replica stands in its passes, as far as what was sent to it tells.
+struct PassState
+{
+    /// Milliseconds until the present pass ends; zero if the replica is idle.
+    double presentMs = 0;
+    /// Milliseconds of reading that wait for the next pass.
+    double waitingMs = 0;
+    std::uint32_t waitingReads = 0;
+};
+
+/// `pace` is how many times slower than published the replica is.
+PassState passState(const EngineFigures &figures, const ReplicaLoad &load, double pace,
+                    TimePoint now);
 
 /// Milliseconds until a prompt sent now, of which this replica reads `partReadMs`, has its first
-/// event there. `pace` is how many times slower than published the replica is.
+/// event there.
 double firstEventMs(const EngineFigures &figures, const ReplicaLoad &load, double partReadMs,
                     std::uint64_t contextTokens, double pace, TimePoint now);
 
+/// Milliseconds of the pass that would read a part of `partReadMs` sent now: the pause that all
+/// writers of the replica have then.
+double pauseMs(const EngineFigures &figures, const ReplicaLoad &load, double partReadMs,
+               double pace, TimePoint now);
+
 } // namespace arbutuspier
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -146,7 +146,7 @@
     grant.work = m_nextWork++;
     grant.forecast = fromMs(placement.firstEventMs);
     const ReplicaLoad &load = m_load.of(placement.replica);
-    grant.wasIdle = load.busyUntil <= m_clock.now() && placement.helpers.empty();
+    grant.wasIdle = load.reads.empty() && placement.helpers.empty();
     Work work;
     work.id = grant.work;
     work.gapObjective = prompt.gapObjective;
@@ -191,7 +191,7 @@
 
 void Dispatcher::end(std::uint64_t work)
 {
-    m_load.end(m_vm, work, m_clock.now());
+    m_load.end(m_vm, work);
     if (onNews)
         onNews({WorkNews::Kind::Ended, work, std::nullopt});
     pump();
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -280,6 +280,16 @@
     return std::min(deadline(), m_state.clock.now() + patience);
 }
 
+void Exchange::noteSend(const DispatchGrant &grant)
+{
+    m_forecast = m_state.clock.now() - m_arrived + grant.forecast;
+    if (!m_replicas.empty())
+        m_replicas += ',';
+    m_replicas += grant.replica.id;
+    if (!grant.helpers.empty())
+        m_replicas += '+' + std::to_string(grant.helpers.size());
+}
+
 Task<Exchange::End> Exchange::attempt(const DispatchGrant &grant)
 {
     if (m_caller.isGone()) {
@@ -287,6 +297,7 @@
         co_return End::CallerGone;
     }
     m_tried.insert(grant.replica.id);
+    noteSend(grant);
     UpstreamAttempt attempt(m_state.executor, m_state.pool, lifeOf(grant));
     m_attempt = &attempt;
     attempt.expireAt(patienceEnd(grant));
@@ -353,6 +364,9 @@
                             const std::string &events)
 {
     const TimePoint now = m_state.clock.now();
+    if (m_hasHead)
+        m_longestGap = std::max(m_longestGap, now - m_lastEvent);
+    m_lastEvent = now;
     if (!m_hasHead) {
         m_hasHead = true;
         m_firstEvent = now - m_arrived;
@@ -411,11 +425,6 @@
 {
     const TimePoint now = m_state.clock.now();
     const ReplicaLife life = lifeOf(grant);
-    if (!m_replicas.empty())
-        m_replicas += ',';
-    m_replicas += grant.replica.id;
-    if (!grant.helpers.empty())
-        m_replicas += '+' + std::to_string(grant.helpers.size());
     switch (end) {
     case End::Answered:
         m_state.health.onSuccess(life, 0);
@@ -578,6 +587,8 @@
         .add("sends", static_cast<std::uint64_t>(m_sends))
         .add("runs", static_cast<std::uint64_t>(m_runs))
         .addSeconds("queued", toSeconds(m_queued))
+        .addSeconds("forecast", toSeconds(m_forecast))
+        .addSeconds("gap", toSeconds(m_longestGap))
         .addSeconds("first", m_firstEvent ? toSeconds(*m_firstEvent) : 0)
         .addSeconds("total", toSeconds(total));
     LOG(INFO) << line.text();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -55,6 +55,7 @@
     UpstreamAttempt::Request upstreamRequest(const DispatchGrant &grant) const;
     DispatchNeed need() const;
     bool mayRetry(End end);
+    void noteSend(const DispatchGrant &grant);
     void noteEnd(End end, const UpstreamAttempt &attempt, const DispatchGrant &grant);
     void noteDeath(const DispatchGrant &grant);
     TimePoint patienceEnd(const DispatchGrant &grant) const;
@@ -95,7 +96,11 @@
     bool m_hasHead = false;
     bool m_wasLogged = false;
     Duration m_queued{};
+    /// When the first event was expected, from the arrival.
+    Duration m_forecast{};
     std::optional<Duration> m_firstEvent;
+    TimePoint m_lastEvent{};
+    Duration m_longestGap{};
     std::string m_replicas;
 };
 
--- a/src/gateway/peerhints.cpp
+++ b/src/gateway/peerhints.cpp
@@ -234,7 +234,7 @@
             m_state.load.beginWriting(hint.vm, news.id, now);
             break;
         case WorkNews::Kind::Ended:
-            m_state.load.end(hint.vm, news.id, now);
+            m_state.load.end(hint.vm, news.id);
             break;
         }
     }
--- a/src/policy/fleetload.cpp
+++ b/src/policy/fleetload.cpp
@@ -8,10 +8,8 @@
 
 namespace {
 
-Duration milliseconds(double value)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(value));
-}
+/// Part of a gap objective up to which a forecast pause is safe.
+constexpr double kSafePause = 0.65;
 
 template <class T>
 void subtract(T &from, T amount)
@@ -21,11 +19,16 @@
 
 } // namespace
 
-std::uint32_t ReplicaLoad::writersHarmedBy(Duration pause) const
+double ReplicaLoad::writersHarmedBy(Duration pause) const
 {
-    return static_cast<std::uint32_t>(
-        std::count_if(gapObjectives.begin(), gapObjectives.end(),
-                      [&](Duration gap) { return gap > Duration::zero() && gap < pause; }));
+    double harmed = 0;
+    for (const Duration gap : gapObjectives) {
+        if (gap <= Duration::zero())
+            continue;
+        const double ratio = toSeconds(pause) / toSeconds(gap);
+        harmed += std::clamp((ratio - kSafePause) / (1.0 - kSafePause), 0.0, 1.0);
+    }
+    return harmed;
 }
 
 void FleetLoad::addPart(const Work &work, const WorkPart &part, TimePoint now)
@@ -37,7 +40,7 @@
     else
         ++load.helping;
     if (!work.isWriting) {
-        load.busyUntil = std::max(load.busyUntil, now) + milliseconds(part.readMs);
+        load.reads.push_back({now, part.readMs});
         return;
     }
     if (!part.isWriter)
@@ -47,7 +50,7 @@
     load.gapObjectives.push_back(work.gapObjective);
 }
 
-void FleetLoad::removePart(const Work &work, const WorkPart &part, TimePoint now)
+void FleetLoad::removePart(const Work &work, const WorkPart &part)
 {
     const auto found = m_loads.find(part.replica);
     if (found == m_loads.end())
@@ -55,8 +58,13 @@
     ReplicaLoad &load = found->second;
     subtract(load.memoryTokens, part.memoryTokens);
     subtract(part.isWriter ? load.running : load.helping, 1U);
-    if (!work.isWriting)
-        load.busyUntil = std::max(now, load.busyUntil - milliseconds(part.readMs));
+    if (!work.isWriting) {
+        const auto read =
+            std::find_if(load.reads.begin(), load.reads.end(),
+                         [&](const PendingRead &other) { return other.readMs == part.readMs; });
+        if (read != load.reads.end())
+            load.reads.erase(read);
+    }
     if (work.isWriting && part.isWriter) {
         subtract(load.writers, 1U);
         subtract(load.contextTokens, part.contextTokens);
@@ -85,7 +93,7 @@
     if (work.isWriting)
         return;
     for (const WorkPart &part : work.parts)
-        removePart(work, part, now);
+        removePart(work, part);
     work.isWriting = true;
     // Helpers without a part of the memory are done once the prompt is read.
     std::erase_if(work.parts,
@@ -104,13 +112,13 @@
         startWriting(found->second, now);
 }
 
-void FleetLoad::finish(const Work &work, TimePoint now)
+void FleetLoad::finish(const Work &work)
 {
     for (const WorkPart &part : work.parts)
-        removePart(work, part, now);
+        removePart(work, part);
 }
 
-void FleetLoad::end(std::string_view vm, std::uint64_t work, TimePoint now)
+void FleetLoad::end(std::string_view vm, std::uint64_t work)
 {
     const auto works = m_works.find(vm);
     if (works == m_works.end())
@@ -118,7 +126,7 @@
     const auto found = works->second.find(work);
     if (found == works->second.end())
         return;
-    finish(found->second, now);
+    finish(found->second);
     works->second.erase(found);
 }
 
@@ -133,7 +141,7 @@
             ++it;
             continue;
         }
-        finish(it->second, now);
+        finish(it->second);
         it = present.erase(it);
     }
     for (Work &work : works) {
--- a/src/policy/forecast.cpp
+++ b/src/policy/forecast.cpp
@@ -22,22 +22,65 @@
     return linear + figures.pairMsPerMillion * kPairsPerSquare * n * n / kMillion;
 }
 
-double passMs(const EngineFigures &figures, const ReplicaLoad &load, std::uint64_t extraContext)
+double stepsMs(const EngineFigures &figures, std::uint32_t writers, std::uint64_t contextTokens)
 {
-    const double writers = load.writers + 1.0;
-    const double context = static_cast<double>(load.contextTokens + extraContext);
     const double step = figures.stepMs + figures.stepMsPerSequence * writers
-        + figures.stepMsPerThousandContext * context / kThousand;
+        + figures.stepMsPerThousandContext * static_cast<double>(contextTokens) / kThousand;
     return step * figures.stepsPerPass;
 }
 
+PassState passState(const EngineFigures &figures, const ReplicaLoad &load, double pace,
+                    TimePoint now)
+{
+    const double steps =
+        load.writers > 0 ? pace * stepsMs(figures, load.writers, load.contextTokens) : 0;
+    PassState state;
+    if (load.reads.empty()) {
+        state.presentMs = kPassLeft * steps;
+        return state;
+    }
+    // Times in milliseconds from the first read on; it met a pass of the writers half way.
+    const TimePoint origin = load.reads.front().sentAt;
+    const double end = toSeconds(now - origin) * kThousand;
+    double passStart = kPassLeft * steps;
+    std::size_t next = 0;
+    while (next < load.reads.size()) {
+        double length = steps;
+        std::size_t last = next;
+        while (last < load.reads.size()
+               && toSeconds(load.reads[last].sentAt - origin) * kThousand <= passStart) {
+            length += pace * load.reads[last].readMs;
+            ++last;
+        }
+        if (last == next)
+            break;
+        next = last;
+        passStart += length;
+        if (passStart > end)
+            break;
+    }
+    state.presentMs = std::max(0.0, passStart - end);
+    for (; next < load.reads.size(); ++next) {
+        state.waitingMs += pace * load.reads[next].readMs;
+        ++state.waitingReads;
+    }
+    return state;
+}
+
 double firstEventMs(const EngineFigures &figures, const ReplicaLoad &load, double partReadMs,
                     std::uint64_t contextTokens, double pace, TimePoint now)
 {
-    const double waiting = std::max(0.0, toSeconds(load.busyUntil - now) * kThousand);
-    const double present = load.writers > 0 ? kPassLeft * passMs(figures, load, 0) : 0;
-    const double own = partReadMs + passMs(figures, load, contextTokens);
-    return waiting + pace * (present + own);
+    const PassState state = passState(figures, load, pace, now);
+    const double steps = stepsMs(figures, load.writers + 1, load.contextTokens + contextTokens);
+    return state.presentMs + state.waitingMs + pace * (partReadMs + steps);
+}
+
+double pauseMs(const EngineFigures &figures, const ReplicaLoad &load, double partReadMs,
+               double pace, TimePoint now)
+{
+    const PassState state = passState(figures, load, pace, now);
+    const double steps = stepsMs(figures, load.writers, load.contextTokens);
+    return state.waitingMs + pace * (partReadMs + steps);
 }
 
 } // namespace arbutuspier
--- a/src/policy/placementplan.cpp
+++ b/src/policy/placementplan.cpp
@@ -101,16 +101,13 @@
                         static_cast<double>(m_prompt.promptTokens) / m_options.tokensPerAnswer);
     }
 
-    /// Answers made late on a replica that stops to read for `partMs`.
+    /// Answers made late on a replica that reads for `partMs` more.
     double harm(const PlacementCandidate &candidate, double partMs) const
     {
-        const double pause =
-            candidate.pace * (partMs + passMs(m_figures, candidate.load, m_prompt.promptTokens));
-        const double waiting = std::max(0.0, toMs(candidate.load.busyUntil - m_now));
-        constexpr double kWaitingShare = 0.3;
-        const bool delaysReaders = waiting > 0 && candidate.load.running > candidate.load.writers
-            && partMs > kWaitingShare * toMs(m_prompt.objective);
-        return candidate.load.writersHarmedBy(fromMs(pause)) + (delaysReaders ? 1.0 : 0.0);
+        const double pause = pauseMs(m_figures, candidate.load, partMs, candidate.pace, m_now);
+        const PassState state = passState(m_figures, candidate.load, candidate.pace, m_now);
+        const double delay = candidate.pace * partMs / std::max(1.0, toMs(m_prompt.objective));
+        return candidate.load.writersHarmedBy(fromMs(pause)) + state.waitingReads * delay;
     }
 
     static double shunCost(const PlacementCandidate &candidate)
@@ -151,7 +148,8 @@
     /// Cost of giving a part to this replica, without the chance to be late.
     double partCost(const PlacementCandidate &candidate, double partMs) const
     {
-        const double waiting = std::max(0.0, toMs(candidate.load.busyUntil - m_now));
+        const PassState state = passState(m_figures, candidate.load, candidate.pace, m_now);
+        const double waiting = state.presentMs + state.waitingMs;
         const double objective = std::max(1.0, toMs(m_prompt.objective));
         return harm(candidate, partMs) + weight() * waiting / objective + shunCost(candidate);
     }
