policy: Weigh paused writers by what their answers are worth

Cause: a third of the late long answers were late by a pause over their own objective: another long prompt's part of 1.3 to 2 s was read where they wrote, and that counted as one short answer.

Change: a writer weighs what its prompt weighs.

--- a/include/arbutuspier/fleetload.h
+++ b/include/arbutuspier/fleetload.h
@@ -35,6 +35,8 @@
     std::uint64_t id = 0;
     /// Longest pause between events that is on time; zero if there are no events.
     Duration gapObjective{};
+    /// What its answer is worth, in short answers.
+    double weight = 1;
     bool isWriting = false;
     std::vector<WorkPart> parts;
 };
@@ -46,6 +48,13 @@
     double readMs = 0;
 };
 
+/// An answer that is being written.
+struct Writer
+{
+    Duration gapObjective{};
+    double weight = 1;
+};
+
 /// The sum of what is known to run on one replica.
 struct ReplicaLoad
 {
@@ -59,12 +68,12 @@
     std::uint64_t memoryTokens = 0;
     /// In the order in which they were sent.
     std::vector<PendingRead> reads;
-    /// Gap objectives of the requests that write.
-    std::vector<Duration> gapObjectives;
+    /// Invariant: as many as `writers`.
+    std::vector<Writer> writing;
 
-    /// Writers that a pause of this length is likely to make late. A pause near an objective counts
-    /// in part, as it may turn out longer.
-    double writersHarmedBy(Duration pause) const;
+    /// Weight of the answers that a pause of this length is likely to make late. A pause near an
+    /// objective counts in part, as it may turn out longer.
+    double weightHarmedBy(Duration pause) const;
 };
 
 class FleetLoad
--- a/include/arbutuspier/placementplan.h
+++ b/include/arbutuspier/placementplan.h
@@ -68,6 +68,9 @@
     double firstEventMs = 0;
 };
 
+/// What the answer to a prompt is worth, in short answers.
+double promptWeight(std::uint64_t promptTokens, const PlacementOptions &options);
+
 /// Empty if no candidate has a slot and the memory at present.
 std::optional<Placement> placePrompt(const EngineFigures &figures, const PromptShape &prompt,
                                      std::span<const PlacementCandidate> candidates,
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -150,6 +150,7 @@
     Work work;
     work.id = grant.work;
     work.gapObjective = prompt.gapObjective;
+    work.weight = promptWeight(prompt.promptTokens, m_options);
     const std::uint64_t parts = placement.helpers.size() + 1;
     work.parts.push_back({placement.replica, placement.partReadMs, prompt.promptTokens / parts,
                           prompt.promptTokens + prompt.answerTokens, true});
--- a/src/gateway/hintcodec.cpp
+++ b/src/gateway/hintcodec.cpp
@@ -24,7 +24,8 @@
         parts.push_back(Json::array({part.replica, static_cast<std::int64_t>(part.readMs),
                                      part.contextTokens, part.memoryTokens, part.isWriter}));
     }
-    return Json::array({work.id, toMs(work.gapObjective), work.isWriting, std::move(parts)});
+    return Json::array(
+        {work.id, toMs(work.gapObjective), work.weight, work.isWriting, std::move(parts)});
 }
 
 bool isArray(const Json &value, std::size_t size)
@@ -47,17 +48,18 @@
 
 std::optional<Work> decodeWork(const Json &value)
 {
-    constexpr std::size_t kFields = 4;
+    constexpr std::size_t kFields = 5;
     const bool isWork = isArray(value, kFields) && value[0].is_number_unsigned()
-        && value[1].is_number_integer() && value[2].is_boolean() && value[3].is_array()
-        && value[3].size() <= kMaxItems;
+        && value[1].is_number_integer() && value[2].is_number() && value[3].is_boolean()
+        && value[4].is_array() && value[4].size() <= kMaxItems;
     if (!isWork)
         return std::nullopt;
     Work work;
     work.id = value[0].get<std::uint64_t>();
     work.gapObjective = std::chrono::milliseconds{value[1].get<std::int64_t>()};
-    work.isWriting = value[2].get<bool>();
-    for (const Json &item : value[3]) {
+    work.weight = value[2].get<double>();
+    work.isWriting = value[3].get<bool>();
+    for (const Json &item : value[4]) {
         auto part = decodePart(item);
         if (!part)
             return std::nullopt;
--- a/src/policy/fleetload.cpp
+++ b/src/policy/fleetload.cpp
@@ -19,14 +19,14 @@
 
 } // namespace
 
-double ReplicaLoad::writersHarmedBy(Duration pause) const
+double ReplicaLoad::weightHarmedBy(Duration pause) const
 {
     double harmed = 0;
-    for (const Duration gap : gapObjectives) {
-        if (gap <= Duration::zero())
+    for (const Writer &writer : writing) {
+        if (writer.gapObjective <= Duration::zero())
             continue;
-        const double ratio = toSeconds(pause) / toSeconds(gap);
-        harmed += std::clamp((ratio - kSafePause) / (1.0 - kSafePause), 0.0, 1.0);
+        const double ratio = toSeconds(pause) / toSeconds(writer.gapObjective);
+        harmed += writer.weight * std::clamp((ratio - kSafePause) / (1.0 - kSafePause), 0.0, 1.0);
     }
     return harmed;
 }
@@ -47,7 +47,7 @@
         return;
     ++load.writers;
     load.contextTokens += part.contextTokens;
-    load.gapObjectives.push_back(work.gapObjective);
+    load.writing.push_back({work.gapObjective, work.weight});
 }
 
 void FleetLoad::removePart(const Work &work, const WorkPart &part)
@@ -68,10 +68,12 @@
     if (work.isWriting && part.isWriter) {
         subtract(load.writers, 1U);
         subtract(load.contextTokens, part.contextTokens);
-        const auto gap =
-            std::find(load.gapObjectives.begin(), load.gapObjectives.end(), work.gapObjective);
-        if (gap != load.gapObjectives.end())
-            load.gapObjectives.erase(gap);
+        const auto writer =
+            std::find_if(load.writing.begin(), load.writing.end(), [&](const Writer &other) {
+                return other.gapObjective == work.gapObjective && other.weight == work.weight;
+            });
+        if (writer != load.writing.end())
+            load.writing.erase(writer);
     }
     const bool isIdle = load.running == 0 && load.helping == 0;
     if (isIdle)
--- a/src/policy/placementplan.cpp
+++ b/src/policy/placementplan.cpp
@@ -95,11 +95,7 @@
         return std::clamp(chance, 0.0, 1.0) + kSlope * std::max(0.0, ratio - 1.0);
     }
 
-    double weight() const
-    {
-        return std::max(1.0,
-                        static_cast<double>(m_prompt.promptTokens) / m_options.tokensPerAnswer);
-    }
+    double weight() const { return promptWeight(m_prompt.promptTokens, m_options); }
 
     /// Answers made late on a replica that reads for `partMs` more.
     double harm(const PlacementCandidate &candidate, double partMs) const
@@ -107,7 +103,7 @@
         const double pause = pauseMs(m_figures, candidate.load, partMs, candidate.pace, m_now);
         const PassState state = passState(m_figures, candidate.load, candidate.pace, m_now);
         const double delay = candidate.pace * partMs / std::max(1.0, toMs(m_prompt.objective));
-        return candidate.load.writersHarmedBy(fromMs(pause)) + state.waitingReads * delay;
+        return candidate.load.weightHarmedBy(fromMs(pause)) + state.waitingReads * delay;
     }
 
     static double shunCost(const PlacementCandidate &candidate)
@@ -195,6 +191,11 @@
 
 } // namespace
 
+double promptWeight(std::uint64_t promptTokens, const PlacementOptions &options)
+{
+    return std::max(1.0, static_cast<double>(promptTokens) / options.tokensPerAnswer);
+}
+
 std::optional<Placement> placePrompt(const EngineFigures &figures, const PromptShape &prompt,
                                      std::span<const PlacementCandidate> candidates,
                                      const PlacementOptions &options, TimePoint now)
