gateway, policy: Hold prompts larger than a replica, and wait for replicas that read

Cause 2: a silence of a second made a VM send streams once more although their replica was known to read another prompt, and all its writers moved at once.

A stream's patience is extended by its replica's forecast.

--- a/include/arbutuspier/placementplan.h
+++ b/include/arbutuspier/placementplan.h
@@ -38,6 +38,8 @@
     std::uint64_t answerTokens = 0;
     Duration objective{};
     Duration gapObjective{};
+    /// Time until the caller gives up.
+    Duration timeLeft = Duration::max();
     /// A prompt may be read by several replicas.
     bool maySplit = true;
 };
@@ -55,14 +57,28 @@
     std::uint32_t maxHelpers = 16;
     /// Prompt tokens that weigh as much as one short answer that comes late.
     double tokensPerAnswer = 10'000;
+    /// Time that an answer takes to write, to tell from the number of writers how many come.
+    double answerMs = 1500;
+    /// Short answers that a busy replica serves in a millisecond.
+    double answersPerReplicaMs = 0.005;
+    /// Part of an answer's worth that is lost if it comes late.
+    double lateLoss = 0.75;
     /// Cost of one more replica in a split, in late short answers.
     double helperCost = 0.05;
 };
 
+/// A replica that reads a part of a prompt for another.
+struct HelperPlacement
+{
+    std::string replica;
+    /// Memory to set aside there for the prompt; zero if the writer holds all of it.
+    std::uint64_t heldTokens = 0;
+};
+
 struct Placement
 {
     std::string replica;
-    std::vector<std::string> helpers;
+    std::vector<HelperPlacement> helpers;
     /// Reading time of each of the replicas.
     double partReadMs = 0;
     double firstEventMs = 0;
@@ -71,7 +87,7 @@
 /// What the answer to a prompt is worth, in short answers.
 double promptWeight(std::uint64_t promptTokens, const PlacementOptions &options);
 
-/// Empty if no candidate has a slot and the memory at present.
+/// Empty if no candidate has a slot and the memory at present, nor several together.
 std::optional<Placement> placePrompt(const EngineFigures &figures, const PromptShape &prompt,
                                      std::span<const PlacementCandidate> candidates,
                                      const PlacementOptions &options, TimePoint now);
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/dispatcher.cpp
@@ -48,6 +48,7 @@
 {
     if (trySettle(*ticket))
         co_return ticket->result;
+    ticket->need.until = std::min(ticket->need.until, m_clock.now() + longestWait(ticket->need));
     const auto isLater = [&](const std::shared_ptr<Ticket> &other) {
         return std::pair(other->need.priority, other->order)
             > std::pair(ticket->need.priority, ticket->order);
@@ -103,6 +104,26 @@
     return result;
 }
 
+Duration Dispatcher::longestWait(const DispatchNeed &need) const
+{
+    const ServiceSpec *service = need.table->service(need.service);
+    const bool isLarger = service && service->engine
+        && need.prompt.promptTokens + need.prompt.answerTokens > service->engine->memoryTokens;
+    // Only a fleet at rest takes such a prompt; its caller learns soon that this one is not.
+    constexpr double kPart = 0.15;
+    return isLarger ? fromSeconds(kPart * toSeconds(need.prompt.objective)) : std::chrono::hours{1};
+}
+
+bool Dispatcher::isTooLarge(const DispatchNeed &need, const EngineFigures &figures,
+                            std::size_t replicas) const
+{
+    const std::size_t together =
+        need.prompt.maySplit ? std::min<std::size_t>(replicas, m_options.maxHelpers + 1) : 1;
+    const double capacity = (1.0 - m_options.memoryMargin)
+        * static_cast<double>(figures.memoryTokens) * static_cast<double>(together);
+    return static_cast<double>(need.prompt.promptTokens + need.prompt.answerTokens) > capacity;
+}
+
 bool Dispatcher::trySettle(Ticket &ticket)
 {
     const ServiceSpec *service = ticket.need.table->service(ticket.need.service);
@@ -128,8 +149,7 @@
         grantPrompt(ticket, *placement);
         return true;
     }
-    const std::uint64_t needed = ticket.need.prompt.promptTokens + ticket.need.prompt.answerTokens;
-    if (needed > figures.memoryTokens) {
+    if (isTooLarge(ticket.need, figures, all.size())) {
         refuse(ticket, DispatchRefusal::TooLarge);
         return true;
     }
@@ -141,8 +161,11 @@
     const PromptShape &prompt = ticket.need.prompt;
     DispatchGrant grant;
     grant.replica = *m_directory.find(placement.replica);
-    for (const std::string &helper : placement.helpers)
-        grant.helpers.push_back(*m_directory.find(helper));
+    std::uint64_t heldTokens = 0;
+    for (const HelperPlacement &helper : placement.helpers) {
+        grant.helpers.push_back({*m_directory.find(helper.replica), helper.heldTokens});
+        heldTokens += helper.heldTokens;
+    }
     grant.work = m_nextWork++;
     grant.forecast = fromMs(placement.firstEventMs);
     const ReplicaLoad &load = m_load.of(placement.replica);
@@ -153,9 +176,9 @@
     work.weight = promptWeight(prompt.promptTokens, m_options);
     const std::uint64_t parts = placement.helpers.size() + 1;
     work.parts.push_back({placement.replica, placement.partReadMs, prompt.promptTokens / parts,
-                          prompt.promptTokens + prompt.answerTokens, true});
-    for (const std::string &helper : placement.helpers)
-        work.parts.push_back({helper, placement.partReadMs, 0, 0, false});
+                          prompt.promptTokens + prompt.answerTokens - heldTokens, true});
+    for (const HelperPlacement &helper : placement.helpers)
+        work.parts.push_back({helper.replica, placement.partReadMs, 0, helper.heldTokens, false});
     ticket.result.grant = std::move(grant);
     begin(std::move(work));
     settle(ticket);
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/dispatcher.h
@@ -33,10 +33,18 @@
     std::set<std::string> excluded;
 };
 
+/// A replica that reads a part of the prompt.
+struct HelperGrant
+{
+    ReplicaEntry replica;
+    /// Memory to set aside there; zero for none.
+    std::uint64_t heldTokens = 0;
+};
+
 struct DispatchGrant
 {
     ReplicaEntry replica;
-    std::vector<ReplicaEntry> helpers;
+    std::vector<HelperGrant> helpers;
     /// Names the work until it is ended.
     std::uint64_t work = 0;
     /// Forecast of the first event; zero for plain calls.
@@ -105,6 +113,11 @@
 private:
     bool trySettle(Ticket &ticket);
     std::vector<PlacementCandidate> candidates(const DispatchNeed &need) const;
+    /// How long a request may wait for room before it is refused.
+    Duration longestWait(const DispatchNeed &need) const;
+    /// True if the prompt would not fit even if nothing else ran.
+    bool isTooLarge(const DispatchNeed &need, const EngineFigures &figures,
+                    std::size_t replicas) const;
     void grantPrompt(Ticket &ticket, const Placement &placement);
     void grantCall(Ticket &ticket, const std::string &replica);
     void begin(Work work);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -2,6 +2,7 @@
 // allowance of the fleet.
 #include "gateway/exchange.h"
 
+#include "arbutuspier/forecast.h"
 #include "kernel/logline.h"
 #include "net/httpchannel.h"
 
@@ -31,6 +32,8 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds{250};
 /// Times that a request is tried at replicas that can't be reached.
 constexpr std::uint32_t kMaxUnreachable = 6;
+/// Times that memory is asked for at several replicas.
+constexpr std::uint32_t kMaxUnreserved = 4;
 /// Sends beyond the route's attempts for replicas that refused to run the request.
 constexpr std::uint32_t kExtraSends = 2;
 constexpr Duration kRetryWhenNotReady = std::chrono::seconds{1};
@@ -43,7 +46,10 @@
 /// The shortest silence after which a replica is given up for another.
 constexpr Duration kMinPatience = std::chrono::milliseconds{60};
 constexpr Duration kMinGapPatience = std::chrono::seconds{1};
-constexpr double kGapPatience = 4.0;
+constexpr double kGapPatience = 2.0;
+/// A replica that is known to read is given this much longer than its forecast.
+constexpr double kReadingPatience = 1.3;
+constexpr Duration kReadingMargin = std::chrono::milliseconds{150};
 constexpr double kFirstEventPatience = 1.2;
 constexpr double kForecastPatience = 2.0;
 constexpr double kCallPatience = 0.8;
@@ -183,6 +189,7 @@
     shape.gapObjective = m_route->gapObjective;
     shape.promptTokens = m_head.promptTokens;
     shape.maySplit = m_canSplit;
+    shape.timeLeft = deadline() - m_state.clock.now();
     const ServiceSpec *service = m_table->service(m_service);
     const double usual = service && service->engine ? service->engine->meanAnswerTokens : 0;
     shape.answerTokens = m_head.likelyAnswerTokens;
@@ -241,7 +248,21 @@
     co_await answerFailure(last);
 }
 
-UpstreamAttempt::Request Exchange::upstreamRequest(const DispatchGrant &grant) const
+std::vector<HoldPart> Exchange::holdParts(const DispatchGrant &grant) const
+{
+    std::vector<HoldPart> parts;
+    for (std::size_t i = 0; i < grant.helpers.size(); ++i) {
+        const HelperGrant &helper = grant.helpers[i];
+        if (helper.heldTokens > 0)
+            parts.push_back(
+                {helper.replica, helper.heldTokens,
+                 m_head.requestId + '-' + std::to_string(grant.work) + '-' + std::to_string(i)});
+    }
+    return parts;
+}
+
+UpstreamAttempt::Request Exchange::upstreamRequest(
+    const DispatchGrant &grant, const std::vector<std::string> &reservations) const
 {
     platform::UpstreamHead head;
     head.timeLeft = timeLeft();
@@ -249,8 +270,8 @@
     head.team = m_team;
     if (m_splice)
         head.lastEventId = m_splice->lastId();
-    for (const ReplicaEntry &helper : grant.helpers)
-        head.helpers.push_back({helper.address, {}});
+    for (std::size_t i = 0; i < grant.helpers.size(); ++i)
+        head.helpers.push_back({grant.helpers[i].replica.address, reservations[i]});
     UpstreamAttempt::Request request;
     static_cast<http::fields &>(request.base()) = platform::upstreamFields(m_request.base(), head);
     request.version(m_request.version());
@@ -290,6 +311,22 @@
         m_replicas += '+' + std::to_string(grant.helpers.size());
 }
 
+std::optional<TimePoint> Exchange::extendPatience(const DispatchGrant &grant) const
+{
+    const TimePoint now = m_state.clock.now();
+    const ServiceSpec *service = m_table->service(m_service);
+    if (!service || !service->engine || now >= deadline())
+        return std::nullopt;
+    const double pace = m_state.health.pace(lifeOf(grant));
+    const PassState pass =
+        passState(*service->engine, m_state.load.of(grant.replica.id), pace, now);
+    const bool isReading = pass.presentMs + pass.waitingMs > toSeconds(kReadingMargin) * 1e3;
+    if (!isReading)
+        return std::nullopt;
+    const double seconds = kReadingPatience * (pass.presentMs + pass.waitingMs) / 1e3;
+    return std::min(deadline(), now + fromSeconds(seconds) + kReadingMargin);
+}
+
 Task<Exchange::End> Exchange::attempt(const DispatchGrant &grant)
 {
     if (m_caller.isGone()) {
@@ -301,8 +338,26 @@
     UpstreamAttempt attempt(m_state.executor, m_state.pool, lifeOf(grant));
     m_attempt = &attempt;
     attempt.expireAt(patienceEnd(grant));
+    attempt.onExpiry = [this, &grant] { return extendPatience(grant); };
     const bool isSafe = m_route->kind == RepeatKind::AtMostOnce;
-    const UpstreamAttempt::Request request = upstreamRequest(grant);
+    std::vector<std::string> reservations(grant.helpers.size());
+    const std::vector<HoldPart> parts = holdParts(grant);
+    std::unique_ptr<MemoryHold> hold;
+    if (!parts.empty()) {
+        hold = co_await MemoryHold::acquire(m_state, parts);
+        if (!hold) {
+            m_attempt = nullptr;
+            ++m_unreserved;
+            co_return End::NotRun;
+        }
+        attempt.expireAt(patienceEnd(grant));
+        std::size_t next = 0;
+        for (std::size_t i = 0; i < grant.helpers.size(); ++i) {
+            if (grant.helpers[i].heldTokens > 0)
+                reservations[i] = parts[next++].id;
+        }
+    }
+    const UpstreamAttempt::Request request = upstreamRequest(grant, reservations);
     const auto sent =
         co_await attempt.send(request, grant.replica.address, isSafe, kConnectTimeout);
     if (attempt.usedNewConnection())
@@ -526,6 +581,8 @@
         return false;
     if (m_state.quarantine.standing(m_fingerprint) == Quarantine::Standing::Quarantined)
         return false;
+    if (end == End::NotRun && m_sends == 0 && m_unreserved > 0)
+        return m_unreserved < kMaxUnreserved;
     if (end == End::NotRun && m_unreachable > 0 && m_sends == 0)
         return m_unreachable < kMaxUnreachable;
     const bool mayHaveRun = m_runs > 0;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -7,6 +7,7 @@
 #include "gateway/callerconnection.h"
 #include "gateway/dispatcher.h"
 #include "gateway/gatestate.h"
+#include "gateway/memoryhold.h"
 #include "gateway/upstreamattempt.h"
 
 #include <memory>
@@ -52,13 +53,17 @@
     Task<bool> passOn(UpstreamAttempt &attempt, const DispatchGrant &grant,
                       const std::string &events);
     bool isTrustworthy(const UpstreamAttempt &attempt) const;
-    UpstreamAttempt::Request upstreamRequest(const DispatchGrant &grant) const;
+    std::vector<HoldPart> holdParts(const DispatchGrant &grant) const;
+    UpstreamAttempt::Request upstreamRequest(const DispatchGrant &grant,
+                                             const std::vector<std::string> &reservations) const;
     DispatchNeed need() const;
     bool mayRetry(End end);
     void noteSend(const DispatchGrant &grant);
     void noteEnd(End end, const UpstreamAttempt &attempt, const DispatchGrant &grant);
     void noteDeath(const DispatchGrant &grant);
     TimePoint patienceEnd(const DispatchGrant &grant) const;
+    /// More time for a replica that is known to read, past the time at which it was to be given up.
+    std::optional<TimePoint> extendPatience(const DispatchGrant &grant) const;
     bool couldRepeat() const;
     bool canSplit() const { return m_canSplit; }
 
@@ -92,6 +97,7 @@
     /// Sends that may have run.
     std::uint32_t m_runs = 0;
     std::uint32_t m_unreachable = 0;
+    std::uint32_t m_unreserved = 0;
     bool m_canSplit = true;
     bool m_hasHead = false;
     bool m_wasLogged = false;
--- /dev/null
+++ b/src/gateway/memoryhold.cpp
@@ -0,0 +1,156 @@
+// Orders go over the pool of request connections.
+#include "gateway/memoryhold.h"
+
+#include "gateway/upstreamattempt.h"
+#include "kernel/logline.h"
+#include "platform/reservation.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <glog/logging.h>
+
+namespace arbutuspier {
+
+namespace {
+
+/// Shorter than the platform lets memory lie unused, also if an order is carried out late.
+constexpr Duration kHold = std::chrono::milliseconds{3200};
+/// A reservation is extended this often; one extension may be lost.
+constexpr Duration kExtendInterval = std::chrono::milliseconds{1200};
+constexpr Duration kOrderTimeout = std::chrono::milliseconds{400};
+constexpr Duration kConnectTimeout = std::chrono::milliseconds{250};
+/// A release without an answer is sent again this often; after that the time limit frees the
+/// memory.
+constexpr int kReleaseTries = 3;
+
+ReplicaLife lifeOf(const ReplicaEntry &replica)
+{
+    return {replica.id, replica.bornMs};
+}
+
+/// Sends an order. The status of the answer; zero if none came.
+Task<int> sendOrder(GateState &state, const ReplicaEntry &replica, platform::OrderRequest order)
+{
+    UpstreamAttempt attempt(state.executor, state.pool, lifeOf(replica));
+    attempt.expireAt(state.clock.now() + kOrderTimeout);
+    const auto sent = co_await attempt.send(order, replica.address, false, kConnectTimeout);
+    state.metrics.count("orders", sent == UpstreamAttempt::Sent::Answered ? "answered" : "lost");
+    if (sent != UpstreamAttempt::Sent::Answered)
+        co_return 0;
+    std::string body;
+    UpstreamAttempt::Body progress = UpstreamAttempt::Body::More;
+    while (progress == UpstreamAttempt::Body::More)
+        progress = co_await attempt.read(body);
+    const int status = attempt.status();
+    attempt.release(state.clock.now());
+    co_return status;
+}
+
+} // namespace
+
+struct MemoryHold::Shared
+{
+    Shared(GateState &stateToUse, std::vector<HoldPart> partsToHold)
+        : state(stateToUse)
+        , parts(std::move(partsToHold))
+        , isHeld(parts.size(), false)
+        , settled(stateToUse.executor)
+        , extendTimer(stateToUse.executor)
+    {
+    }
+
+    GateState &state;
+    std::vector<HoldPart> parts;
+    std::vector<bool> isHeld;
+    /// Orders of the first round without an outcome.
+    std::size_t pending = 0;
+    asio::steady_timer settled;
+    asio::steady_timer extendTimer;
+    bool isReleased = false;
+};
+
+MemoryHold::MemoryHold(std::shared_ptr<Shared> shared)
+    : m_shared(std::move(shared))
+{
+}
+
+MemoryHold::~MemoryHold()
+{
+    m_shared->extendTimer.cancel();
+    releaseAll(m_shared);
+}
+
+void MemoryHold::releaseAll(const std::shared_ptr<Shared> &shared)
+{
+    shared->isReleased = true;
+    for (std::size_t part = 0; part < shared->parts.size(); ++part)
+        asio::co_spawn(shared->state.executor, release(shared, part), asio::detached);
+}
+
+Task<void> MemoryHold::reserve(std::shared_ptr<Shared> shared, std::size_t part)
+{
+    const HoldPart &hold = shared->parts[part];
+    const int status =
+        co_await sendOrder(shared->state, hold.replica,
+                           platform::reserveOrder(hold.replica, hold.id, hold.tokens, kHold));
+    shared->isHeld[part] = platform::decodeReserve(status) == platform::ReserveOutcome::Held;
+    if (!shared->isHeld[part]) {
+        LOG(INFO) << LogLine("reservation_refused")
+                         .add("reservation", hold.id)
+                         .add("replica", hold.replica.id)
+                         .add("tokens", hold.tokens)
+                         .add("status", static_cast<std::uint64_t>(status))
+                         .text();
+    }
+    if (shared->pending > 0 && --shared->pending == 0)
+        shared->settled.cancel();
+}
+
+Task<void> MemoryHold::release(std::shared_ptr<Shared> shared, std::size_t part)
+{
+    const HoldPart &hold = shared->parts[part];
+    for (int i = 0; i < kReleaseTries; ++i) {
+        const int status = co_await sendOrder(shared->state, hold.replica,
+                                              platform::releaseOrder(hold.replica, hold.id));
+        if (status != 0)
+            co_return;
+    }
+    LOG(INFO) << LogLine("release_unanswered")
+                     .add("reservation", hold.id)
+                     .add("replica", hold.replica.id)
+                     .text();
+}
+
+Task<void> MemoryHold::keep(std::shared_ptr<Shared> shared)
+{
+    while (!shared->isReleased) {
+        shared->extendTimer.expires_after(kExtendInterval);
+        co_await shared->extendTimer.async_wait(kAwait);
+        if (shared->isReleased)
+            co_return;
+        for (std::size_t part = 0; part < shared->parts.size(); ++part)
+            asio::co_spawn(shared->state.executor, reserve(shared, part), asio::detached);
+    }
+}
+
+Task<std::unique_ptr<MemoryHold>> MemoryHold::acquire(GateState &state, std::vector<HoldPart> parts)
+{
+    auto shared = std::make_shared<Shared>(state, std::move(parts));
+    shared->pending = shared->parts.size();
+    shared->settled.expires_at(asio::steady_timer::time_point::max());
+    for (std::size_t part = 0; part < shared->parts.size(); ++part)
+        asio::co_spawn(state.executor, reserve(shared, part), asio::detached);
+    while (shared->pending > 0)
+        co_await shared->settled.async_wait(kAwait);
+    for (const bool isHeld : shared->isHeld) {
+        if (isHeld)
+            continue;
+        releaseAll(shared);
+        co_return nullptr;
+    }
+    asio::co_spawn(state.executor, keep(shared), asio::detached);
+    co_return std::unique_ptr<MemoryHold>(new MemoryHold(shared));
+}
+
+} // namespace arbutuspier
--- a/src/gateway/upstreamattempt.cpp
+++ b/src/gateway/upstreamattempt.cpp
@@ -52,6 +52,10 @@
         const bool isDue = !error && live && live->expiry() <= at;
         if (!isDue)
             return;
+        if (const auto later = onExpiry ? onExpiry() : std::nullopt) {
+            expireAt(*later);
+            return;
+        }
         m_hasExpired = true;
         if (m_connection)
             m_connection->stream.close();
--- a/src/gateway/upstreamattempt.h
+++ b/src/gateway/upstreamattempt.h
@@ -10,6 +10,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,8 +42,10 @@
 
     /// Ends whatever is under way by closing the connection.
     void cancel();
-    /// Cancels at this time unless it is set anew.
+    /// Cancels at this time unless it is set anew. Just before, `onExpiry` may grant more time.
     void expireAt(TimePoint at);
+    /// Returns a later time at which to ask again; empty to cancel now.
+    std::function<std::optional<TimePoint>()> onExpiry;
     bool hasExpired() const { return m_hasExpired; }
     bool isCancelled() const { return m_isCancelled; }
 
--- a/src/policy/placementplan.cpp
+++ b/src/policy/placementplan.cpp
@@ -45,14 +45,19 @@
 
     std::optional<Placement> place(std::span<const PlacementCandidate> all)
     {
+        m_replicas = all.size();
+        for (const PlacementCandidate &candidate : all) {
+            m_fleetWriters += candidate.load.writers;
+            m_readingReplicas += candidate.load.reads.empty() ? 0 : 1;
+        }
         Candidates writers;
         for (const PlacementCandidate &candidate : all) {
             if (hasRoom(candidate))
                 writers.push_back(&candidate);
         }
-        if (writers.empty())
-            return std::nullopt;
-        std::optional<Placement> best = placeAlone(writers);
+        std::optional<Placement> best;
+        if (!writers.empty())
+            best = placeAlone(writers);
         if (!m_prompt.maySplit || !isWorthSplitting())
             return best;
         Candidates helpers;
@@ -60,6 +65,8 @@
             if (candidate.load.helping < candidate.slots)
                 helpers.push_back(&candidate);
         }
+        if (writers.empty())
+            return placeOverMemories(all, helpers);
         for (std::uint32_t parts : kSplits) {
             const bool isPossible =
                 parts > 1 && parts <= helpers.size() && parts <= m_options.maxHelpers + 1;
@@ -76,14 +83,24 @@
         return m_wholeReadMs > kShortPart * toMs(m_prompt.objective);
     }
 
-    bool hasRoom(const PlacementCandidate &candidate) const
+    std::uint64_t neededTokens() const { return m_prompt.promptTokens + m_prompt.answerTokens; }
+
+    std::uint64_t freeTokens(const PlacementCandidate &candidate) const
     {
-        if (candidate.load.running >= candidate.slots)
-            return false;
         const double capacity =
             (1.0 - m_options.memoryMargin) * static_cast<double>(m_figures.memoryTokens);
-        const std::uint64_t needed = m_prompt.promptTokens + m_prompt.answerTokens;
-        return static_cast<double>(candidate.load.memoryTokens + needed) <= capacity;
+        const auto usable = static_cast<std::uint64_t>(capacity);
+        return usable - std::min(usable, candidate.load.memoryTokens);
+    }
+
+    static bool hasSlot(const PlacementCandidate &candidate)
+    {
+        return candidate.load.running < candidate.slots;
+    }
+
+    bool hasRoom(const PlacementCandidate &candidate) const
+    {
+        return hasSlot(candidate) && neededTokens() <= freeTokens(candidate);
     }
 
     double lateChance(double firstMs) const
@@ -106,6 +123,31 @@
         return candidate.load.weightHarmedBy(fromMs(pause)) + state.waitingReads * delay;
     }
 
+    /// Answers that come meanwhile and are made late by `parts` replicas that read for `partMs`
+    /// each.
+    double blockCost(std::uint32_t parts, double partMs) const
+    {
+        const double share = static_cast<double>(parts) / static_cast<double>(m_replicas);
+        const double arrivalsPerMs = m_fleetWriters / m_options.answerMs;
+        return arrivalsPerMs * partMs * share * share * share;
+    }
+
+    /// Time to write the answer where the prompt lies on `parts` replicas.
+    double answerMs(std::uint32_t parts) const
+    {
+        const double passes = std::ceil(static_cast<double>(m_prompt.answerTokens)
+                                        / std::max(1U, m_figures.stepsPerPass));
+        return passes * stepsMs(m_figures, 1, m_prompt.promptTokens / parts);
+    }
+
+    /// Answers that the time of the replicas which this prompt takes would serve otherwise: none
+    /// while the fleet is idle, all of them while every replica reads.
+    double displacedCost() const
+    {
+        const double busy = m_readingReplicas / static_cast<double>(m_replicas);
+        return m_options.answersPerReplicaMs * m_wholeReadMs * busy;
+    }
+
     static double shunCost(const PlacementCandidate &candidate)
     {
         constexpr double kShunned = 100.0;
@@ -167,7 +209,8 @@
             return;
         others.resize(parts - 1);
         double first = firstMs(*writer, partMs);
-        double cost = harm(*writer, partMs) + shunCost(*writer) + m_options.helperCost * parts;
+        double cost = harm(*writer, partMs) + shunCost(*writer) + m_options.helperCost * parts
+            + blockCost(parts, partMs);
         for (const PlacementCandidate *helper : others) {
             first = std::max(first, firstMs(*helper, partMs));
             cost += harm(*helper, partMs) + shunCost(*helper);
@@ -178,7 +221,86 @@
         m_bestCost = cost;
         best = Placement{writer->replica, {}, partMs, first};
         for (const PlacementCandidate *helper : others)
-            best->helpers.push_back(helper->replica);
+            best->helpers.push_back({helper->replica, 0});
+    }
+
+    /// For a prompt that no replica has the memory for: the writer holds what it can, and helpers
+    /// with the most free memory hold the rest.
+    std::optional<Placement> placeOverMemories(std::span<const PlacementCandidate> all,
+                                               const Candidates &helpers)
+    {
+        std::optional<Placement> best;
+        for (std::uint32_t parts : kSplits) {
+            const bool isPossible =
+                parts > 1 && parts <= helpers.size() && parts <= m_options.maxHelpers + 1;
+            if (isPossible)
+                tryOverMemories(parts, all, helpers, best);
+        }
+        return best;
+    }
+
+    void tryOverMemories(std::uint32_t parts, std::span<const PlacementCandidate> all,
+                         const Candidates &helpers, std::optional<Placement> &best)
+    {
+        const double partMs = m_wholeReadMs / parts;
+        const auto cost = [&](const PlacementCandidate *candidate) {
+            return partCost(*candidate, partMs);
+        };
+        const PlacementCandidate *writer = nullptr;
+        for (const PlacementCandidate &candidate : all) {
+            const bool isBetter = hasSlot(candidate)
+                && freeTokens(candidate) > m_prompt.answerTokens
+                && (!writer || cost(&candidate) < cost(writer));
+            if (isBetter)
+                writer = &candidate;
+        }
+        if (!writer)
+            return;
+        Candidates others = helpers;
+        std::erase(others, writer);
+        std::sort(others.begin(), others.end(),
+                  [&](const auto *a, const auto *b) { return cost(a) < cost(b); });
+        if (others.size() < parts - 1)
+            return;
+        others.resize(parts - 1);
+        Placement placement{writer->replica, {}, partMs, firstMs(*writer, partMs)};
+        double total = cost(writer) + m_options.helperCost * parts + blockCost(parts, partMs);
+        for (const PlacementCandidate *helper : others) {
+            placement.firstEventMs = std::max(placement.firstEventMs, firstMs(*helper, partMs));
+            placement.helpers.push_back({helper->replica, 0});
+            total += cost(helper);
+        }
+        if (placement.firstEventMs + answerMs(parts) > toMs(m_prompt.timeLeft))
+            return;
+        const double late = std::min(1.0, lateChance(placement.firstEventMs));
+        const double gain = weight() * (1.0 - m_options.lateLoss * late);
+        if (total + displacedCost() > gain)
+            return;
+        total += weight() * lateChance(placement.firstEventMs);
+        if (best && total >= m_bestCost)
+            return;
+        if (!spreadMemory(others, freeTokens(*writer), placement))
+            return;
+        m_bestCost = total;
+        best = std::move(placement);
+    }
+
+    /// Gives helpers the memory that the writer lacks, the emptiest first. False if they lack it
+    /// too.
+    bool spreadMemory(Candidates holders, std::uint64_t writerTokens, Placement &placement) const
+    {
+        std::uint64_t missing = neededTokens() - std::min(neededTokens(), writerTokens);
+        std::sort(holders.begin(), holders.end(),
+                  [&](const auto *a, const auto *b) { return freeTokens(*a) > freeTokens(*b); });
+        for (const PlacementCandidate *holder : holders) {
+            const std::uint64_t tokens = std::min(missing, freeTokens(*holder));
+            const auto helper = std::find_if(
+                placement.helpers.begin(), placement.helpers.end(),
+                [&](const HelperPlacement &other) { return other.replica == holder->replica; });
+            helper->heldTokens = tokens;
+            missing -= tokens;
+        }
+        return missing == 0;
     }
 
     const EngineFigures &m_figures;
@@ -186,6 +308,11 @@
     const PlacementOptions &m_options;
     TimePoint m_now;
     double m_wholeReadMs;
+    std::size_t m_replicas = 1;
+    /// Answers being written on all replicas.
+    double m_fleetWriters = 0;
+    /// Replicas that have a prompt to read.
+    double m_readingReplicas = 0;
     double m_bestCost = std::numeric_limits<double>::max();
 };
 
