policy: Count answers whose prompt is still being read as harmed by a pause

Cause: a part of a long prompt went to replicas that had just been sent short prompts, as only answers already being written counted; those were writing when the part was read.

Change: a replica's load lists every answer it writes or will write.

--- a/include/arbutuspier/fleetload.h
+++ b/include/arbutuspier/fleetload.h
@@ -48,8 +48,8 @@
     double readMs = 0;
 };
 
-/// An answer that is being written.
-struct Writer
+/// An answer that a replica writes, or will once it has read the prompt.
+struct PlannedAnswer
 {
     Duration gapObjective{};
     double weight = 1;
@@ -68,8 +68,8 @@
     std::uint64_t memoryTokens = 0;
     /// In the order in which they were sent.
     std::vector<PendingRead> reads;
-    /// Invariant: as many as `writers`.
-    std::vector<Writer> writing;
+    /// Invariant: as many as `running`.
+    std::vector<PlannedAnswer> answers;
 
     /// Weight of the answers that a pause of this length is likely to make late. A pause near an
     /// objective counts in part, as it may turn out longer.
--- a/src/policy/fleetload.cpp
+++ b/src/policy/fleetload.cpp
@@ -17,12 +17,22 @@
     from -= std::min(from, amount);
 }
 
+void removeAnswer(ReplicaLoad &load, const Work &work)
+{
+    const auto answer =
+        std::find_if(load.answers.begin(), load.answers.end(), [&](const PlannedAnswer &other) {
+            return other.gapObjective == work.gapObjective && other.weight == work.weight;
+        });
+    if (answer != load.answers.end())
+        load.answers.erase(answer);
+}
+
 } // namespace
 
 double ReplicaLoad::weightHarmedBy(Duration pause) const
 {
     double harmed = 0;
-    for (const Writer &writer : writing) {
+    for (const PlannedAnswer &writer : answers) {
         if (writer.gapObjective <= Duration::zero())
             continue;
         const double ratio = toSeconds(pause) / toSeconds(writer.gapObjective);
@@ -35,10 +45,12 @@
 {
     ReplicaLoad &load = m_loads[part.replica];
     load.memoryTokens += part.memoryTokens;
-    if (part.isWriter)
+    if (part.isWriter) {
         ++load.running;
-    else
+        load.answers.push_back({work.gapObjective, work.weight});
+    } else {
         ++load.helping;
+    }
     if (!work.isWriting) {
         load.reads.push_back({now, part.readMs});
         return;
@@ -47,7 +59,6 @@
         return;
     ++load.writers;
     load.contextTokens += part.contextTokens;
-    load.writing.push_back({work.gapObjective, work.weight});
 }
 
 void FleetLoad::removePart(const Work &work, const WorkPart &part)
@@ -58,6 +69,8 @@
     ReplicaLoad &load = found->second;
     subtract(load.memoryTokens, part.memoryTokens);
     subtract(part.isWriter ? load.running : load.helping, 1U);
+    if (part.isWriter)
+        removeAnswer(load, work);
     if (!work.isWriting) {
         const auto read =
             std::find_if(load.reads.begin(), load.reads.end(),
@@ -68,12 +81,6 @@
     if (work.isWriting && part.isWriter) {
         subtract(load.writers, 1U);
         subtract(load.contextTokens, part.contextTokens);
-        const auto writer =
-            std::find_if(load.writing.begin(), load.writing.end(), [&](const Writer &other) {
-                return other.gapObjective == work.gapObjective && other.weight == work.weight;
-            });
-        if (writer != load.writing.end())
-            load.writing.erase(writer);
     }
     const bool isIdle = load.running == 0 && load.helping == 0;
     if (isIdle)
