--- a/include/arbutuspier/placementplan.h
+++ b/include/arbutuspier/placementplan.h
@@ -47,7 +47,7 @@
 struct PlacementOptions
 {
     /// Part of its slots up to which a replica is filled before the next one gets short prompts.
-    double packedSlots = 0.6;
+    double packedSlots = 0.8;
     /// Part of the objective up to which a forecast counts as on time for sure.
     double safeObjective = 0.55;
     /// Part of the objective, beyond the safe one, over which the chance to be late grows to one.
