--- a/include/arbutuspier/streamsplice.h
+++ b/include/arbutuspier/streamsplice.h
@@ -33,7 +33,7 @@
     std::uint64_t passedEvents() const { return m_passed; }
 
 private:
-    static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+    static constexpr std::size_t kMaxEventBytes = 1024UL * 1024;
 
     std::string m_pending;
     std::optional<std::uint64_t> m_lastId;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -37,6 +37,8 @@
 /// Sends beyond the route's attempts for replicas that refused to run the request.
 constexpr std::uint32_t kExtraSends = 2;
 constexpr Duration kRetryWhenNotReady = std::chrono::seconds{1};
+/// Another VM takes the request at once.
+constexpr Duration kRetryElsewhere = std::chrono::milliseconds{20};
 constexpr Duration kRetryWhenNoReplica = std::chrono::milliseconds{500};
 constexpr Duration kRetryWhenFull = std::chrono::milliseconds{300};
 /// An answer that ends at the caller's own limit comes too late; it is sent this much sooner.
@@ -64,13 +66,6 @@
     return target.substr(0, target.find('?'));
 }
 
-Fingerprint fingerprintOf(const Exchange::Request &request, const std::string &team)
-{
-    const std::uint64_t path = XXH64(request.target().data(), request.target().size(), 0);
-    const std::uint64_t caller = XXH64(team.data(), team.size(), path);
-    return Fingerprint{XXH64(request.body().data(), request.body().size(), caller)};
-}
-
 std::string_view reasonOf(DispatchRefusal refusal)
 {
     switch (refusal) {
@@ -93,6 +88,14 @@
 
 } // namespace
 
+Fingerprint requestFingerprint(std::string_view target, std::string_view team,
+                               std::string_view body)
+{
+    const std::uint64_t path = XXH64(target.data(), target.size(), 0);
+    const std::uint64_t caller = XXH64(team.data(), team.size(), path);
+    return Fingerprint{XXH64(body.data(), body.size(), caller)};
+}
+
 Exchange::Exchange(GateState &state, CallerConnection &caller, const Request &request)
     : m_state(state)
     , m_caller(caller)
@@ -103,7 +106,7 @@
 {
     m_caller.onGone = [this] {
         if (m_ticket)
-            m_state.dispatcher.cancel(*m_ticket);
+            m_state.workList.cancel(*m_ticket);
         if (m_attempt)
             m_attempt->cancel();
     };
@@ -146,7 +149,11 @@
         co_return;
     }
     limitTime();
-    m_fingerprint = fingerprintOf(m_request, m_team);
+    if (m_route->kind == RepeatKind::Stream && !m_state.takesStreams()) {
+        co_await refuse(kUnavailable, "draining", kRetryElsewhere);
+        co_return;
+    }
+    m_fingerprint = requestFingerprint(text(m_request.target()), m_team, m_request.body());
     if (m_state.quarantine.standing(m_fingerprint) == Quarantine::Standing::Quarantined) {
         co_await refuse(kUnavailable, "quarantined", std::nullopt);
         co_return;
@@ -220,8 +227,8 @@
     End last = End::NotRun;
     while (true) {
         const TimePoint asked = m_state.clock.now();
-        m_ticket = m_state.dispatcher.makeTicket(need());
-        const DispatchResult result = co_await m_state.dispatcher.acquire(m_ticket);
+        m_ticket = m_state.workList.makeTicket(need());
+        const DispatchResult result = co_await m_state.workList.acquire(m_ticket);
         m_ticket.reset();
         m_queued += m_state.clock.now() - asked;
         if (!result.grant) {
@@ -239,7 +246,7 @@
             co_return;
         }
         last = co_await attempt(*result.grant);
-        m_state.dispatcher.end(result.grant->work);
+        m_state.workList.end(result.grant->work);
         if (last == End::Answered || last == End::CallerGone)
             co_return;
         if (!mayRetry(last))
@@ -454,7 +461,7 @@
             continue;
         if (!isWriting) {
             isWriting = true;
-            m_state.dispatcher.beginWriting(grant.work);
+            m_state.workList.beginWriting(grant.work);
             const Duration took = m_state.clock.now() - sentAt;
             const bool tellsPace = grant.wasIdle && grant.forecast > Duration::zero();
             const double ratio = tellsPace ? toSeconds(took) / toSeconds(grant.forecast) : 0;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -5,10 +5,10 @@
 #include "arbutuspier/streamsplice.h"
 #include "arbutuspier/verdict.h"
 #include "gateway/callerconnection.h"
-#include "gateway/dispatcher.h"
 #include "gateway/gatestate.h"
 #include "gateway/memoryhold.h"
 #include "gateway/upstreamattempt.h"
+#include "gateway/worklist.h"
 
 #include <memory>
 #include <optional>
@@ -18,6 +18,10 @@
 
 namespace arbutuspier {
 
+/// Digest of path, team and body: the same for a request that comes again.
+Fingerprint requestFingerprint(std::string_view target, std::string_view team,
+                               std::string_view body);
+
 class Exchange
 {
 public:
@@ -88,7 +92,7 @@
     TimePoint m_callerEnd;
     TimePoint m_routeEnd;
 
-    std::shared_ptr<Dispatcher::Ticket> m_ticket;
+    std::shared_ptr<WorkList::Ticket> m_ticket;
     UpstreamAttempt *m_attempt = nullptr;
     std::optional<StreamSplice> m_splice;
     std::set<std::string> m_tried;
--- a/src/gateway/gatestate.cpp
+++ b/src/gateway/gatestate.cpp
@@ -13,6 +13,12 @@
 /// A body is remembered this long after a replica died with it.
 constexpr Duration kSuspectMemory = std::chrono::minutes{5};
 
+/// Part of the grace by which everything in flight has ended.
+constexpr double kDrainPart = 0.88;
+/// Part of the grace in which streams are still begun; the balancer sends them until it has
+/// noticed.
+constexpr double kStreamsPart = 0.35;
+
 std::uint64_t seedOf(const std::string &vm, const Clock &clock)
 {
     const auto start = static_cast<std::uint64_t>(clock.wallNow().time_since_epoch().count());
@@ -37,7 +43,7 @@
     , health({})
     , pool({})
     , quarantine(quarantineOptions())
-    , dispatcher(executor, clock, settings.vm, settings.zone, directory, load, health)
+    , workList(executor, clock, settings.vm, settings.zone, directory, load, health)
     , random(seedOf(settings.vm, clock))
 {
 }
@@ -58,6 +64,18 @@
     return true;
 }
 
+void GateState::beginDrain()
+{
+    const TimePoint now = clock.now();
+    m_drainEnd = now + fromSeconds(kDrainPart * toSeconds(settings.grace));
+    m_lastStreamAt = now + fromSeconds(kStreamsPart * toSeconds(settings.grace));
+}
+
+bool GateState::takesStreams() const
+{
+    return clock.now() < m_lastStreamAt;
+}
+
 RetryAllowance &GateState::allowance(const std::string &service)
 {
     const auto found = m_allowances.find(service);
--- a/src/gateway/gatestate.h
+++ b/src/gateway/gatestate.h
@@ -7,10 +7,10 @@
 #include "arbutuspier/retryallowance.h"
 #include "arbutuspier/routetable.h"
 #include "arbutuspier/upstreamdirectory.h"
-#include "gateway/dispatcher.h"
 #include "gateway/gatemetrics.h"
 #include "gateway/gatesettings.h"
 #include "gateway/upstreampool.h"
+#include "gateway/worklist.h"
 
 #include <functional>
 #include <map>
@@ -38,7 +38,9 @@
     bool isDraining() const { return m_drainEnd.has_value(); }
     /// When everything in flight must have ended, once the VM drains.
     const std::optional<TimePoint> &drainEnd() const { return m_drainEnd; }
-    void beginDrain(TimePoint end) { m_drainEnd = end; }
+    void beginDrain();
+    /// False once a stream that begins now might not end before this VM stops.
+    bool takesStreams() const;
 
     const GateSettings &settings;
     const Clock &clock;
@@ -48,7 +50,7 @@
     ReplicaHealth health;
     UpstreamPool pool;
     Quarantine quarantine;
-    Dispatcher dispatcher;
+    WorkList workList;
     GateMetrics metrics;
     Random random;
     /// Requests that a replica's crash made suspects, for peers.
@@ -59,6 +61,7 @@
     std::map<std::string, RetryAllowance> m_allowances;
     std::size_t m_vmCount = 1;
     std::optional<TimePoint> m_drainEnd;
+    TimePoint m_lastStreamAt = TimePoint::max();
 };
 
 } // namespace arbutuspier
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,8 +24,6 @@
 constexpr Duration kFreeze = std::chrono::milliseconds{700};
 /// The balancer has stopped sending new connections by then: two missed checks, a second apart.
 constexpr Duration kBalancerNotices = std::chrono::milliseconds{2600};
-/// Part of the grace by which everything in flight has ended.
-constexpr double kDrainPart = 0.88;
 
 std::chrono::nanoseconds bootTime()
 {
@@ -53,13 +51,13 @@
                 })
     , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
 {
-    m_state.dispatcher.onNews = [this](const WorkNews &news) { m_hints.tell(news); };
+    m_state.workList.onNews = [this](const WorkNews &news) { m_hints.tell(news); };
     m_state.onSuspect = [this](const SuspectNotice &notice) { m_hints.tell(notice); };
     m_store.onVms = [this](const std::vector<VmRow> &vms) { m_hints.setVms(vms); };
     m_store.onConfiguration = [this] { m_hints.tellChanges(); };
     m_store.onReplicas = [this] {
         m_hints.tellChanges();
-        m_state.dispatcher.pump();
+        m_state.workList.pump();
     };
 }
 
@@ -96,8 +94,8 @@
 std::string Gateway::metricsText()
 {
     GateMetrics &metrics = m_state.metrics;
-    metrics.gauge("running", static_cast<double>(m_state.dispatcher.running()));
-    metrics.gauge("waiting", static_cast<double>(m_state.dispatcher.waiting()));
+    metrics.gauge("running", static_cast<double>(m_state.workList.running()));
+    metrics.gauge("waiting", static_cast<double>(m_state.workList.waiting()));
     metrics.gauge("replicas", static_cast<double>(m_state.directory.size()));
     metrics.gauge("vms", static_cast<double>(m_state.vmCount()));
     metrics.gauge("idle_connections", static_cast<double>(m_state.pool.idleCount()));
@@ -149,7 +147,7 @@
         m_state.directory.tick(now);
         m_state.pool.tick(now);
         m_state.quarantine.tick(now);
-        m_state.dispatcher.pump();
+        m_state.workList.pump();
         std::erase_if(m_connections, [](const auto &connection) { return connection.expired(); });
         if (isReady() != m_wasReady) {
             m_wasReady = isReady();
@@ -172,9 +170,8 @@
 {
     if (m_state.isDraining())
         return;
-    const Duration time = fromSeconds(kDrainPart * toSeconds(m_settings.grace));
-    m_state.beginDrain(m_clock.now() + time);
-    LOG(INFO) << LogLine("drain_begins").add("running", m_state.dispatcher.running()).text();
+    m_state.beginDrain();
+    LOG(INFO) << LogLine("drain_begins").add("running", m_state.workList.running()).text();
     asio::co_spawn(m_context, drain(), asio::detached);
 }
 
--- a/src/gateway/hintcodec.h
+++ b/src/gateway/hintcodec.h
@@ -6,7 +6,7 @@
 #include "arbutuspier/fleetload.h"
 #include "arbutuspier/peer.h"
 #include "arbutuspier/upstreamdirectory.h"
-#include "gateway/dispatcher.h"
+#include "gateway/worklist.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/gateway/peerhints.cpp
+++ b/src/gateway/peerhints.cpp
@@ -251,7 +251,7 @@
     m_state.directory.takeNewlyLeft();
     for (const SuspectNotice &notice : hint.suspects)
         m_state.quarantine.merge(notice, now);
-    m_state.dispatcher.pump();
+    m_state.workList.pump();
 }
 
 Task<void> PeerHints::fetchConfiguration(Udp::endpoint endpoint)
--- a/src/gateway/dispatcher.cpp
+++ b/src/gateway/worklist.cpp
@@ -1,5 +1,5 @@
 // The choice itself is in PlacementPlan; this keeps the line of those who wait.
-#include "gateway/dispatcher.h"
+#include "gateway/worklist.h"
 
 #include <xxhash.h>
 
@@ -22,9 +22,9 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(asio::any_io_executor executor, const Clock &clock, std::string vm,
-                       std::string zone, const UpstreamDirectory &directory, FleetLoad &load,
-                       const ReplicaHealth &health)
+WorkList::WorkList(asio::any_io_executor executor, const Clock &clock, std::string vm,
+                   std::string zone, const UpstreamDirectory &directory, FleetLoad &load,
+                   const ReplicaHealth &health)
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_vm(std::move(vm))
@@ -35,7 +35,7 @@
 {
 }
 
-std::shared_ptr<Dispatcher::Ticket> Dispatcher::makeTicket(DispatchNeed need)
+std::shared_ptr<WorkList::Ticket> WorkList::makeTicket(DispatchNeed need)
 {
     auto ticket = std::make_shared<Ticket>();
     ticket->need = std::move(need);
@@ -44,7 +44,7 @@
     return ticket;
 }
 
-Task<DispatchResult> Dispatcher::acquire(std::shared_ptr<Ticket> ticket)
+Task<DispatchResult> WorkList::acquire(std::shared_ptr<Ticket> ticket)
 {
     if (trySettle(*ticket))
         co_return ticket->result;
@@ -63,7 +63,7 @@
     co_return ticket->result;
 }
 
-void Dispatcher::cancel(Ticket &ticket)
+void WorkList::cancel(Ticket &ticket)
 {
     if (ticket.isSettled)
         return;
@@ -71,19 +71,19 @@
     std::erase_if(m_waiting, [&](const auto &other) { return other.get() == &ticket; });
 }
 
-void Dispatcher::settle(Ticket &ticket)
+void WorkList::settle(Ticket &ticket)
 {
     ticket.isSettled = true;
     ticket.wake->cancel();
 }
 
-void Dispatcher::refuse(Ticket &ticket, DispatchRefusal refusal)
+void WorkList::refuse(Ticket &ticket, DispatchRefusal refusal)
 {
     ticket.result.refusal = refusal;
     settle(ticket);
 }
 
-std::vector<PlacementCandidate> Dispatcher::candidates(const DispatchNeed &need) const
+std::vector<PlacementCandidate> WorkList::candidates(const DispatchNeed &need) const
 {
     const TimePoint now = m_clock.now();
     std::vector<PlacementCandidate> result;
@@ -104,7 +104,7 @@
     return result;
 }
 
-Duration Dispatcher::longestWait(const DispatchNeed &need) const
+Duration WorkList::longestWait(const DispatchNeed &need) const
 {
     const ServiceSpec *service = need.table->service(need.service);
     const bool isLarger = service && service->engine
@@ -114,8 +114,8 @@
     return isLarger ? fromSeconds(kPart * toSeconds(need.prompt.objective)) : std::chrono::hours{1};
 }
 
-bool Dispatcher::isTooLarge(const DispatchNeed &need, const EngineFigures &figures,
-                            std::size_t replicas) const
+bool WorkList::isTooLarge(const DispatchNeed &need, const EngineFigures &figures,
+                          std::size_t replicas) const
 {
     const std::size_t together =
         need.prompt.maySplit ? std::min<std::size_t>(replicas, m_options.maxHelpers + 1) : 1;
@@ -124,7 +124,7 @@
     return static_cast<double>(need.prompt.promptTokens + need.prompt.answerTokens) > capacity;
 }
 
-bool Dispatcher::trySettle(Ticket &ticket)
+bool WorkList::trySettle(Ticket &ticket)
 {
     const ServiceSpec *service = ticket.need.table->service(ticket.need.service);
     std::vector<PlacementCandidate> all = candidates(ticket.need);
@@ -156,7 +156,7 @@
     return false;
 }
 
-void Dispatcher::grantPrompt(Ticket &ticket, const Placement &placement)
+void WorkList::grantPrompt(Ticket &ticket, const Placement &placement)
 {
     const PromptShape &prompt = ticket.need.prompt;
     DispatchGrant grant;
@@ -184,7 +184,7 @@
     settle(ticket);
 }
 
-void Dispatcher::grantCall(Ticket &ticket, const std::string &replica)
+void WorkList::grantCall(Ticket &ticket, const std::string &replica)
 {
     DispatchGrant grant;
     grant.replica = *m_directory.find(replica);
@@ -198,14 +198,14 @@
     settle(ticket);
 }
 
-void Dispatcher::begin(Work work)
+void WorkList::begin(Work work)
 {
     if (onNews)
         onNews({WorkNews::Kind::Began, work.id, work});
     m_load.begin(m_vm, std::move(work), m_clock.now());
 }
 
-void Dispatcher::beginWriting(std::uint64_t work)
+void WorkList::beginWriting(std::uint64_t work)
 {
     m_load.beginWriting(m_vm, work, m_clock.now());
     if (onNews)
@@ -213,7 +213,7 @@
     pump();
 }
 
-void Dispatcher::end(std::uint64_t work)
+void WorkList::end(std::uint64_t work)
 {
     m_load.end(m_vm, work);
     if (onNews)
@@ -221,7 +221,7 @@
     pump();
 }
 
-void Dispatcher::pump()
+void WorkList::pump()
 {
     for (auto it = m_waiting.begin(); it != m_waiting.end();) {
         const std::shared_ptr<Ticket> ticket = *it;
--- a/src/gateway/dispatcher.h
+++ b/src/gateway/worklist.h
@@ -79,7 +79,7 @@
     std::optional<Work> work;
 };
 
-class Dispatcher
+class WorkList
 {
 public:
     /// A request that waits. Its owner may cancel it.
@@ -92,8 +92,8 @@
         bool isSettled = false;
     };
 
-    Dispatcher(asio::any_io_executor executor, const Clock &clock, std::string vm, std::string zone,
-               const UpstreamDirectory &directory, FleetLoad &load, const ReplicaHealth &health);
+    WorkList(asio::any_io_executor executor, const Clock &clock, std::string vm, std::string zone,
+             const UpstreamDirectory &directory, FleetLoad &load, const ReplicaHealth &health);
 
     /// Waits for a replica. The grant must be ended with `end`.
     Task<DispatchResult> acquire(std::shared_ptr<Ticket> ticket);
--- /dev/null
+++ b/tests/gate/gateprocesstest.cpp
@@ -0,0 +1,129 @@
+// The gate's settings and its log on standard output.
+#include "gateway/boundedlog.h"
+#include "gateway/gatesettings.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+
+using namespace arbutuspier;
+
+namespace {
+
+constexpr const char *kSettings = R"([vm]
+name = "edge-1"
+zone = "yard"
+[listen]
+callers = "10.1.0.40:8227"
+readiness = "10.1.0.40:8220"
+peers = "10.1.0.40:7340"
+metrics = "10.1.0.40:9464"
+[peers]
+seeds = ["10.1.0.40:8229", "10.2.0.29:8229"]
+[platform]
+store = "10.200.1.7:8223"
+replica_heartbeat_ms = 1200
+[bounds]
+drain_ms = 2000
+grace_s = 8
+[retries]
+ratio = 0.2
+slack = 102
+)";
+
+} // namespace
+
+TEST_GROUP(GateSettingsText){};
+
+TEST(GateSettingsText, isReadWhole)
+{
+    const auto settings = parseGateSettings(kSettings, "gate.toml");
+    CHECK(settings.has_value());
+    STRCMP_EQUAL("edge-1", settings->vm.c_str());
+    LONGS_EQUAL(7340, settings->peers.port);
+    LONGS_EQUAL(2, settings->seedHosts.size());
+    STRCMP_EQUAL("10.2.0.29", settings->seedHosts[1].c_str());
+    CHECK(settings->grace == std::chrono::seconds{8});
+    DOUBLES_EQUAL(102, settings->retrySlack, 1e-9);
+}
+
+TEST(GateSettingsText, namesEveryMistakeAtOnce)
+{
+    const auto settings = parseGateSettings("[vm]\nname = \"\"\n[retries]\nratio = -1\n", "g");
+    CHECK(!settings.has_value());
+    const std::string &message = settings.error().message;
+    for (const char *key :
+         {"vm.name", "vm.zone", "listen.callers", "platform.store", "retries.ratio"})
+        CHECK(message.find(key) != std::string::npos);
+}
+
+TEST(GateSettingsText, isRefusedIfItIsNoToml)
+{
+    CHECK(!parseGateSettings("[vm\nname", "g").has_value());
+}
+
+TEST_GROUP(ALogOnAPipe)
+{
+    ManualClock clock;
+    std::array<int, 2> ends{};
+
+    void setup() override
+    {
+        CHECK(::pipe(ends.data()) == 0);
+    }
+    void teardown() override
+    {
+        ::close(ends[0]);
+        ::close(ends[1]);
+    }
+
+    void log(BoundedLog & sink, const std::string &text)
+    {
+        sink.send(google::GLOG_INFO, "", "", 0, google::LogMessageTime(), text.data(), text.size());
+    }
+    std::string read()
+    {
+        ::fcntl(ends[0], F_SETFL, O_NONBLOCK);
+        std::string text(1 << 20, '\0');
+        const ssize_t size = ::read(ends[0], text.data(), text.size());
+        text.resize(size < 0 ? 0 : static_cast<std::size_t>(size));
+        return text;
+    }
+};
+
+TEST(ALogOnAPipe, writesOneLineForEachMessage)
+{
+    BoundedLog sink(ends[1], {}, clock);
+    log(sink, "event=started vm=a");
+    const std::string text = read();
+    CHECK(text.find("level=INFO event=started vm=a\n") != std::string::npos);
+}
+
+TEST(ALogOnAPipe, dropsAndCountsWhatAStoppedReaderDoesNotTake)
+{
+    BoundedLog sink(ends[1], {1e9, 1e9}, clock);
+    const std::string message(1000, 'x');
+    for (int i = 0; i < 5000; ++i)
+        log(sink, message);
+    CHECK(sink.droppedLines() > 0);
+    read();
+    log(sink, "event=after");
+    const std::string text = read();
+    CHECK(text.find("event=after\n") != std::string::npos);
+    CHECK(text.find("event=log_lines_dropped count=") != std::string::npos);
+}
+
+TEST(ALogOnAPipe, boundsABurstAndGoesOnAfterwards)
+{
+    BoundedLog sink(ends[1], {10, 5}, clock);
+    for (int i = 0; i < 20; ++i)
+        log(sink, "event=burst");
+    LONGS_EQUAL(15, sink.droppedLines());
+    clock.advance(std::chrono::seconds{1});
+    log(sink, "event=calm");
+    CHECK(read().find("count=15") != std::string::npos);
+}
--- /dev/null
+++ b/tests/gate/gateworld.h
@@ -0,0 +1,232 @@
+// A gate's request path on loopback, before replicas that do as the test says.
+#pragma once
+
+#include "gateway/callerconnection.h"
+#include "gateway/gatestate.h"
+#include "net/httpchannel.h"
+#include "platform/configdecoder.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace arbutuspier::gatetest {
+
+/// What a replica does with one request.
+struct Step
+{
+    /// Bytes of the answer; "%ID" stands for the request's id.
+    std::string answer;
+    /// Closes the connection after the answer.
+    bool isClosed = false;
+    /// Resets it instead.
+    bool isReset = false;
+};
+
+/// The steps that replicas take in turn, whichever of them is asked; the last one again and again.
+class Script
+{
+public:
+    explicit Script(std::vector<Step> steps)
+        : m_steps(steps.begin(), steps.end())
+    {
+    }
+
+    Step next()
+    {
+        const Step step = m_steps.front();
+        if (m_steps.size() > 1)
+            m_steps.pop_front();
+        return step;
+    }
+
+private:
+    std::deque<Step> m_steps;
+};
+
+/// A replica that reads requests and answers by a script.
+class ScriptedReplica
+{
+public:
+    using Request = boost::beast::http::request<boost::beast::http::string_body>;
+
+    ScriptedReplica(asio::io_context &context, std::shared_ptr<Script> script)
+        : m_context(context)
+        , m_acceptor(context, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , m_script(std::move(script))
+    {
+        asio::co_spawn(context, accept(), asio::detached);
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+    const std::vector<Request> &requests() const { return m_requests; }
+    int connections() const { return m_connections; }
+    int closedByCaller() const { return m_closedByCaller; }
+    void close() { m_acceptor.close(); }
+
+private:
+    Task<void> accept()
+    {
+        while (m_acceptor.is_open()) {
+            auto [error, socket] = co_await m_acceptor.async_accept(kAwait);
+            if (error)
+                co_return;
+            ++m_connections;
+            asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    Task<void> serve(Tcp::socket socket)
+    {
+        beast::tcp_stream stream(std::move(socket));
+        beast::flat_buffer buffer;
+        while (true) {
+            Request request;
+            const auto [error, size] =
+                co_await boost::beast::http::async_read(stream, buffer, request, kAwait);
+            if (error) {
+                ++m_closedByCaller;
+                co_return;
+            }
+            m_requests.push_back(request);
+            const Step step = m_script->next();
+            std::string answer = step.answer;
+            const std::string id(request["X-Arbutuspier-Attempt-Id"]);
+            for (auto at = answer.find("%ID"); at != std::string::npos; at = answer.find("%ID"))
+                answer.replace(at, 3, id);
+            co_await asio::async_write(stream, asio::buffer(answer), kAwait);
+            if (step.isReset)
+                stream.socket().set_option(asio::socket_base::linger(true, 0));
+            if (step.isClosed || step.isReset)
+                co_return;
+        }
+    }
+
+    asio::io_context &m_context;
+    Tcp::acceptor m_acceptor;
+    std::shared_ptr<Script> m_script;
+    std::vector<Request> m_requests;
+    int m_connections = 0;
+    int m_closedByCaller = 0;
+};
+
+class GateWorld
+{
+public:
+    GateWorld()
+        : state(context.get_executor(), settings, clock)
+        , m_acceptor(context, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        state.onSuspect = [](const SuspectNotice &) {};
+        asio::co_spawn(context, accept(), asio::detached);
+    }
+
+    ScriptedReplica &addReplica(std::string id, std::string service, std::vector<Step> steps)
+    {
+        return addReplica(std::move(id), std::move(service),
+                          std::make_shared<Script>(std::move(steps)));
+    }
+
+    ScriptedReplica &addReplica(std::string id, std::string service, std::shared_ptr<Script> script)
+    {
+        m_replicas.push_back(std::make_unique<ScriptedReplica>(context, std::move(script)));
+        ReplicaEntry entry;
+        entry.id = id;
+        entry.service = std::move(service);
+        entry.address = m_replicas.back()->address();
+        entry.zone = "yard";
+        entry.slots = 6;
+        entry.bornMs = 1;
+        state.directory.apply({{id, entry}}, clock.now());
+        return *m_replicas.back();
+    }
+
+    void configure(std::string_view json)
+    {
+        auto table = platform::decodeConfiguration(json);
+        state.applyConfiguration(*table, "test");
+    }
+
+    /// Sends bytes to the gate on one connection and returns what it answers until it closes.
+    std::string call(std::string request)
+    {
+        std::string answer;
+        bool isDone = false;
+        asio::co_spawn(context, exchange(std::move(request), answer, isDone), asio::detached);
+        while (!isDone)
+            context.run_one();
+        return answer;
+    }
+
+    /// Sends a request, waits until a replica has it, closes, and waits until the replica sees it.
+    void callAndLeave(std::string request, const ScriptedReplica &replica)
+    {
+        Tcp::socket socket(context);
+        socket.connect(m_acceptor.local_endpoint());
+        asio::write(socket, asio::buffer(request));
+        while (replica.requests().empty())
+            context.run_one();
+        socket.close();
+        while (replica.closedByCaller() == 0)
+            context.run_one();
+    }
+
+    static std::string request(std::string_view method, std::string_view path,
+                               std::string_view extra = "", std::string_view body = "")
+    {
+        std::string text = std::string(method) + ' ' + std::string(path)
+            + " HTTP/1.1\r\nHost: f.example\r\nX-Arbutuspier-Attempt-Id: id1\r\n"
+              "X-Arbutuspier-Deadline-Ms: 20000\r\nConnection: close\r\n"
+            + std::string(extra);
+        if (!body.empty())
+            text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        return text + "\r\n" + std::string(body);
+    }
+
+    asio::io_context context{1};
+    GateSettings settings;
+    SystemClock clock;
+    GateState state;
+
+private:
+    Task<void> accept()
+    {
+        while (true) {
+            auto [error, socket] = co_await m_acceptor.async_accept(kAwait);
+            if (error)
+                co_return;
+            auto connection = std::make_shared<CallerConnection>(std::move(socket), state);
+            asio::co_spawn(context, connection->run(connection), asio::detached);
+        }
+    }
+
+    Task<void> exchange(std::string request, std::string &answer, bool &isDone)
+    {
+        Tcp::socket socket(context);
+        co_await socket.async_connect(m_acceptor.local_endpoint(), kAwait);
+        co_await asio::async_write(socket, asio::buffer(request), kAwait);
+        std::array<char, 4096> bytes{};
+        while (true) {
+            const auto [error, size] = co_await socket.async_read_some(asio::buffer(bytes), kAwait);
+            answer.append(bytes.data(), size);
+            if (error)
+                break;
+        }
+        isDone = true;
+    }
+
+    Tcp::acceptor m_acceptor;
+    std::vector<std::unique_ptr<ScriptedReplica>> m_replicas;
+};
+
+} // namespace arbutuspier::gatetest
--- /dev/null
+++ b/tests/gate/placementtest.cpp
@@ -0,0 +1,267 @@
+// Where prompts go under the load patterns of the users' days.
+#include "arbutuspier/forecast.h"
+#include "arbutuspier/placementplan.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace arbutuspier;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr TimePoint kNow = TimePoint{std::chrono::seconds{100}};
+
+/// Figures of the platform's model engines.
+EngineFigures engine()
+{
+    EngineFigures figures;
+    figures.slots = 16;
+    figures.memoryTokens = 315'000;
+    figures.stepMs = 0.85;
+    figures.stepMsPerSequence = 0.00425;
+    figures.stepMsPerThousandContext = 0.00285;
+    figures.readTokensPerMs = 177;
+    figures.pairMsPerMillion = 0.184;
+    figures.chunkTokens = 2048;
+    figures.stepsPerPass = 51;
+    return figures;
+}
+
+PromptShape prompt(std::uint64_t tokens, int objectiveMs, int gapMs)
+{
+    PromptShape shape;
+    shape.promptTokens = tokens;
+    shape.answerTokens = 1000;
+    shape.objective = milliseconds{objectiveMs};
+    shape.gapObjective = milliseconds{gapMs};
+    shape.timeLeft = std::chrono::seconds{15};
+    return shape;
+}
+
+PromptShape shortPrompt()
+{
+    return prompt(5'000, 300, 250);
+}
+
+PromptShape longPrompt(std::uint64_t tokens = 154'000)
+{
+    return prompt(tokens, 3'000, 1'000);
+}
+
+} // namespace
+
+TEST_GROUP(AFleetOfEngines)
+{
+    FleetLoad load;
+    std::uint64_t nextWork = 1;
+    std::vector<std::string> names = {"r0", "r1", "r2", "r3", "r4", "r5", "r6", "r7"};
+
+    void run(const std::string &replica, const PromptShape &shape, bool isWriting)
+    {
+        Work work;
+        work.id = nextWork++;
+        work.gapObjective = shape.gapObjective;
+        work.weight = promptWeight(shape.promptTokens, {});
+        work.parts = {{replica, readMs(engine(), shape.promptTokens), shape.promptTokens,
+                       shape.promptTokens + shape.answerTokens, true}};
+        const std::uint64_t id = work.id;
+        load.begin("vm", std::move(work), kNow);
+        if (isWriting)
+            load.beginWriting("vm", id, kNow);
+    }
+
+    std::vector<PlacementCandidate> candidates() const
+    {
+        std::vector<PlacementCandidate> result;
+        for (std::size_t i = 0; i < names.size(); ++i) {
+            PlacementCandidate candidate;
+            candidate.replica = names[i];
+            candidate.slots = 16;
+            candidate.load = load.of(names[i]);
+            candidate.order = i;
+            result.push_back(candidate);
+        }
+        return result;
+    }
+
+    std::optional<Placement> place(const PromptShape &shape) const
+    {
+        return placePrompt(engine(), shape, candidates(), {}, kNow);
+    }
+
+    static bool uses(const Placement &placement, const std::string &replica)
+    {
+        return placement.replica == replica
+            || std::any_of(
+                   placement.helpers.begin(), placement.helpers.end(),
+                   [&](const HelperPlacement &helper) { return helper.replica == replica; });
+    }
+};
+
+TEST(AFleetOfEngines, readsAsThePublishedFiguresSay)
+{
+    DOUBLES_EQUAL(31, readMs(engine(), 5'000), 1);
+    DOUBLES_EQUAL(440, readMs(engine(), 45'000), 5);
+    DOUBLES_EQUAL(3'050, readMs(engine(), 154'000), 10);
+}
+
+TEST(AFleetOfEngines, packsShortPromptsOntoTheFirstReplica)
+{
+    run("r0", shortPrompt(), true);
+    STRCMP_EQUAL("r0", place(shortPrompt())->replica.c_str());
+}
+
+TEST(AFleetOfEngines, opensTheNextReplicaWhenTheFirstIsPacked)
+{
+    for (int i = 0; i < 13; ++i)
+        run("r0", shortPrompt(), true);
+    STRCMP_EQUAL("r1", place(shortPrompt())->replica.c_str());
+}
+
+TEST(AFleetOfEngines, sendsNoShortPromptBehindALongOneThatIsRead)
+{
+    run("r0", longPrompt(), false);
+    CHECK(place(shortPrompt())->replica != "r0");
+}
+
+TEST(AFleetOfEngines, letsShortPromptsShareAPassWhileItIsShort)
+{
+    run("r0", shortPrompt(), false);
+    const double one = firstEventMs(engine(), load.of("r0"), 31, 5'000, 1.0, kNow);
+    run("r0", shortPrompt(), false);
+    run("r0", shortPrompt(), false);
+    const double three = firstEventMs(engine(), load.of("r0"), 31, 5'000, 1.0, kNow);
+    CHECK(three > one);
+    CHECK(three < 300);
+}
+
+TEST(AFleetOfEngines, splitsALongPromptThatOneReplicaReadsTooLate)
+{
+    const auto placement = place(longPrompt());
+    CHECK(!placement->helpers.empty());
+    CHECK(placement->firstEventMs < 0.6 * 3'000);
+}
+
+TEST(AFleetOfEngines, doesNotSplitAShortPrompt)
+{
+    CHECK(place(shortPrompt())->helpers.empty());
+}
+
+TEST(AFleetOfEngines, keepsALongPromptOffReplicasThatWriteShortAnswers)
+{
+    for (int i = 0; i < 6; ++i) {
+        run("r0", shortPrompt(), true);
+        run("r7", shortPrompt(), true);
+    }
+    const auto placement = place(longPrompt());
+    CHECK(!uses(*placement, "r0"));
+    CHECK(!uses(*placement, "r7"));
+}
+
+TEST(AFleetOfEngines, keepsALongPromptOffReplicasThatWereJustSentShortPrompts)
+{
+    for (int i = 0; i < 6; ++i)
+        run("r7", shortPrompt(), false);
+    CHECK(!uses(*place(longPrompt()), "r7"));
+}
+
+TEST(AFleetOfEngines, keepsAPartOffAReplicaThatWritesALongAnswer)
+{
+    run("r7", longPrompt(), true);
+    CHECK(!uses(*place(longPrompt(220'000)), "r7"));
+}
+
+TEST(AFleetOfEngines, leavesNoRoomForPreemption)
+{
+    for (const std::string &name : names)
+        run(name, longPrompt(200'000), true);
+    const auto placement = place(longPrompt(150'000));
+    // No replica has the memory alone; what there is of it is shared or the prompt waits.
+    if (placement) {
+        std::uint64_t held = 0;
+        for (const HelperPlacement &helper : placement->helpers)
+            held += helper.heldTokens;
+        CHECK(held > 0);
+    }
+}
+
+TEST(AFleetOfEngines, spreadsAPromptOverSeveralMemories)
+{
+    const auto placement = place(longPrompt(400'000));
+    CHECK(placement.has_value());
+    std::uint64_t held = 0;
+    for (const HelperPlacement &helper : placement->helpers)
+        held += helper.heldTokens;
+    CHECK(held + 315'000 > 401'000);
+}
+
+TEST(AFleetOfEngines, placesNoHugePromptWhileEveryReplicaReads)
+{
+    for (const std::string &name : names)
+        run(name, longPrompt(60'000), false);
+    CHECK(!place(longPrompt(500'000)).has_value());
+}
+
+TEST(AFleetOfEngines, usesAShunnedReplicaOnlyIfNothingElseIsLeft)
+{
+    std::vector<PlacementCandidate> all = candidates();
+    all[0].isShunned = true;
+    STRCMP_EQUAL("r1", placePrompt(engine(), shortPrompt(), all, {}, kNow)->replica.c_str());
+    for (PlacementCandidate &candidate : all)
+        candidate.isShunned = true;
+    CHECK(placePrompt(engine(), shortPrompt(), all, {}, kNow).has_value());
+}
+
+TEST(AFleetOfEngines, isFullWhenNoReplicaHasASlot)
+{
+    for (const std::string &name : names) {
+        for (int i = 0; i < 16; ++i)
+            run(name, prompt(500, 300, 250), true);
+    }
+    CHECK(!place(shortPrompt()).has_value());
+}
+
+TEST(AFleetOfEngines, forgetsTheWorkOfAVmThatFellSilent)
+{
+    run("r0", shortPrompt(), true);
+    load.dropVm("vm", kNow);
+    LONGS_EQUAL(0, load.of("r0").running);
+    LONGS_EQUAL(0, load.of("r0").answers.size());
+}
+
+TEST(AFleetOfEngines, takesWhatAVmSaysItRunsInPlaceOfWhatWasKnown)
+{
+    run("r0", shortPrompt(), true);
+    run("r0", shortPrompt(), false);
+    std::vector<Work> works = load.worksOf("vm");
+    works.pop_back();
+    load.replace("vm", works, kNow);
+    LONGS_EQUAL(1, load.of("r0").running);
+    LONGS_EQUAL(1, load.of("r0").writers);
+    CHECK(load.of("r0").reads.empty());
+}
+
+TEST_GROUP(APlainService){
+    static PlacementCandidate replica(std::string name,
+                                      std::uint32_t running){PlacementCandidate candidate;
+candidate.replica = std::move(name);
+candidate.slots = 6;
+candidate.load.running = running;
+return candidate;
+}
+}
+;
+
+TEST(APlainService, givesACallToTheLeastLoadedReplica)
+{
+    const std::vector<PlacementCandidate> all = {replica("a", 3), replica("b", 1), replica("c", 2)};
+    STRCMP_EQUAL("b", placeCall(all)->c_str());
+}
+
+TEST(APlainService, hasNoRoomWhenAllSlotsAreTaken)
+{
+    const std::vector<PlacementCandidate> all = {replica("a", 6), replica("b", 6)};
+    CHECK(!placeCall(all).has_value());
+}
--- /dev/null
+++ b/tests/gate/platformtest.cpp
@@ -0,0 +1,254 @@
+// The adapter: what the platform's bytes decode into, good or bad.
+#include "gateway/hintcodec.h"
+#include "platform/configdecoder.h"
+#include "platform/dialect.h"
+#include "platform/replicadecoder.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+using namespace arbutuspier;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr const char *kConfiguration = R"({"version":7,"routes":[
+ {"name":"r-a","host":"f.example","prefix":"/ask/","routeKind":"streaming","timeoutMs":10000,
+  "goalMs":300,"priority":1,"weightedServices":[{"service":"s1","weight":90},
+  {"service":"s2","weight":10}],"maxAttempts":2,"public":false,"sticky":true,"resumable":true,
+  "gapTargetMs":250},
+ {"name":"r-b","host":"f.example","prefix":"/order/","routeKind":"non_idempotent",
+  "timeoutMs":600,"goalMs":100,"priority":2,"service":"s2","maxAttempts":1}],
+ "services":[{"name":"s1","healthPath":"/healthz","maxConnections":364,"runtime":{"slots":16,
+  "kvCapacity":315000,"stride":51,"step_ms":0.85,"per_seq_ms":0.00425,"context_per_k":0.00285,
+  "read_per_s":177000.0,"pairs_per_m":0.184,"chunk":2048,"usual":{"prompt":11108,"answer":1622}}},
+  {"name":"s2","maxConnections":100}],
+ "limits":{"maxHeaderBytes":8192,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":9000},
+ "tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1}]})";
+
+constexpr const char *kReplica =
+    R"({"service":"s1","address":"10.0.0.9:80","zone":"z","version":"v1",
+ "slots":16,"state":"ready","coldLeftMs":0,"sequence":4,"born":1770000000000})";
+
+std::string without(std::string text, const std::string &part)
+{
+    return text.erase(text.find(part), part.size());
+}
+
+} // namespace
+
+TEST_GROUP(AConfiguration){};
+
+TEST(AConfiguration, decodesIntoRoutesServicesLimitsAndTeams)
+{
+    const auto table = platform::decodeConfiguration(kConfiguration);
+    CHECK(table.has_value());
+    LONGS_EQUAL(7, (*table)->version());
+    const ServiceRoute *ask = (*table)->findRoute("f.example", "/ask/x");
+    CHECK(ask->kind == RepeatKind::Stream && ask->isResumable && !ask->isPublic);
+    CHECK(ask->objective == milliseconds{300} && ask->gapObjective == milliseconds{250});
+    LONGS_EQUAL(2, ask->services.size());
+    const ServiceRoute *order = (*table)->findRoute("f.example", "/order/x");
+    CHECK(order->kind == RepeatKind::AtMostOnce && order->timeout == milliseconds{600});
+    const EngineFigures &engine = *(*table)->service("s1")->engine;
+    DOUBLES_EQUAL(177, engine.readTokensPerMs, 1e-9);
+    LONGS_EQUAL(51, engine.stepsPerPass);
+    CHECK(!(*table)->service("s2")->engine.has_value());
+    STRCMP_EQUAL("t1", (*table)->teamOfKey("k2")->name.c_str());
+    LONGS_EQUAL(1000, (*table)->limits().maxBodyBytes);
+}
+
+TEST(AConfiguration, isRefusedWithAReasonIfItCantBeUnderstood)
+{
+    CHECK(!platform::decodeConfiguration("").has_value());
+    CHECK(!platform::decodeConfiguration("[]").has_value());
+    CHECK(!platform::decodeConfiguration(without(kConfiguration, R"("version":7,)")).has_value());
+    CHECK(!platform::decodeConfiguration(without(kConfiguration, R"("host":"f.example",)"))
+               .has_value());
+}
+
+TEST(AConfiguration, neverCrashesOnOddBytes)
+{
+    const bool holds = rc::check("mutated configurations", [] {
+        std::string text = kConfiguration;
+        const int edits = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < edits; ++i) {
+            const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+            if (*rc::gen::arbitrary<bool>())
+                text[at] = *rc::gen::arbitrary<char>();
+            else
+                text.erase(at, *rc::gen::inRange<std::size_t>(1, 40));
+        }
+        platform::decodeConfiguration(text);
+        platform::decodeReplica("i", text);
+    });
+    CHECK(holds);
+}
+
+TEST_GROUP(AReplicasEntry){};
+
+TEST(AReplicasEntry, namesAReplicaToUse)
+{
+    const auto entry = platform::decodeReplica("i-1", kReplica);
+    STRCMP_EQUAL("10.0.0.9:80", entry->address.c_str());
+    CHECK(entry->state == ReplicaState::Ready);
+    CHECK(entry->bornMs == 1770000000000);
+}
+
+TEST(AReplicasEntry, namesNoneIfAFieldIsMissingOrOdd)
+{
+    for (const char *part : {R"("service":"s1",)", R"("address":"10.0.0.9:80",)", R"("slots":16,)",
+                             R"("state":"ready",)", R"("zone":"z",)"})
+        CHECK(!platform::decodeReplica("i-1", without(kReplica, part)).has_value());
+    std::string odd = kReplica;
+    odd.replace(odd.find("ready"), 5, "happy");
+    CHECK(!platform::decodeReplica("i-1", odd).has_value());
+    CHECK(!platform::decodeReplica("i-1", "\xff\x00not json").has_value());
+}
+
+TEST_GROUP(ACallersHead)
+{
+    platform::Fields caller;
+    platform::UpstreamHead head;
+
+    void setup() override
+    {
+        caller.set("Host", "f.example");
+        caller.set("X-Arbutuspier-Attempt-Id", "abc");
+        caller.set("X-Arbutuspier-Deadline-Ms", "600");
+        caller.set("Authorization", "Bearer k1");
+        caller.set("X-Arbutuspier-Token-Usage", "1460,80");
+        caller.set("X-Own", "kept");
+        head.timeLeft = milliseconds{412};
+        head.replicaId = "i-1";
+        head.team = "t1";
+    }
+};
+
+TEST(ACallersHead, tellsPatienceKeyAndSizes)
+{
+    const platform::CallerHead read = platform::readCallerHead(caller);
+    STRCMP_EQUAL("abc", read.requestId.c_str());
+    CHECK(read.patience == milliseconds{600});
+    STRCMP_EQUAL("k1", read.apiKey->c_str());
+    LONGS_EQUAL(1460, read.promptTokens);
+    LONGS_EQUAL(80, read.maxAnswerTokens);
+    CHECK(!read.lastEventId.has_value());
+}
+
+TEST(ACallersHead, isPassedOnWithoutTheKey)
+{
+    const platform::Fields sent = platform::upstreamFields(caller, head);
+    LONGS_EQUAL(0, sent.count("Authorization"));
+    STRCMP_EQUAL("kept", std::string(sent["X-Own"]).c_str());
+    STRCMP_EQUAL("412", std::string(sent["X-Arbutuspier-Deadline-Ms"]).c_str());
+    STRCMP_EQUAL("i-1", std::string(sent["X-Arbutuspier-Expected-Instance"]).c_str());
+    STRCMP_EQUAL("t1", std::string(sent["X-Arbutuspier-Tenant"]).c_str());
+}
+
+TEST(ACallersHead, cantSetWhatOnlyTheSystemMay)
+{
+    caller.set("X-Arbutuspier-Tenant", "someone-else");
+    caller.set("x-arbutuspier-expected-instance", "i-9");
+    caller.set("X-Arbutuspier-Helper-Nodes", "10.0.0.1:80");
+    caller.set("X-Arbutuspier-Request-Priority", "0");
+    head.team.clear();
+    const platform::Fields sent = platform::upstreamFields(caller, head);
+    LONGS_EQUAL(0, sent.count("X-Arbutuspier-Tenant"));
+    LONGS_EQUAL(0, sent.count("X-Arbutuspier-Helper-Nodes"));
+    LONGS_EQUAL(0, sent.count("X-Arbutuspier-Request-Priority"));
+    LONGS_EQUAL(1, sent.count("X-Arbutuspier-Expected-Instance"));
+    STRCMP_EQUAL("i-1", std::string(sent["X-Arbutuspier-Expected-Instance"]).c_str());
+}
+
+TEST(ACallersHead, losesWhatConcernsOneConnection)
+{
+    caller.set("Connection", "keep-alive, X-Hop");
+    caller.set("X-Hop", "1");
+    caller.set("TE", "trailers");
+    const platform::Fields sent = platform::upstreamFields(caller, head);
+    LONGS_EQUAL(0, sent.count("Connection"));
+    LONGS_EQUAL(0, sent.count("X-Hop"));
+    LONGS_EQUAL(0, sent.count("TE"));
+}
+
+TEST(ACallersHead, namesHelpersAndWhereToGoOn)
+{
+    head.helpers = {{"10.0.0.2:80", "t81"}, {"10.0.0.3:80", ""}};
+    head.lastEventId = 12;
+    const platform::Fields sent = platform::upstreamFields(caller, head);
+    STRCMP_EQUAL("10.0.0.2:80/t81,10.0.0.3:80",
+                 std::string(sent["X-Arbutuspier-Helper-Nodes"]).c_str());
+    STRCMP_EQUAL("12", std::string(sent["Last-Event-Id"]).c_str());
+}
+
+TEST_GROUP(AReplicasAnswer){};
+
+TEST(AReplicasAnswer, tellsWhetherTheRequestRan)
+{
+    platform::Fields fields;
+    CHECK(!platform::readAnswerHead(503, fields).isNotExecuted);
+    CHECK(platform::readAnswerHead(421, fields).isNotExecuted);
+    fields.set("X-Arbutuspier-Not-Executed", "1");
+    fields.set("At-Server", "10.0.0.4:80");
+    const platform::AnswerHead head = platform::readAnswerHead(503, fields);
+    CHECK(head.isNotExecuted && !head.isSigned);
+    STRCMP_EQUAL("10.0.0.4:80", head.faultyAddress.c_str());
+}
+
+TEST(AReplicasAnswer, tellsHowLongTheConnectionIsKept)
+{
+    platform::Fields fields;
+    fields.set("Keep-Alive", "timeout=5, max=100");
+    CHECK(platform::readAnswerHead(200, fields).keepAlive == std::chrono::seconds{5});
+}
+
+TEST_GROUP(AHint)
+{
+    Hint hint;
+
+    void setup() override
+    {
+        hint.vm = "edge-1";
+        hint.life = 17;
+        hint.sequence = 3;
+        hint.configVersion = 9;
+        Work work;
+        work.id = 5;
+        work.gapObjective = milliseconds{250};
+        work.weight = 1.5;
+        work.parts = {{"i-1", 31, 5000, 6600, true}, {"i-2", 31, 0, 0, false}};
+        hint.whole = std::vector<Work>{work};
+        hint.news = {{WorkNews::Kind::Began, 5, work}, {WorkNews::Kind::Ended, 4, std::nullopt}};
+        hint.departures = {{{"i-3", 99}, true}};
+        hint.suspects = {{Fingerprint{77}, {1, 2}, false}};
+    }
+};
+
+TEST(AHint, comesOutAsItWentIn)
+{
+    const auto decoded = decodeHint(encodeHint(hint));
+    CHECK(decoded.has_value());
+    STRCMP_EQUAL("edge-1", decoded->vm.c_str());
+    LONGS_EQUAL(9, decoded->configVersion);
+    LONGS_EQUAL(2, decoded->whole->front().parts.size());
+    DOUBLES_EQUAL(1.5, decoded->whole->front().weight, 1e-9);
+    CHECK(decoded->news[1].kind == WorkNews::Kind::Ended);
+    CHECK(decoded->departures[0].isDraining);
+    LONGS_EQUAL(2, decoded->suspects[0].deaths.size());
+}
+
+TEST(AHint, isNoneIfItsBytesAreOdd)
+{
+    const std::string bytes = encodeHint(hint);
+    CHECK(!decodeHint("").has_value());
+    CHECK(!decodeHint(bytes.substr(0, bytes.size() - 1)).has_value());
+    const bool holds = rc::check("mutated hints", [&bytes] {
+        std::string odd = bytes;
+        const int edits = *rc::gen::inRange(1, 5);
+        for (int i = 0; i < edits; ++i)
+            odd[*rc::gen::inRange<std::size_t>(0, odd.size())] = *rc::gen::arbitrary<char>();
+        decodeHint(odd);
+    });
+    CHECK(holds);
+}
--- /dev/null
+++ b/tests/gate/upstreamdirectorytest.cpp
@@ -0,0 +1,180 @@
+// Which replicas may get work, as lists lag, lapse and contradict each other.
+#include "arbutuspier/upstreamdirectory.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+using namespace arbutuspier;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr TimePoint kStart = TimePoint{std::chrono::seconds{100}};
+
+ReplicaRow row(std::string id, std::int64_t born, ReplicaState state = ReplicaState::Ready)
+{
+    ReplicaEntry entry;
+    entry.id = id;
+    entry.service = "assist";
+    entry.address = "10.0.0.1:80";
+    entry.zone = "yard";
+    entry.slots = 16;
+    entry.state = state;
+    entry.bornMs = born;
+    return {std::move(id), entry};
+}
+
+ReplicaRow gone(std::string id)
+{
+    return {std::move(id), std::nullopt};
+}
+
+} // namespace
+
+TEST_GROUP(ADirectory)
+{
+    UpstreamDirectory directory{DirectoryOptions{}};
+
+    void setup() override
+    {
+        directory.replaceAll({row("a", 1), row("b", 1)}, kStart);
+    }
+    std::size_t usable() const
+    {
+        return directory.usable("assist").size();
+    }
+};
+
+TEST(ADirectory, usesReadyReplicasOfTheService)
+{
+    LONGS_EQUAL(2, usable());
+    LONGS_EQUAL(0, directory.usable("desk").size());
+}
+
+TEST(ADirectory, dropsWhatIsMissingFromAWholeList)
+{
+    directory.replaceAll({row("b", 1)}, kStart);
+    LONGS_EQUAL(1, usable());
+    CHECK(!directory.isUsable({"a", 1}));
+}
+
+TEST(ADirectory, takesAReplicaBackThatANewerListShows)
+{
+    directory.apply({gone("a")}, kStart);
+    LONGS_EQUAL(1, usable());
+    directory.apply({row("a", 1)}, kStart + milliseconds{500});
+    LONGS_EQUAL(2, usable());
+}
+
+TEST(ADirectory, neverUsesADrainingLifeAgain)
+{
+    directory.apply({row("a", 1, ReplicaState::Draining)}, kStart);
+    directory.apply({row("a", 1)}, kStart);
+    directory.replaceAll({row("a", 1), row("b", 1)}, kStart);
+    LONGS_EQUAL(1, usable());
+}
+
+TEST(ADirectory, usesTheNextLifeOfADrainedId)
+{
+    directory.apply({row("a", 1, ReplicaState::Draining)}, kStart);
+    directory.apply({row("a", 2)}, kStart);
+    LONGS_EQUAL(2, usable());
+    CHECK(directory.isUsable({"a", 2}));
+    CHECK(!directory.isUsable({"a", 1}));
+}
+
+TEST(ADirectory, ignoresAnOlderLifeOfAnId)
+{
+    directory.apply({row("a", 5)}, kStart);
+    directory.apply({row("a", 1)}, kStart);
+    CHECK(directory.isUsable({"a", 5}));
+}
+
+TEST(ADirectory, believesAPeerThatSawAReplicaLeave)
+{
+    CHECK(directory.markLeaving({{"a", 1}, true}));
+    CHECK(!directory.markLeaving({{"a", 1}, true}));
+    LONGS_EQUAL(1, usable());
+}
+
+TEST(ADirectory, tellsOnceWhoLeft)
+{
+    directory.apply({row("a", 1, ReplicaState::Draining), gone("b")}, kStart);
+    LONGS_EQUAL(2, directory.takeNewlyLeft().size());
+    LONGS_EQUAL(0, directory.takeNewlyLeft().size());
+}
+
+TEST_GROUP_BASE(ADirectoryAfterAnOutageOfTheList, TEST_GROUP_CppUTestGroupADirectory){
+    void setup() override{TEST_GROUP_CppUTestGroupADirectory::setup();
+directory.setUnreachable();
+directory.setReachable(kStart + std::chrono::seconds{5});
+directory.replaceAll({row("b", 1)}, kStart + std::chrono::seconds{5});
+}
+}
+;
+
+TEST(ADirectoryAfterAnOutageOfTheList, keepsALapsedEntryForAWhile)
+{
+    directory.tick(kStart + std::chrono::seconds{6});
+    LONGS_EQUAL(2, usable());
+}
+
+TEST(ADirectoryAfterAnOutageOfTheList, takesAnEntryThatStaysMissingAsGone)
+{
+    directory.tick(kStart + std::chrono::seconds{7});
+    LONGS_EQUAL(1, usable());
+}
+
+TEST(ADirectoryAfterAnOutageOfTheList, keepsAnEntryThatCameBack)
+{
+    directory.apply({row("a", 1)}, kStart + std::chrono::seconds{6});
+    directory.tick(kStart + std::chrono::seconds{8});
+    LONGS_EQUAL(2, usable());
+}
+
+TEST(ADirectory, neverUsesADrainedLifeWhateverTheOrderOfLists)
+{
+    const bool holds = rc::check("a drained life stays away", [] {
+        UpstreamDirectory any{DirectoryOptions{}};
+        std::set<std::int64_t> drained;
+        TimePoint now = kStart;
+        const int steps = *rc::gen::inRange(1, 40);
+        for (int i = 0; i < steps; ++i) {
+            now += milliseconds{*rc::gen::inRange(0, 1500)};
+            const std::int64_t born = *rc::gen::inRange(1, 4);
+            switch (*rc::gen::inRange(0, 7)) {
+            case 0:
+                any.apply({row("a", born, ReplicaState::Draining)}, now);
+                break;
+            case 1:
+                any.apply({row("a", born)}, now);
+                break;
+            case 2:
+                any.replaceAll({row("a", born)}, now);
+                break;
+            case 3:
+                any.apply({gone("a")}, now);
+                break;
+            case 4:
+                any.markLeaving({{"a", born}, true});
+                drained.insert(born);
+                break;
+            case 5:
+                any.setUnreachable();
+                break;
+            default:
+                any.setReachable(now);
+                any.tick(now);
+                break;
+            }
+            const ReplicaEntry *entry = any.find("a");
+            if (entry && entry->state == ReplicaState::Draining)
+                drained.insert(entry->bornMs);
+            for (const std::int64_t life : drained)
+                RC_ASSERT(!any.isUsable({"a", life}));
+        }
+    });
+    CHECK(holds);
+}
