gateway: Read the store in turn and tell peers what changed

Change: VMs read less often the more readers there are, and a hint names the store's revision of the last change, on which the others read at once. Departures are told again for 3 s.

ReadPace keeps a phase for each VM; ReadersOfOneList fails without it, and also showed that the first interval must be drawn whole.

--- a/src/gateway/gatestate.h
+++ b/src/gateway/gatestate.h
@@ -34,6 +34,9 @@
     /// VMs that serve at present, this one among them.
     std::size_t vmCount() const { return m_vmCount; }
     void setVmCount(std::size_t count) { m_vmCount = count; }
+    /// VMs that read the store at present and tell the others, this one among them.
+    std::size_t readerCount() const { return m_readerCount; }
+    void setReaderCount(std::size_t count) { m_readerCount = count; }
 
     bool isDraining() const { return m_drainEnd.has_value(); }
     /// When everything in flight must have ended, once the VM drains.
@@ -60,6 +63,7 @@
     std::shared_ptr<const RouteTable> m_routes;
     std::map<std::string, RetryAllowance> m_allowances;
     std::size_t m_vmCount = 1;
+    std::size_t m_readerCount = 1;
     std::optional<TimePoint> m_drainEnd;
     TimePoint m_lastStreamAt = TimePoint::max();
 };
--- a/src/gateway/hintcodec.cpp
+++ b/src/gateway/hintcodec.cpp
@@ -164,9 +164,10 @@
     Json suspects = Json::array();
     for (const SuspectNotice &item : hint.suspects)
         suspects.push_back(Json::array({item.fingerprint.value, item.deaths, item.isCleared}));
-    const Json document = Json::array({hint.vm, hint.life, hint.sequence, hint.configVersion,
-                                       hint.isLeaving, std::move(whole), std::move(news),
-                                       std::move(departures), std::move(suspects)});
+    const Json document =
+        Json::array({hint.vm, hint.life, hint.sequence, hint.configVersion, hint.replicaRevision,
+                     hint.readsStore, hint.isLeaving, std::move(whole), std::move(news),
+                     std::move(departures), std::move(suspects)});
     std::string bytes;
     Json::to_cbor(document, bytes);
     return bytes;
@@ -174,11 +175,12 @@
 
 std::optional<Hint> decodeHint(std::string_view bytes)
 {
-    constexpr std::size_t kFields = 9;
+    constexpr std::size_t kFields = 11;
     const Json document = parseCbor(bytes);
     const bool isHint = isArray(document, kFields) && document[0].is_string()
         && document[1].is_number_unsigned() && document[2].is_number_unsigned()
-        && document[3].is_number_unsigned() && document[4].is_boolean();
+        && document[3].is_number_unsigned() && document[4].is_number_unsigned()
+        && document[5].is_boolean() && document[6].is_boolean();
     if (!isHint)
         return std::nullopt;
     Hint hint;
@@ -186,15 +188,17 @@
     hint.life = document[1].get<std::uint64_t>();
     hint.sequence = document[2].get<std::uint64_t>();
     hint.configVersion = document[3].get<std::uint64_t>();
-    hint.isLeaving = document[4].get<bool>();
-    if (!document[5].is_null()) {
+    hint.replicaRevision = document[4].get<std::uint64_t>();
+    hint.readsStore = document[5].get<bool>();
+    hint.isLeaving = document[6].get<bool>();
+    if (!document[7].is_null()) {
         hint.whole.emplace();
-        if (!decodeList(document[5], *hint.whole, decodeWork))
+        if (!decodeList(document[7], *hint.whole, decodeWork))
             return std::nullopt;
     }
-    const bool isWhole = decodeList(document[6], hint.news, decodeNews)
-        && decodeList(document[7], hint.departures, decodeDeparture)
-        && decodeList(document[8], hint.suspects, decodeSuspect);
+    const bool isWhole = decodeList(document[8], hint.news, decodeNews)
+        && decodeList(document[9], hint.departures, decodeDeparture)
+        && decodeList(document[10], hint.suspects, decodeSuspect);
     return isWhole ? std::optional(std::move(hint)) : std::nullopt;
 }
 
--- a/src/gateway/hintcodec.h
+++ b/src/gateway/hintcodec.h
@@ -23,6 +23,10 @@
     /// Grows with each hint of one life.
     std::uint64_t sequence = 0;
     std::uint64_t configVersion = 0;
+    /// Revision of the store at which the sender last saw the usable replicas change.
+    std::uint64_t replicaRevision = 0;
+    /// The sender reads the store at present.
+    bool readsStore = true;
     /// The sender takes no new requests.
     bool isLeaving = false;
     /// Everything that the sender runs; otherwise `news` tells what changed.
--- a/src/gateway/peerhints.cpp
+++ b/src/gateway/peerhints.cpp
@@ -22,6 +22,8 @@
 constexpr Duration kSilent = std::chrono::milliseconds{1800};
 /// A peer not heard for this long gets no more hints unless the store still names it.
 constexpr Duration kForget = std::chrono::seconds{20};
+/// Departures are told again with every whole hint for this long, as a hint may be lost.
+constexpr Duration kRepeatDepartures = std::chrono::seconds{3};
 constexpr Duration kFetchTimeout = std::chrono::milliseconds{800};
 constexpr std::size_t kMaxDatagram = 60'000;
 
@@ -88,6 +90,8 @@
     hint.vm = m_state.settings.vm;
     hint.life = m_life;
     hint.configVersion = m_state.routes() ? m_state.routes()->version() : 0;
+    hint.replicaRevision = m_store.changeRevision();
+    hint.readsStore = m_state.directory.isReachable();
     hint.isLeaving = m_state.isDraining();
     return hint;
 }
@@ -106,8 +110,11 @@
 
 void PeerHints::tellChanges()
 {
-    for (Departure &departure : m_state.directory.takeNewlyLeft())
-        m_outbox.departures.push_back(std::move(departure));
+    const TimePoint now = m_state.clock.now();
+    for (Departure &departure : m_state.directory.takeNewlyLeft()) {
+        m_outbox.departures.push_back(departure);
+        m_recentDepartures.push_back({now, std::move(departure)});
+    }
     scheduleFlush();
 }
 
@@ -151,6 +158,7 @@
     while (true) {
         Hint hint = emptyHint();
         hint.whole = m_state.load.worksOf(m_state.settings.vm);
+        hint.departures = recentDepartures();
         send(std::move(hint));
         forgetSilent(m_state.clock.now());
         timer.expires_after(jittered(m_state.random, kBeat));
@@ -158,6 +166,17 @@
     }
 }
 
+std::vector<Departure> PeerHints::recentDepartures()
+{
+    const TimePoint oldest = m_state.clock.now() - kRepeatDepartures;
+    std::erase_if(m_recentDepartures,
+                  [&](const SeenDeparture &seen) { return seen.seenAt < oldest; });
+    std::vector<Departure> result;
+    for (const SeenDeparture &seen : m_recentDepartures)
+        result.push_back(seen.departure);
+    return result;
+}
+
 void PeerHints::forgetSilent(TimePoint now)
 {
     for (auto it = m_peers.begin(); it != m_peers.end();) {
@@ -171,6 +190,11 @@
         it = isOld ? m_peers.erase(it) : std::next(it);
     }
     m_state.setVmCount(alivePeers() + 1);
+    const auto isReader = [](const auto &entry) {
+        return entry.second.isHeard && entry.second.readsStore && !entry.second.isLeaving;
+    };
+    m_state.setReaderCount(
+        1 + static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), isReader)));
 }
 
 Task<void> PeerHints::receive()
@@ -211,8 +235,10 @@
     peer.configVersion = hint.configVersion;
     peer.heardAt = now;
     peer.isHeard = true;
+    peer.readsStore = hint.readsStore;
     peer.isLeaving = hint.isLeaving;
     takeNews(hint);
+    m_store.onReplicasChanged(hint.replicaRevision);
     const std::uint64_t mine = m_state.routes() ? m_state.routes()->version() : 0;
     if (hint.configVersion > mine && !m_isFetching) {
         m_isFetching = true;
--- a/src/gateway/peerhints.h
+++ b/src/gateway/peerhints.h
@@ -35,6 +35,11 @@
 private:
     using Udp = asio::ip::udp;
 
+    struct SeenDeparture
+    {
+        TimePoint seenAt{};
+        Departure departure;
+    };
     struct Peer
     {
         Udp::endpoint endpoint;
@@ -45,6 +50,7 @@
         TimePoint heardAt{};
         TimePoint knownAt{};
         bool isHeard = false;
+        bool readsStore = false;
         bool isLeaving = false;
     };
 
@@ -57,6 +63,7 @@
     void send(Hint hint);
     void forgetSilent(TimePoint now);
     Hint emptyHint();
+    std::vector<Departure> recentDepartures();
 
     asio::io_context &m_context;
     GateState &m_state;
@@ -64,6 +71,7 @@
     Udp::socket m_socket;
     asio::steady_timer m_flushTimer;
     Hint m_outbox;
+    std::vector<SeenDeparture> m_recentDepartures;
     bool m_isFlushDue = false;
     bool m_isFetching = false;
     std::uint64_t m_life;
--- a/src/gateway/storewatch.cpp
+++ b/src/gateway/storewatch.cpp
@@ -26,6 +26,16 @@
 /// Part of the drain bound between two reads of the replicas.
 constexpr double kReplicaReadPart = 0.3;
 constexpr Duration kVmInterval = std::chrono::seconds{8};
+/// Intervals are no longer than these, however many VMs share the reading.
+constexpr Duration kMaxVmInterval = std::chrono::seconds{60};
+constexpr Duration kMaxReplicaInterval = std::chrono::seconds{8};
+constexpr Duration kMaxConfigWait = std::chrono::seconds{10};
+/// VMs tell each other what they read; each reads this much less often for every reader there is.
+/// About twelve reads fall into a drain bound then, so that it is next to never without one.
+constexpr double kReplicaShare = 0.22;
+/// The configuration is awaited, and its version comes with every hint.
+constexpr double kConfigShare = 0.5;
+constexpr double kVmShare = 0.5;
 constexpr Duration kFirstBackoff = std::chrono::milliseconds{100};
 constexpr Duration kMaxBackoff = std::chrono::milliseconds{800};
 constexpr std::uint32_t kMaxDoublings = 4;
@@ -44,6 +54,11 @@
     , m_replicaClient(context.get_executor(), state.settings.store)
     , m_vmClient(context.get_executor(), state.settings.store)
     , m_replicaTimer(context)
+    , m_configPace(ReadPaceOptions{scaled(kConfigWaitPart, state.settings.configBound),
+                                   kConfigShare, kMaxConfigWait})
+    , m_replicaPace(ReadPaceOptions{scaled(kReplicaReadPart, state.settings.drainBound),
+                                    kReplicaShare, kMaxReplicaInterval})
+    , m_vmPace(ReadPaceOptions{kVmInterval, kVmShare, kMaxVmInterval})
 {
 }
 
@@ -54,6 +69,12 @@
     asio::co_spawn(m_context, watchVms(), asio::detached);
 }
 
+void StoreWatch::onReplicasChanged(std::uint64_t revision)
+{
+    if (revision > m_replicaRevision)
+        refresh();
+}
+
 void StoreWatch::refresh()
 {
     m_replicaTimer.cancel();
@@ -126,9 +147,9 @@
         if (isWhole) {
             read = co_await m_configClient.readTable(platform::kOperatorTable, kCallTimeout);
         } else {
-            read = co_await m_configClient.readChanges(
-                platform::kOperatorTable, m_configRevision,
-                scaled(kConfigWaitPart, m_state.settings.configBound), kCallTimeout);
+            read = co_await m_configClient.readChanges(platform::kOperatorTable, m_configRevision,
+                                                       m_configPace.interval(m_state.readerCount()),
+                                                       kCallTimeout);
         }
         if (read.outcome == Outcome::Done) {
             failures = 0;
@@ -170,6 +191,7 @@
     else
         m_state.directory.apply(rows, now);
     if (m_state.directory.revision() != before) {
+        m_changeRevision = read.revision;
         LOG(INFO) << LogLine("replicas_changed")
                          .add("store_revision", read.revision)
                          .add("directory", m_state.directory.revision())
@@ -185,7 +207,6 @@
 {
     std::uint32_t failures = 0;
     bool isWhole = true;
-    const Duration interval = scaled(kReplicaReadPart, m_state.settings.drainBound);
     while (true) {
         platform::StoreRead read;
         if (isWhole) {
@@ -199,7 +220,9 @@
             failures = 0;
             takeReplicas(read, isWhole);
             isWhole = false;
-            co_await pause(m_replicaTimer, interval);
+            m_replicaTimer.expires_at(
+                m_replicaPace.next(m_state.clock.now(), m_state.readerCount(), m_state.random));
+            co_await m_replicaTimer.async_wait(kAwait);
             continue;
         }
         isWhole = isWhole || read.outcome == Outcome::HistoryGone;
@@ -234,7 +257,9 @@
             onVms(vms);
         if (isDone)
             failures = 0;
-        co_await pause(timer, isDone ? jittered(m_state.random, kVmInterval) : backoff(failures++));
+        const Duration interval =
+            jittered(m_state.random, m_vmPace.interval(m_state.readerCount()));
+        co_await pause(timer, isDone ? interval : backoff(failures++));
     }
 }
 
--- a/src/gateway/storewatch.h
+++ b/src/gateway/storewatch.h
@@ -1,6 +1,7 @@
 // Follows the platform's store: the configuration, the replicas, the other VMs.
 #pragma once
 
+#include "arbutuspier/readpace.h"
 #include "gateway/gatestate.h"
 #include "platform/storeclient.h"
 
@@ -27,6 +28,10 @@
     void start();
     /// Reads the replicas anew at once, as what is known may be long out of date.
     void refresh();
+    /// A peer saw the replicas change at this revision; reads them if that is news.
+    void onReplicasChanged(std::uint64_t revision);
+    /// Revision at which this VM last saw the usable replicas change.
+    std::uint64_t changeRevision() const { return m_changeRevision; }
 
     /// The bytes of the configuration in force, for peers.
     const std::string &configurationBytes() const { return m_configurationBytes; }
@@ -57,9 +62,13 @@
     platform::StoreClient m_replicaClient;
     platform::StoreClient m_vmClient;
     asio::steady_timer m_replicaTimer;
+    ReadPace m_configPace;
+    ReadPace m_replicaPace;
+    ReadPace m_vmPace;
     std::string m_configurationBytes;
     std::uint64_t m_configRevision = 0;
     std::uint64_t m_replicaRevision = 0;
+    std::uint64_t m_changeRevision = 0;
     bool m_hasReplicas = false;
     bool m_isStoreUp = true;
 };
--- /dev/null
+++ b/tests/gate/readpacetest.cpp
@@ -0,0 +1,78 @@
+// Many VMs that read the list of replicas in turn.
+#include "arbutuspier/readpace.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <vector>
+
+using namespace arbutuspier;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr TimePoint kStart = TimePoint{std::chrono::seconds{100}};
+constexpr std::size_t kReaders = 35;
+constexpr Duration kDrainBound = std::chrono::seconds{3};
+
+ReadPaceOptions options()
+{
+    return {milliseconds{900}, 0.22, std::chrono::seconds{8}};
+}
+
+} // namespace
+
+TEST_GROUP(ReadersOfOneList)
+{
+    Random random{20261204};
+
+    /// The longest time in which nobody read, while all read at once each `news`.
+    Duration longestSilence(Duration news)
+    {
+        std::vector<ReadPace> paces(kReaders, ReadPace(options()));
+        TimePoint lastRead = kStart;
+        TimePoint nextNews = kStart + news;
+        Duration longest{};
+        for (TimePoint now = kStart; now < kStart + std::chrono::minutes{20};
+             now += milliseconds{10}) {
+            const bool hasNews = now >= nextNews;
+            if (hasNews)
+                nextNews = now + news;
+            bool isRead = hasNews;
+            for (ReadPace &pace : paces) {
+                const TimePoint next = pace.next(now - milliseconds{10}, kReaders, random);
+                isRead = isRead || next <= now;
+            }
+            if (!isRead)
+                continue;
+            longest = std::max(longest, now - lastRead);
+            lastRead = now;
+        }
+        return longest;
+    }
+};
+
+TEST(ReadersOfOneList, readMoreOftenTheFewerTheyAre)
+{
+    const ReadPace pace(options());
+    CHECK(pace.interval(1) == milliseconds{900});
+    CHECK(pace.interval(4) == milliseconds{900});
+    CHECK(pace.interval(20) > milliseconds{3900});
+    CHECK(pace.interval(1000) == std::chrono::seconds{8});
+}
+
+TEST(ReadersOfOneList, leaveNoDrainBoundWithoutARead)
+{
+    CHECK(longestSilence(std::chrono::hours{1}) < kDrainBound);
+}
+
+TEST(ReadersOfOneList, doNotFallIntoStepWhenAllHearTheSameNews)
+{
+    CHECK(longestSilence(std::chrono::seconds{11}) < kDrainBound);
+}
+
+TEST(ReadersOfOneList, keepTheirPhaseWhenNewsMakeThemRead)
+{
+    ReadPace pace(options());
+    const TimePoint next = pace.next(kStart, kReaders, random);
+    CHECK(pace.next(kStart + milliseconds{1}, kReaders, random) == next);
+}
