gateway, policy: Tell a cut from a crash and put a silent zone last

Change: DeathJudge counts replicas that became unreachable together and takes deaths back when a life answers; ZoneHealth puts a zone last after two silent replicas.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -29,7 +29,7 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-constexpr Duration kConnectTimeout = std::chrono::milliseconds{250};
+constexpr Duration kConnectTimeout = std::chrono::milliseconds{150};
 /// Times that a request is tried at replicas that can't be reached.
 constexpr std::uint32_t kMaxUnreachable = 6;
 /// Times that memory is asked for at several replicas.
@@ -487,6 +487,8 @@
 {
     const TimePoint now = m_state.clock.now();
     const ReplicaLife life = lifeOf(grant);
+    if (attempt.status() != 0)
+        m_state.noteAnswer(grant.replica);
     switch (end) {
     case End::Answered:
         m_state.health.onSuccess(life, 0);
@@ -506,8 +508,7 @@
             m_state.health.onFailure(life, now);
         else if (!attempt.hasExpired()) {
             ++m_unreachable;
-            m_state.health.onUnreachable(life, now);
-            m_state.pool.drop(life);
+            m_state.noteUnreachable(grant.replica);
         }
         m_canSplit = m_canSplit && grant.helpers.empty();
         break;
@@ -521,6 +522,8 @@
         m_canSplit = m_canSplit && grant.helpers.empty();
         if (!attempt.hasExpired())
             noteDeath(grant);
+        else if (attempt.status() == 0)
+            m_state.zones.onSilence(grant.replica.zone, life.id, now);
         break;
     }
     LOG(INFO) << LogLine("attempt_failed")
@@ -542,13 +545,12 @@
 
 namespace {
 
-/// Asks a replica for a connection; its process is gone if none comes about.
+/// Asks a replica for a connection; its process is gone if none comes about and others still
+/// answer.
 Task<void> confirmDeath(GateState &state, ReplicaEntry replica, Fingerprint fingerprint)
 {
-    constexpr Duration kSettle = std::chrono::milliseconds{30};
-    constexpr Duration kProbe = std::chrono::milliseconds{400};
-    asio::steady_timer timer(state.executor, kSettle);
-    co_await timer.async_wait(kAwait);
+    constexpr Duration kProbe = std::chrono::milliseconds{250};
+    constexpr Duration kSettle = std::chrono::milliseconds{250};
     Address address;
     if (!parseAddress(replica.address, address))
         co_return;
@@ -557,21 +559,13 @@
     const auto [error] = co_await stream.async_connect(endpointOf(address), kAwait);
     if (!error)
         co_return;
-    const std::uint64_t id = XXH64(replica.id.data(), replica.id.size(), 0);
-    const auto born = static_cast<std::uint64_t>(replica.bornMs);
-    const std::vector<Fingerprint> inFlight = {fingerprint};
-    const auto notices = state.quarantine.onUpstreamDeath(UpstreamId{id}, Incarnation{born},
-                                                          inFlight, state.clock.now());
-    state.health.onUnreachable({replica.id, replica.bornMs}, state.clock.now());
-    for (const SuspectNotice &notice : notices) {
-        LOG(INFO) << LogLine("suspect")
-                         .add("fingerprint", notice.fingerprint.value)
-                         .add("deaths", notice.deaths.size())
-                         .add("replica", replica.id)
-                         .text();
-        if (state.onSuspect)
-            state.onSuspect(notice);
-    }
+    const ReplicaLife life{replica.id, replica.bornMs};
+    state.noteUnreachable(replica);
+    // A cut shows at other replicas too within this time.
+    asio::steady_timer timer(state.executor, kSettle);
+    co_await timer.async_wait(kAwait);
+    if (state.deaths.mayHaveCrashed(life, state.clock.now()))
+        state.noteCrash(life, fingerprint);
 }
 
 } // namespace
--- a/src/gateway/gatestate.cpp
+++ b/src/gateway/gatestate.cpp
@@ -25,6 +25,16 @@
     return XXH64(vm.data(), vm.size(), start);
 }
 
+UpstreamId upstreamId(const ReplicaLife &life)
+{
+    return UpstreamId{XXH64(life.id.data(), life.id.size(), 0)};
+}
+
+Incarnation incarnationOf(const ReplicaLife &life)
+{
+    return Incarnation{static_cast<std::uint64_t>(life.bornMs)};
+}
+
 QuarantineOptions quarantineOptions()
 {
     QuarantineOptions options;
@@ -41,9 +51,11 @@
     , executor(std::move(executorToUse))
     , directory({})
     , health({})
+    , zones({})
     , pool({})
     , quarantine(quarantineOptions())
-    , workList(executor, clock, settings.vm, settings.zone, directory, load, health)
+    , deaths({})
+    , workList(executor, clock, settings.vm, settings.zone, directory, load, health, zones)
     , random(seedOf(settings.vm, clock))
 {
 }
@@ -64,6 +76,43 @@
     return true;
 }
 
+void GateState::tellSuspects(const std::vector<SuspectNotice> &notices)
+{
+    for (const SuspectNotice &notice : notices) {
+        LOG(INFO) << LogLine(notice.isCleared ? "suspect_cleared" : "suspect")
+                         .add("fingerprint", notice.fingerprint.value)
+                         .add("deaths", notice.deaths.size())
+                         .text();
+        if (onSuspect)
+            onSuspect(notice);
+    }
+}
+
+void GateState::noteCrash(const ReplicaLife &life, Fingerprint fingerprint)
+{
+    deaths.recordCrash(life);
+    const std::vector<Fingerprint> inFlight = {fingerprint};
+    tellSuspects(
+        quarantine.onUpstreamDeath(upstreamId(life), incarnationOf(life), inFlight, clock.now()));
+}
+
+void GateState::noteAnswer(const ReplicaEntry &replica)
+{
+    const ReplicaLife life{replica.id, replica.bornMs};
+    zones.onAnswer(replica.zone);
+    if (deaths.onAnswer(life))
+        tellSuspects(quarantine.retract(upstreamId(life), incarnationOf(life)));
+}
+
+void GateState::noteUnreachable(const ReplicaEntry &replica)
+{
+    const ReplicaLife life{replica.id, replica.bornMs};
+    zones.onSilence(replica.zone, replica.id, clock.now());
+    deaths.onUnreachable(life, clock.now());
+    health.onUnreachable(life, clock.now());
+    pool.drop(life);
+}
+
 void GateState::beginDrain()
 {
     const TimePoint now = clock.now();
--- a/src/gateway/gatestate.h
+++ b/src/gateway/gatestate.h
@@ -1,12 +1,14 @@
 // What one gate knows and counts; owned by the control thread and read by the exchanges.
 #pragma once
 
+#include "arbutuspier/deathjudge.h"
 #include "arbutuspier/quarantine.h"
 #include "arbutuspier/random.h"
 #include "arbutuspier/replicahealth.h"
 #include "arbutuspier/retryallowance.h"
 #include "arbutuspier/routetable.h"
 #include "arbutuspier/upstreamdirectory.h"
+#include "arbutuspier/zonehealth.h"
 #include "gateway/gatemetrics.h"
 #include "gateway/gatesettings.h"
 #include "gateway/upstreampool.h"
@@ -30,6 +32,13 @@
     /// The configuration in force; null while none is known.
     const std::shared_ptr<const RouteTable> &routes() const { return m_routes; }
 
+    /// A replica crashed with this request in flight, or so it seems.
+    void noteCrash(const ReplicaLife &life, Fingerprint fingerprint);
+    /// A replica answered: what was held against requests for its death is taken back.
+    void noteAnswer(const ReplicaEntry &replica);
+    /// No connection to the replica came about.
+    void noteUnreachable(const ReplicaEntry &replica);
+
     RetryAllowance &allowance(const std::string &service);
     /// VMs that serve at present, this one among them.
     std::size_t vmCount() const { return m_vmCount; }
@@ -51,8 +60,10 @@
     UpstreamDirectory directory;
     FleetLoad load;
     ReplicaHealth health;
+    ZoneHealth zones;
     UpstreamPool pool;
     Quarantine quarantine;
+    DeathJudge deaths;
     WorkList workList;
     GateMetrics metrics;
     Random random;
@@ -60,6 +71,8 @@
     std::function<void(const SuspectNotice &)> onSuspect;
 
 private:
+    void tellSuspects(const std::vector<SuspectNotice> &notices);
+
     std::shared_ptr<const RouteTable> m_routes;
     std::map<std::string, RetryAllowance> m_allowances;
     std::size_t m_vmCount = 1;
--- a/src/gateway/worklist.cpp
+++ b/src/gateway/worklist.cpp
@@ -24,7 +24,7 @@
 
 WorkList::WorkList(asio::any_io_executor executor, const Clock &clock, std::string vm,
                    std::string zone, const UpstreamDirectory &directory, FleetLoad &load,
-                   const ReplicaHealth &health)
+                   const ReplicaHealth &health, const ZoneHealth &zones)
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_vm(std::move(vm))
@@ -32,6 +32,7 @@
     , m_directory(directory)
     , m_load(load)
     , m_health(health)
+    , m_zones(zones)
 {
 }
 
@@ -96,8 +97,9 @@
         candidate.slots = entry->slots;
         candidate.load = m_load.of(entry->id);
         candidate.pace = m_health.pace(life);
-        candidate.isShunned = m_health.isShunned(life, now);
         candidate.isLocalZone = entry->zone == m_zone;
+        const bool isCutOff = !candidate.isLocalZone && m_zones.isDoubted(entry->zone, now);
+        candidate.isShunned = isCutOff || m_health.isShunned(life, now);
         candidate.order = packingOrder(entry->id);
         result.push_back(std::move(candidate));
     }
--- a/src/gateway/worklist.h
+++ b/src/gateway/worklist.h
@@ -6,6 +6,7 @@
 #include "arbutuspier/replicahealth.h"
 #include "arbutuspier/routetable.h"
 #include "arbutuspier/upstreamdirectory.h"
+#include "arbutuspier/zonehealth.h"
 #include "net/asiotypes.h"
 
 #include <cstdint>
@@ -93,7 +94,8 @@
     };
 
     WorkList(asio::any_io_executor executor, const Clock &clock, std::string vm, std::string zone,
-             const UpstreamDirectory &directory, FleetLoad &load, const ReplicaHealth &health);
+             const UpstreamDirectory &directory, FleetLoad &load, const ReplicaHealth &health,
+             const ZoneHealth &zones);
 
     /// Waits for a replica. The grant must be ended with `end`.
     Task<DispatchResult> acquire(std::shared_ptr<Ticket> ticket);
@@ -131,6 +133,7 @@
     const UpstreamDirectory &m_directory;
     FleetLoad &m_load;
     const ReplicaHealth &m_health;
+    const ZoneHealth &m_zones;
     PlacementOptions m_options;
     /// Invariant: sorted by (priority, order); none is settled.
     std::list<std::shared_ptr<Ticket>> m_waiting;
--- /dev/null
+++ b/tests/gate/deathjudgetest.cpp
@@ -0,0 +1,54 @@
+// A crash and a cut look alike from one connection.
+#include "arbutuspier/deathjudge.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace arbutuspier;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr TimePoint kNow = TimePoint{std::chrono::seconds{100}};
+
+} // namespace
+
+TEST_GROUP(ADeathJudge)
+{
+    DeathJudge judge{DeathJudgeOptions{}};
+};
+
+TEST(ADeathJudge, believesInACrashOfOneReplica)
+{
+    judge.onUnreachable({"a", 1}, kNow);
+    CHECK(judge.mayHaveCrashed({"a", 1}, kNow + milliseconds{30}));
+}
+
+TEST(ADeathJudge, believesInTheSecondReplicaOfARequestThatKills)
+{
+    judge.onUnreachable({"a", 1}, kNow);
+    judge.onUnreachable({"b", 1}, kNow + milliseconds{5});
+    CHECK(judge.mayHaveCrashed({"b", 1}, kNow + milliseconds{300}));
+}
+
+TEST(ADeathJudge, takesManyAtOnceForACut)
+{
+    for (const char *id : {"a", "b", "c", "d"})
+        judge.onUnreachable({id, 1}, kNow);
+    CHECK(!judge.mayHaveCrashed({"a", 1}, kNow + milliseconds{300}));
+}
+
+TEST(ADeathJudge, forgetsACut)
+{
+    for (const char *id : {"a", "b", "c", "d"})
+        judge.onUnreachable({id, 1}, kNow);
+    judge.onUnreachable({"e", 1}, kNow + std::chrono::seconds{2});
+    CHECK(judge.mayHaveCrashed({"e", 1}, kNow + std::chrono::seconds{2}));
+}
+
+TEST(ADeathJudge, knowsThatALifeThatAnswersDidNotEnd)
+{
+    judge.recordCrash({"a", 1});
+    CHECK(!judge.onAnswer({"a", 2}));
+    CHECK(judge.onAnswer({"a", 1}));
+    CHECK(!judge.onAnswer({"a", 1}));
+}
--- /dev/null
+++ b/tests/gate/zonehealthtest.cpp
@@ -0,0 +1,57 @@
+// A zone that was cut off is put last as a whole.
+#include "arbutuspier/zonehealth.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace arbutuspier;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr TimePoint kNow = TimePoint{std::chrono::seconds{100}};
+
+} // namespace
+
+TEST_GROUP(AZone)
+{
+    ZoneHealth health{ZoneHealthOptions{}};
+};
+
+TEST(AZone, isNotDoubtedForOneReplica)
+{
+    health.onSilence("yard", "a", kNow);
+    health.onSilence("yard", "a", kNow);
+    CHECK(!health.isDoubted("yard", kNow));
+}
+
+TEST(AZone, isDoubtedWhenTwoReplicasAreSilent)
+{
+    health.onSilence("yard", "a", kNow);
+    health.onSilence("yard", "b", kNow);
+    CHECK(health.isDoubted("yard", kNow + milliseconds{700}));
+    CHECK(!health.isDoubted("hall", kNow));
+    CHECK(!health.isDoubted("yard", kNow + milliseconds{900}));
+}
+
+TEST(AZone, isDoubtedLongerWhileItStaysSilent)
+{
+    health.onSilence("yard", "a", kNow);
+    health.onSilence("yard", "b", kNow);
+    health.onSilence("yard", "c", kNow + milliseconds{900});
+    CHECK(health.isDoubted("yard", kNow + milliseconds{2400}));
+}
+
+TEST(AZone, isTrustedAgainAfterOneAnswer)
+{
+    health.onSilence("yard", "a", kNow);
+    health.onSilence("yard", "b", kNow);
+    health.onAnswer("yard");
+    CHECK(!health.isDoubted("yard", kNow));
+}
+
+TEST(AZone, isNotDoubtedForFailuresFarApart)
+{
+    health.onSilence("yard", "a", kNow);
+    health.onSilence("yard", "b", kNow + std::chrono::seconds{3});
+    CHECK(!health.isDoubted("yard", kNow + std::chrono::seconds{3}));
+}
