policy: Fill the replicas of the own zone first

Change: where forecasts are alike, a prompt goes to a replica of the VM's own zone, short ones from the front of the order and long ones from its back.

--- a/src/policy/placementplan.cpp
+++ b/src/policy/placementplan.cpp
@@ -157,7 +157,7 @@
     std::optional<Placement> placeAlone(const Candidates &writers)
     {
         const PlacementCandidate *best = nullptr;
-        std::tuple<double, int, std::uint64_t> bestKey;
+        std::tuple<double, bool, bool, std::uint64_t> bestKey;
         const bool isLong = isWorthSplitting();
         for (const PlacementCandidate *candidate : writers) {
             const double first = firstMs(*candidate, m_wholeReadMs);
@@ -166,8 +166,8 @@
             const double packed = m_options.packedSlots * candidate->slots;
             const bool isFull = candidate->load.running >= packed;
             const std::uint64_t order = isLong ? ~candidate->order : candidate->order;
-            const std::tuple<double, int, std::uint64_t> key = {std::floor(cost / kCostGrain),
-                                                                isFull ? 1 : 0, order};
+            const std::tuple key = {std::floor(cost / kCostGrain), isFull, !candidate->isLocalZone,
+                                    order};
             if (best && key >= bestKey)
                 continue;
             best = candidate;
@@ -197,8 +197,8 @@
     {
         const double partMs = m_wholeReadMs / parts;
         const auto isCheaper = [&](const PlacementCandidate *a, const PlacementCandidate *b) {
-            return std::tuple(partCost(*a, partMs), ~a->order)
-                < std::tuple(partCost(*b, partMs), ~b->order);
+            return std::tuple(partCost(*a, partMs), !a->isLocalZone, ~a->order)
+                < std::tuple(partCost(*b, partMs), !b->isLocalZone, ~b->order);
         };
         const PlacementCandidate *writer =
             *std::min_element(writers.begin(), writers.end(), isCheaper);
