--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -40,6 +40,9 @@
 /// Another VM takes the request at once.
 constexpr Duration kRetryElsewhere = std::chrono::milliseconds{20};
 constexpr Duration kRetryWhenNoReplica = std::chrono::milliseconds{500};
+constexpr Duration kRetryWhenLarge = std::chrono::seconds{4};
+/// Callers wait for no more than this part of the time that they have left.
+constexpr int kRetryPart = 3;
 constexpr Duration kRetryWhenFull = std::chrono::milliseconds{300};
 /// An answer that ends at the caller's own limit comes too late; it is sent this much sooner.
 constexpr Duration kAnswerMargin = std::chrono::milliseconds{5};
@@ -222,6 +225,19 @@
     return need;
 }
 
+Duration Exchange::retryAfter(DispatchRefusal refusal) const
+{
+    if (refusal == DispatchRefusal::NoReplica)
+        return kRetryWhenNoReplica;
+    const ServiceSpec *service = m_table->service(m_service);
+    const bool isLarge =
+        service && service->engine && m_head.promptTokens > service->engine->memoryTokens;
+    if (!isLarge)
+        return kRetryWhenFull;
+    // A fleet that is too busy for it now is likely to be so for seconds.
+    return std::min(kRetryWhenLarge, timeLeft() / kRetryPart);
+}
+
 Task<void> Exchange::attemptUntilAnswered()
 {
     End last = End::NotRun;
@@ -240,9 +256,7 @@
                 co_await answerFailure(last);
                 co_return;
             }
-            const Duration retryAfter =
-                result.refusal == DispatchRefusal::NoReplica ? kRetryWhenNoReplica : kRetryWhenFull;
-            co_await refuse(kUnavailable, reasonOf(result.refusal), retryAfter);
+            co_await refuse(kUnavailable, reasonOf(result.refusal), retryAfter(result.refusal));
             co_return;
         }
         last = co_await attempt(*result.grant);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -50,6 +50,8 @@
     bool checkKey();
     void limitTime();
     PromptShape promptShape() const;
+    /// When a request that was refused is likely to find room.
+    Duration retryAfter(DispatchRefusal refusal) const;
     Task<void> attemptUntilAnswered();
     Task<End> attempt(const DispatchGrant &grant);
     Task<End> readWhole(UpstreamAttempt &attempt, const DispatchGrant &grant);
