policy: Weigh a split for every prompt that stops writers

Cause: at a crest of short questions all replicas write short answers; a medium prompt read whole stopped ten of them for 0.38 to 0.46 s, as a split was weighed only above 0.3 of the prompt's own objective.

Change: a split is weighed from 60 ms of reading, and a prompt counts as long from 90 ms.

--- a/include/arbutuspier/placementplan.h
+++ b/include/arbutuspier/placementplan.h
@@ -55,6 +55,10 @@
     /// Memory that is left free for answers longer than expected.
     double memoryMargin = 0.04;
     std::uint32_t maxHelpers = 16;
+    /// Reading time beyond which a split is weighed.
+    double splitMs = 60;
+    /// Reading time beyond which a prompt counts as long.
+    double longMs = 90;
     /// Prompt tokens that weigh as much as one short answer that comes late.
     double tokensPerAnswer = 10'000;
     /// Time that an answer takes to write, to tell from the number of writers how many come.
--- a/src/policy/placementplan.cpp
+++ b/src/policy/placementplan.cpp
@@ -77,11 +77,11 @@
     }
 
 private:
-    bool isWorthSplitting() const
-    {
-        constexpr double kShortPart = 0.3;
-        return m_wholeReadMs > kShortPart * toMs(m_prompt.objective);
-    }
+    /// Below this a part is hardly shorter than the pass that reads it.
+    bool isWorthSplitting() const { return m_wholeReadMs > m_options.splitMs; }
+
+    /// Long prompts keep to the back of the order, where few short answers are written.
+    bool isLong() const { return m_wholeReadMs > m_options.longMs; }
 
     std::uint64_t neededTokens() const { return m_prompt.promptTokens + m_prompt.answerTokens; }
 
@@ -158,14 +158,14 @@
     {
         const PlacementCandidate *best = nullptr;
         std::tuple<double, bool, bool, std::uint64_t> bestKey;
-        const bool isLong = isWorthSplitting();
+        const bool fromBack = isLong();
         for (const PlacementCandidate *candidate : writers) {
             const double first = firstMs(*candidate, m_wholeReadMs);
             const double cost = weight() * lateChance(first) + harm(*candidate, m_wholeReadMs)
                 + shunCost(*candidate);
             const double packed = m_options.packedSlots * candidate->slots;
             const bool isFull = candidate->load.running >= packed;
-            const std::uint64_t order = isLong ? ~candidate->order : candidate->order;
+            const std::uint64_t order = fromBack ? ~candidate->order : candidate->order;
             const std::tuple key = {std::floor(cost / kCostGrain), isFull, !candidate->isLocalZone,
                                     order};
             if (best && key >= bestKey)
--- a/tests/gate/placementtest.cpp
+++ b/tests/gate/placementtest.cpp
@@ -167,6 +167,17 @@
     CHECK(!uses(*place(longPrompt()), "r7"));
 }
 
+TEST(AFleetOfEngines, splitsAMediumPromptThatWouldStopShortAnswersEverywhere)
+{
+    for (const std::string &name : names) {
+        for (int i = 0; i < 9; ++i)
+            run(name, shortPrompt(), true);
+    }
+    const auto placement = place(prompt(40'000, 1'500, 600));
+    CHECK(!placement->helpers.empty());
+    CHECK(placement->partReadMs < 200);
+}
+
 TEST(AFleetOfEngines, keepsAPartOffAReplicaThatWritesALongAnswer)
 {
     run("r7", longPrompt(), true);
