gateway, policy: Learn a replica's pace from the send on; split the exchange

Cause: the time to the first event was taken from the head of the answer, which comes with it, so every replica seemed fast: the pace stood at its lower bound of 0.7 and forecasts came out a third too low.

Change: the time counts from the send, and a forecast is safe up to 0.75 of the objective (0.55 fitted the wrong pace). Short answers fill 0.9 of the slots.

--- a/include/arbutuspier/placementplan.h
+++ b/include/arbutuspier/placementplan.h
@@ -47,9 +47,9 @@
 struct PlacementOptions
 {
     /// Part of its slots up to which a replica is filled before the next one gets short prompts.
-    double packedSlots = 0.8;
+    double packedSlots = 0.9;
     /// Part of the objective up to which a forecast counts as on time for sure.
-    double safeObjective = 0.55;
+    double safeObjective = 0.75;
     /// Part of the objective, beyond the safe one, over which the chance to be late grows to one.
     double lateSpan = 0.5;
     /// Memory that is left free for answers longer than expected.
--- a/include/arbutuspier/upstreamdirectory.h
+++ b/include/arbutuspier/upstreamdirectory.h
@@ -19,6 +19,15 @@
 
 enum class ReplicaState : std::uint8_t { Ready, Draining };
 
+/// One life of a replica.
+struct ReplicaLife
+{
+    std::string id;
+    std::int64_t bornMs = 0;
+
+    friend auto operator<=>(const ReplicaLife &, const ReplicaLife &) = default;
+};
+
 /// What a replica says of itself in the platform's list.
 struct ReplicaEntry
 {
@@ -33,6 +42,8 @@
     std::int64_t bornMs = 0;
     /// How much longer the replica is slow after its start.
     Duration coldLeft{};
+
+    ReplicaLife life() const { return {id, bornMs}; }
 };
 
 /// One row of the list. Without an entry the replica has left, or its row can't be read.
@@ -42,15 +53,6 @@
     std::optional<ReplicaEntry> entry;
 };
 
-/// One life of a replica.
-struct ReplicaLife
-{
-    std::string id;
-    std::int64_t bornMs = 0;
-
-    friend auto operator<=>(const ReplicaLife &, const ReplicaLife &) = default;
-};
-
 /// A life that left, as VMs tell each other.
 struct Departure
 {
--- a/src/coordination/upstreamdirectory.cpp
+++ b/src/coordination/upstreamdirectory.cpp
@@ -7,15 +7,6 @@
 
 namespace arbutuspier {
 
-namespace {
-
-ReplicaLife lifeOf(const ReplicaEntry &entry)
-{
-    return {entry.id, entry.bornMs};
-}
-
-} // namespace
-
 void UpstreamDirectory::replaceAll(const std::vector<ReplicaRow> &rows, TimePoint now)
 {
     std::set<std::string, std::less<>> present;
@@ -51,8 +42,8 @@
     const bool isNew = found == m_entries.end() || found->second.entry.bornMs != entry.bornMs
         || found->second.entry.state != entry.state || found->second.goneAt;
     if (entry.state == ReplicaState::Draining)
-        recordLeft({lifeOf(entry), true});
-    const auto left = m_left.find(lifeOf(entry));
+        recordLeft({entry.life(), true});
+    const auto left = m_left.find(entry.life());
     const bool isBack = left != m_left.end() && !left->second.isDraining;
     if (isBack)
         m_left.erase(left);
@@ -72,7 +63,7 @@
             found->second.goneAt = now;
         return;
     }
-    recordLeft({lifeOf(found->second.entry), false});
+    recordLeft({found->second.entry.life(), false});
     m_entries.erase(found);
     ++m_revision;
 }
@@ -131,7 +122,7 @@
             ++it;
             continue;
         }
-        recordLeft({lifeOf(it->second.entry), false});
+        recordLeft({it->second.entry.life(), false});
         it = m_entries.erase(it);
         ++m_revision;
     }
@@ -143,7 +134,7 @@
     for (const auto &[id, slot] : m_entries) {
         const ReplicaEntry &entry = slot.entry;
         if (entry.service == service && entry.state == ReplicaState::Ready
-            && !hasLeft(lifeOf(entry)))
+            && !hasLeft(entry.life()))
             result.push_back(&entry);
     }
     return result;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -46,7 +46,6 @@
         CallerGone,
     };
 
-    bool checkRequest();
     bool checkKey();
     void limitTime();
     PromptShape promptShape() const;
@@ -54,11 +53,28 @@
     Duration retryAfter(DispatchRefusal refusal) const;
     Task<void> attemptUntilAnswered();
     Task<End> attempt(const DispatchGrant &grant);
-    Task<End> readWhole(UpstreamAttempt &attempt, const DispatchGrant &grant);
+    Task<End> readWhole(UpstreamAttempt &attempt);
     Task<End> readStream(UpstreamAttempt &attempt, const DispatchGrant &grant);
-    Task<bool> passOn(UpstreamAttempt &attempt, const DispatchGrant &grant,
-                      const std::string &events);
+    Task<bool> passOn(UpstreamAttempt &attempt, const std::string &events);
     bool isTrustworthy(const UpstreamAttempt &attempt) const;
+    /// Memory set aside at helpers; given back when this goes.
+    struct HeldMemory
+    {
+        std::unique_ptr<MemoryHold> hold;
+        /// For each helper, the name of its reservation or nothing.
+        std::vector<std::string> reservations;
+    };
+
+    Task<bool> holdMemory(const DispatchGrant &grant, HeldMemory &held);
+    Task<End> readAnswer(UpstreamAttempt::Sent sent, UpstreamAttempt &attempt,
+                         const DispatchGrant &grant);
+    void noteFirstEvent(const DispatchGrant &grant);
+    /// When the replica is given up unless its next event has come.
+    TimePoint nextEventEnd() const;
+    void noteNotRun(const UpstreamAttempt &attempt, const DispatchGrant &grant);
+    void noteLost(const UpstreamAttempt &attempt, const DispatchGrant &grant);
+    void logAttempt(End end, const UpstreamAttempt &attempt, const DispatchGrant &grant);
+    static std::string_view endName(End end);
     std::vector<HoldPart> holdParts(const DispatchGrant &grant) const;
     UpstreamAttempt::Request upstreamRequest(const DispatchGrant &grant,
                                              const std::vector<std::string> &reservations) const;
@@ -71,10 +87,9 @@
     /// More time for a replica that is known to read, past the time at which it was to be given up.
     std::optional<TimePoint> extendPatience(const DispatchGrant &grant) const;
     bool couldRepeat() const;
-    bool canSplit() const { return m_canSplit; }
 
     Task<void> refuse(int status, std::string_view reason, std::optional<Duration> retryAfter);
-    Task<void> answerFailure(End last);
+    Task<void> answerFailure();
     Duration timeLeft() const;
     TimePoint deadline() const;
     void log(std::string_view outcome, std::string_view reason);
@@ -90,6 +105,8 @@
     std::string m_service;
     Fingerprint m_fingerprint;
     TimePoint m_arrived;
+    /// When the present attempt was sent.
+    TimePoint m_sentAt{};
     /// When the caller gives up, and when the route's time is over.
     TimePoint m_callerEnd;
     TimePoint m_routeEnd;
--- a/src/gateway/gatestate.cpp
+++ b/src/gateway/gatestate.cpp
@@ -96,9 +96,14 @@
         quarantine.onUpstreamDeath(upstreamId(life), incarnationOf(life), inFlight, clock.now()));
 }
 
+void GateState::noteCompleted(Fingerprint fingerprint)
+{
+    tellSuspects(quarantine.onCompleted(fingerprint));
+}
+
 void GateState::noteAnswer(const ReplicaEntry &replica)
 {
-    const ReplicaLife life{replica.id, replica.bornMs};
+    const ReplicaLife life = replica.life();
     zones.onAnswer(replica.zone);
     if (deaths.onAnswer(life))
         tellSuspects(quarantine.retract(upstreamId(life), incarnationOf(life)));
@@ -106,7 +111,7 @@
 
 void GateState::noteUnreachable(const ReplicaEntry &replica)
 {
-    const ReplicaLife life{replica.id, replica.bornMs};
+    const ReplicaLife life = replica.life();
     zones.onSilence(replica.zone, replica.id, clock.now());
     deaths.onUnreachable(life, clock.now());
     health.onUnreachable(life, clock.now());
--- a/src/gateway/gatestate.h
+++ b/src/gateway/gatestate.h
@@ -34,6 +34,8 @@
 
     /// A replica crashed with this request in flight, or so it seems.
     void noteCrash(const ReplicaLife &life, Fingerprint fingerprint);
+    /// A request had a whole answer, so it is no suspect any more.
+    void noteCompleted(Fingerprint fingerprint);
     /// A replica answered: what was held against requests for its death is taken back.
     void noteAnswer(const ReplicaEntry &replica);
     /// No connection to the replica came about.
--- a/src/gateway/memoryhold.cpp
+++ b/src/gateway/memoryhold.cpp
@@ -24,15 +24,10 @@
 /// memory.
 constexpr int kReleaseTries = 3;
 
-ReplicaLife lifeOf(const ReplicaEntry &replica)
-{
-    return {replica.id, replica.bornMs};
-}
-
 /// Sends an order. The status of the answer; zero if none came.
 Task<int> sendOrder(GateState &state, const ReplicaEntry &replica, platform::OrderRequest order)
 {
-    UpstreamAttempt attempt(state.executor, state.pool, lifeOf(replica));
+    UpstreamAttempt attempt(state.executor, state.pool, replica.life());
     attempt.expireAt(state.clock.now() + kOrderTimeout);
     const auto sent = co_await attempt.send(order, replica.address, false, kConnectTimeout);
     state.metrics.count("orders", sent == UpstreamAttempt::Sent::Answered ? "answered" : "lost");
--- a/src/gateway/worklist.cpp
+++ b/src/gateway/worklist.cpp
@@ -91,7 +91,7 @@
     for (const ReplicaEntry *entry : m_directory.usable(need.service)) {
         if (need.excluded.count(entry->id) != 0)
             continue;
-        const ReplicaLife life{entry->id, entry->bornMs};
+        const ReplicaLife life = entry->life();
         PlacementCandidate candidate;
         candidate.replica = entry->id;
         candidate.slots = entry->slots;
