tools, tests, docs: Prove the gate as real processes without the kit, and document it

Change: stand-ins of the platform's store (rows, feed, transactions) and of a replica that registers, streams, drains and resumes; tests/process/gate.sh runs two gates before them through a kill -9, a drain, a change of configuration, the death of the store and a graceful stop; bin/test runs it.

--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -1,13 +1,16 @@
-// Stand-ins for what the daemon meets: --role engine, service or platform.
+// Stand-ins for what the daemon and the gate meet: --role engine, service, platform, store,
+// replica.
 #include "engineserver.h"
 #include "platformserver.h"
+#include "replicaserver.h"
 #include "serviceserver.h"
+#include "storeserver.h"
 
 #include <gflags/gflags.h>
 
 #include <iostream>
 
-DEFINE_string(role, "", "engine, service or platform");
+DEFINE_string(role, "", "engine, service, platform, store or replica");
 DEFINE_string(ip, "127.0.0.1", "IP number to listen on");
 DEFINE_uint32(port, 0, "port to listen on");
 DEFINE_uint64(memory_tokens, 400'000, "engine: tokens of KV cache");
@@ -15,6 +18,11 @@
 DEFINE_double(step_ms, 6, "engine: milliseconds a step takes at the least");
 DEFINE_bool(checks_fence, true, "engine: refuses orders with an old fencing number");
 DEFINE_uint32(report_lag_ms, 50, "engine: age of the load it reports");
+DEFINE_uint32(store_port, 0, "replica: port of the store on the same IP number");
+DEFINE_string(id, "", "replica: its id");
+DEFINE_string(service, "assist", "replica: the service it belongs to");
+DEFINE_string(zone, "north", "replica: its zone");
+DEFINE_uint32(events, 10, "replica: events of a stream");
 DEFINE_uint32(work_ms, 20, "service: milliseconds of work for each call");
 DEFINE_double(writes_per_second, 300, "platform: writes it takes");
 DEFINE_double(reads_per_second, 2000, "platform: reads it takes");
@@ -64,7 +72,19 @@
         options.listLag = std::chrono::milliseconds{FLAGS_list_lag_ms};
         return runServer<PlatformServer>(std::move(options));
     }
-    std::cerr << "standin: --role must be engine, service or platform\n";
+    if (FLAGS_role == "store")
+        return runServer<StoreServer>(StoreServerOptions{listen});
+    if (FLAGS_role == "replica") {
+        ReplicaServerOptions options;
+        options.listen = listen;
+        options.store = {FLAGS_ip, static_cast<std::uint16_t>(FLAGS_store_port)};
+        options.id = FLAGS_id;
+        options.service = FLAGS_service;
+        options.zone = FLAGS_zone;
+        options.events = FLAGS_events;
+        return runServer<ReplicaServer>(std::move(options));
+    }
+    std::cerr << "standin: --role must be engine, service, platform, store or replica\n";
     return kBadUsage;
 }
 
--- /dev/null
+++ b/tools/standin/replicaserver.cpp
@@ -0,0 +1,119 @@
+// A request with a prompt gets a stream of events; any other gets a whole answer.
+#include "replicaserver.h"
+
+#include "platform/tablenames.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace arbutuspier::standin {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kMisdirected = 421;
+constexpr std::uint32_t kSlots = 16;
+constexpr Duration kStoreTimeout = std::chrono::milliseconds{500};
+
+} // namespace
+
+ReplicaServer::ReplicaServer(asio::io_context &context, ReplicaServerOptions options)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_store(context.get_executor(), m_options.store)
+    , m_signals(context, SIGTERM)
+    , m_bornMs(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                              std::chrono::system_clock::now().time_since_epoch())
+                                              .count()))
+{
+}
+
+bool ReplicaServer::start()
+{
+    asio::co_spawn(m_context, beat(), asio::detached);
+    asio::co_spawn(m_context, watchSignals(), asio::detached);
+    return serve(m_context, m_options.listen, [this](beast::tcp_stream &stream, Request request) {
+        return handle(stream, std::move(request));
+    });
+}
+
+Task<void> ReplicaServer::beat()
+{
+    asio::steady_timer timer(m_context);
+    while (true) {
+        const nlohmann::json entry = {{"service", m_options.service},
+                                      {"address", m_options.listen.text()},
+                                      {"zone", m_options.zone},
+                                      {"version", "v1"},
+                                      {"slots", kSlots},
+                                      {"state", m_isDraining ? "draining" : "ready"},
+                                      {"coldLeftMs", 0},
+                                      {"sequence", ++m_sequence},
+                                      {"born", m_bornMs}};
+        co_await m_store.write(platform::kReplicaTable, m_options.id, entry.dump(), kStoreTimeout);
+        timer.expires_after(m_options.heartbeat);
+        co_await timer.async_wait(kAwait);
+    }
+}
+
+Task<void> ReplicaServer::watchSignals()
+{
+    const auto [error, signal] = co_await m_signals.async_wait(kAwait);
+    if (!error)
+        m_isDraining = true;
+}
+
+Task<bool> ReplicaServer::handle(beast::tcp_stream &stream, Request request)
+{
+    if (request.target() == "/runs")
+        co_return co_await reply(stream, request, kOk, std::to_string(m_runs));
+    if (request["X-Arbutuspier-Expected-Instance"] != m_options.id)
+        co_return co_await reply(stream, request, kMisdirected, "{}");
+    ++m_runs;
+    if (request.count("X-Arbutuspier-Token-Usage") != 0)
+        co_return co_await this->stream(stream, request);
+    // Built before the call: this compiler can't keep a list of pairs across a co_await.
+    std::vector<std::pair<std::string, std::string>> headers;
+    headers.emplace_back("X-Arbutuspier-Attempt-Id", request["X-Arbutuspier-Attempt-Id"]);
+    headers.emplace_back("X-Arbutuspier-Response-Signature", m_options.id);
+    headers.emplace_back("Keep-Alive", "timeout=5");
+    std::string body = "ran " + request.body();
+    co_return co_await reply(stream, request, kOk, std::move(body), std::move(headers));
+}
+
+Task<bool> ReplicaServer::stream(beast::tcp_stream &stream, const Request &request)
+{
+    const std::string id(request["X-Arbutuspier-Attempt-Id"]);
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                             "X-Arbutuspier-Attempt-Id: "
+        + id + "\r\nX-Arbutuspier-Response-Signature: " + m_options.id
+        + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto [headError, headSize] =
+        co_await asio::async_write(stream, asio::buffer(head), kAwait);
+    if (headError)
+        co_return false;
+    const bool isResumed = request.count("Last-Event-Id") != 0;
+    const std::string last(request["Last-Event-Id"]);
+    asio::steady_timer timer(m_context);
+    for (std::uint64_t event = isResumed ? std::stoull(last) + 1 : 0; event < m_options.events;
+         ++event) {
+        timer.expires_after(m_options.eventGap);
+        co_await timer.async_wait(kAwait);
+        const std::string text = "id: " + std::to_string(event) + "\ndata: x\n\n";
+        const auto [error, size] =
+            co_await asio::async_write(stream, http::make_chunk(asio::buffer(text)), kAwait);
+        if (error)
+            co_return false;
+    }
+    const auto [error, size] =
+        co_await asio::async_write(stream, asio::buffer("0\r\n\r\n", 5), kAwait);
+    co_return !error;
+}
+
+} // namespace arbutuspier::standin
--- /dev/null
+++ b/tools/standin/storeserver.cpp
@@ -0,0 +1,138 @@
+// Speaks the platform's calls as far as the gate makes them.
+#include "storeserver.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace arbutuspier::standin {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 412;
+
+/// The text of a query field up to the next one.
+std::string queryText(std::string_view target, std::string_view field)
+{
+    const auto at = target.find(std::string(field) + '=');
+    if (at == std::string_view::npos)
+        return {};
+    const std::string_view rest = target.substr(at + field.size() + 1);
+    return std::string(rest.substr(0, rest.find('&')));
+}
+
+Json encodeRow(const std::pair<std::string, std::string> &key, const std::string &data,
+               std::uint64_t revision, bool isDeleted)
+{
+    Json row = {
+        {"tableName", key.first}, {"part", ""}, {"key", key.second}, {"schemaVersion", revision}};
+    if (isDeleted)
+        row["deleted"] = true;
+    else
+        row["data"] = data;
+    return row;
+}
+
+} // namespace
+
+StoreServer::StoreServer(asio::io_context &context, StoreServerOptions options)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_changed(context)
+{
+}
+
+bool StoreServer::start()
+{
+    return serve(m_context, m_options.listen, [this](beast::tcp_stream &stream, Request request) {
+        return handle(stream, std::move(request));
+    });
+}
+
+std::string StoreServer::apply(const std::string &body, int &status)
+{
+    const Json document = Json::parse(body, nullptr, false);
+    status = kBadRequest;
+    if (!document.is_object() || !document.contains("write"))
+        return "{}";
+    const Json none = Json::array();
+    for (const Json &item : document.value("expected", none)) {
+        const auto found = m_rows.find({item.at("tableName"), item.at("key")});
+        const bool isThere = found != m_rows.end() && !found->second.isDeleted;
+        const std::uint64_t present = isThere ? found->second.revision : 0;
+        if (present != item.at("schemaVersion").get<std::uint64_t>()) {
+            status = kConflict;
+            return Json{{"rows", none}, {"schemaVersion", m_revision}}.dump();
+        }
+    }
+    ++m_revision;
+    for (const Json &item : document["write"])
+        m_rows[{item.at("tableName"), item.at("key")}] = {item.at("data"), m_revision, false};
+    for (const Json &item : document.value("remove", none))
+        m_rows[{item.at("tableName"), item.at("key")}] = {{}, m_revision, true};
+    m_changed.cancel();
+    status = kOk;
+    return Json{{"schemaVersion", m_revision}, {"nowMs", 0}}.dump();
+}
+
+std::string StoreServer::read(const std::string &table) const
+{
+    Json rows = Json::array();
+    for (const auto &[key, row] : m_rows) {
+        if (key.first == table && !row.isDeleted)
+            rows.push_back(encodeRow(key, row.data, row.revision, false));
+    }
+    return Json{{"rows", rows}, {"hasMore", false}, {"schemaVersion", m_revision}, {"nowMs", 0}}
+        .dump();
+}
+
+std::string StoreServer::changesSince(const std::string &table, std::uint64_t since,
+                                      bool &hasAny) const
+{
+    Json rows = Json::array();
+    for (const auto &[key, row] : m_rows) {
+        if (key.first == table && row.revision > since)
+            rows.push_back(encodeRow(key, row.data, row.revision, row.isDeleted));
+    }
+    hasAny = !rows.empty();
+    return Json{{"rows", rows}, {"schemaVersion", m_revision}, {"nowMs", 0}}.dump();
+}
+
+Task<std::string> StoreServer::changes(std::string table, std::uint64_t since, std::uint64_t waitMs)
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds{waitMs};
+    bool hasAny = false;
+    std::string text = changesSince(table, since, hasAny);
+    while (!hasAny && std::chrono::steady_clock::now() < end) {
+        m_changed.expires_at(end);
+        co_await m_changed.async_wait(kAwait);
+        text = changesSince(table, since, hasAny);
+    }
+    co_return text;
+}
+
+Task<bool> StoreServer::handle(beast::tcp_stream &stream, Request request)
+{
+    const std::string target(request.target());
+    const std::string table = queryText(target, "tableName");
+    if (target.starts_with("/rows-tx")) {
+        int status = kBadRequest;
+        std::string body = apply(request.body(), status);
+        co_return co_await reply(stream, request, status, std::move(body));
+    }
+    if (target.starts_with("/rows-get"))
+        co_return co_await reply(stream, request, kOk, read(table));
+    if (target.starts_with("/rows-feed")) {
+        std::string body = co_await changes(table, numberAfter(target, "sinceRevision="),
+                                            numberAfter(target, "waitMs="));
+        co_return co_await reply(stream, request, kOk, std::move(body));
+    }
+    co_return co_await reply(stream, request, kNotFound, "{}");
+}
+
+} // namespace arbutuspier::standin
--- /dev/null
+++ b/tools/standin/storeserver.h
@@ -0,0 +1,48 @@
+// Stand-in for the platform's metadata store: rows of named tables and the feed of their changes.
+#pragma once
+
+#include "simpleserver.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace arbutuspier::standin {
+
+struct StoreServerOptions
+{
+    Address listen;
+};
+
+/// Keeps everything in memory; a row that was removed stays as a mark for the feed.
+class StoreServer
+{
+public:
+    StoreServer(asio::io_context &context, StoreServerOptions options);
+    bool start();
+
+private:
+    struct Row
+    {
+        std::string data;
+        std::uint64_t revision = 0;
+        bool isDeleted = false;
+    };
+    using Key = std::pair<std::string, std::string>;
+
+    Task<bool> handle(beast::tcp_stream &stream, Request request);
+    std::string apply(const std::string &body, int &status);
+    std::string read(const std::string &table) const;
+    Task<std::string> changes(std::string table, std::uint64_t since, std::uint64_t waitMs);
+    std::string changesSince(const std::string &table, std::uint64_t since, bool &hasAny) const;
+
+    asio::io_context &m_context;
+    StoreServerOptions m_options;
+    std::map<Key, Row> m_rows;
+    std::uint64_t m_revision = 0;
+    /// Cancelled at each change, so that those who wait look again.
+    asio::steady_timer m_changed;
+};
+
+} // namespace arbutuspier::standin
