gateway: Refuse at once what can't be read in the caller's time

Cause: after an outage long prompts came back with 50 ms to 1 s left, were sent to replicas and ended as 504.

Change: where even reading the prompt takes longer than the caller will wait, 503 at once, not run.

Conclusion: kept; a test fails without it (ACall withAPromptThatTakesLongerToReadThanItsCallerWaits...).

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -65,6 +65,8 @@
         return "no-room";
     case DispatchRefusal::TooLarge:
         return "too-large";
+    case DispatchRefusal::NoTime:
+        return "cannot-meet-deadline";
     case DispatchRefusal::Cancelled:
         return "caller-gone";
     }
--- a/src/gateway/worklist.cpp
+++ b/src/gateway/worklist.cpp
@@ -14,9 +14,10 @@
     return XXH64(replica.data(), replica.size(), 0);
 }
 
+constexpr double kMsPerSecond = 1000.0;
+
 Duration fromMs(double ms)
 {
-    constexpr double kMsPerSecond = 1000.0;
     return fromSeconds(ms / kMsPerSecond);
 }
 
@@ -147,6 +148,11 @@
     }
     const EngineFigures &figures = *service->engine;
     const auto placement = placePrompt(figures, ticket.need.prompt, all, m_options, m_clock.now());
+    const double leftMs = toSeconds(ticket.need.prompt.timeLeft) * kMsPerSecond;
+    if (placement && placement->partReadMs > leftMs) {
+        refuse(ticket, DispatchRefusal::NoTime);
+        return true;
+    }
     if (placement) {
         grantPrompt(ticket, *placement);
         return true;
--- a/src/gateway/worklist.h
+++ b/src/gateway/worklist.h
@@ -61,6 +61,8 @@
     NoRoom,
     /// The prompt is larger than what replicas can hold.
     TooLarge,
+    /// Even reading the prompt alone takes longer than the caller will wait.
+    NoTime,
     Cancelled,
 };
 
--- a/tests/gate/exchangetest.cpp
+++ b/tests/gate/exchangetest.cpp
@@ -21,9 +21,13 @@
   "service":"desk","maxAttempts":2,"public":true,"resumable":true,"gapTargetMs":8000},
  {"host":"f.example","prefix":"/once/","routeKind":"streaming","timeoutMs":20000,"goalMs":8000,
   "service":"desk","maxAttempts":2,"public":true,"resumable":false,"gapTargetMs":8000},
+ {"host":"f.example","prefix":"/prompt/","routeKind":"streaming","timeoutMs":20000,"goalMs":3000,
+  "service":"engine","maxAttempts":2,"public":true,"resumable":true,"gapTargetMs":8000},
  {"host":"f.example","prefix":"/keyed/","routeKind":"idempotent","timeoutMs":20000,"goalMs":8000,
   "service":"desk","maxAttempts":2,"public":false}],
- "services":[{"name":"desk","maxConnections":100}],"limits":{"maxBodyBytes":2000},
+ "services":[{"name":"desk","maxConnections":100},{"name":"engine","maxConnections":100,
+  "runtime":{"slots":16,"kvCapacity":315000,"stride":51,"step_ms":0.85,"read_per_s":177000.0,
+  "pairs_per_m":0.184,"chunk":2048}}],"limits":{"maxBodyBytes":2000},
  "tenants":[{"name":"team-a","apiKeys":["k1"]}]})";
 
 std::string whole(int status, std::string_view body, std::string_view extra = "")
@@ -271,6 +275,18 @@
     LONGS_EQUAL(2, replica.connections());
 }
 
+TEST(ACall, withAPromptThatTakesLongerToReadThanItsCallerWaitsIsRefusedAtOnce)
+{
+    auto &replica = world.addReplica("a", "engine", {{stream(0, 1)}});
+    const std::string soon =
+        "POST /prompt/1 HTTP/1.1\r\nHost: f.example\r\nX-Arbutuspier-Attempt-Id: id1\r\n"
+        "X-Arbutuspier-Deadline-Ms: 300\r\nX-Arbutuspier-Token-Usage: 100000,100\r\n"
+        "Connection: close\r\n\r\n";
+    const std::string answer = world.call(soon);
+    LONGS_EQUAL(503, statusOf(answer));
+    LONGS_EQUAL(0, replica.requests().size());
+}
+
 TEST_GROUP_BASE(AStream, TEST_GROUP_CppUTestGroupACall){};
 
 TEST(AStream, isPassedOnEventByEvent)
