--- a/include/arbutuspier/clock.h
+++ b/include/arbutuspier/clock.h
@@ -59,4 +59,18 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(s));
 }
 
+inline constexpr double kMillisecondsPerSecond = 1000.0;
+
+/// Milliseconds as a floating-point number.
+constexpr double toMilliseconds(Duration d)
+{
+    return toSeconds(d) * kMillisecondsPerSecond;
+}
+
+/// A duration from floating-point milliseconds.
+constexpr Duration fromMilliseconds(double ms)
+{
+    return fromSeconds(ms / kMillisecondsPerSecond);
+}
+
 } // namespace arbutuspier
--- a/include/arbutuspier/forecast.h
+++ b/include/arbutuspier/forecast.h
@@ -33,13 +33,13 @@
                     TimePoint now);
 
 /// Milliseconds until a prompt sent now, of which this replica reads `partReadMs`, has its first
-/// event there.
-double firstEventMs(const EngineFigures &figures, const ReplicaLoad &load, double partReadMs,
-                    std::uint64_t contextTokens, double pace, TimePoint now);
+/// event there. `state` is where the replica stands in its passes now.
+double firstEventMs(const EngineFigures &figures, const ReplicaLoad &load, const PassState &state,
+                    double partReadMs, std::uint64_t contextTokens, double pace);
 
 /// Milliseconds of the pass that would read a part of `partReadMs` sent now: the pause that all
 /// writers of the replica have then.
-double pauseMs(const EngineFigures &figures, const ReplicaLoad &load, double partReadMs,
-               double pace, TimePoint now);
+double pauseMs(const EngineFigures &figures, const ReplicaLoad &load, const PassState &state,
+               double partReadMs, double pace);
 
 } // namespace arbutuspier
--- a/include/arbutuspier/placementplan.h
+++ b/include/arbutuspier/placementplan.h
@@ -91,6 +91,9 @@
 /// What the answer to a prompt is worth, in short answers.
 double promptWeight(std::uint64_t promptTokens, const PlacementOptions &options);
 
+/// Memory of a replica that prompts are planned into.
+double usableTokens(const EngineFigures &figures, const PlacementOptions &options);
+
 /// Empty if no candidate has a slot and the memory at present, nor several together.
 std::optional<Placement> placePrompt(const EngineFigures &figures, const PromptShape &prompt,
                                      std::span<const PlacementCandidate> candidates,
--- a/include/arbutuspier/upstreamdirectory.h
+++ b/include/arbutuspier/upstreamdirectory.h
@@ -40,8 +40,6 @@
     ReplicaState state = ReplicaState::Ready;
     /// Start of this life, milliseconds since 1970; a restart under the same id has another.
     std::int64_t bornMs = 0;
-    /// How much longer the replica is slow after its start.
-    Duration coldLeft{};
 
     ReplicaLife life() const { return {id, bornMs}; }
 };
--- a/src/gateway/exchangeattempt.cpp
+++ b/src/gateway/exchangeattempt.cpp
@@ -106,11 +106,11 @@
     const double pace = m_state.health.pace(grant.replica.life());
     const PassState pass =
         passState(*service->engine, m_state.load.of(grant.replica.id), pace, now);
-    const bool isReading = pass.presentMs + pass.waitingMs > toSeconds(kReadingMargin) * 1e3;
-    if (!isReading)
+    const double readingMs = pass.presentMs + pass.waitingMs;
+    if (readingMs <= toMilliseconds(kReadingMargin))
         return std::nullopt;
-    const double seconds = kReadingPatience * (pass.presentMs + pass.waitingMs) / 1e3;
-    return std::min(deadline(), now + fromSeconds(seconds) + kReadingMargin);
+    const Duration longer = fromMilliseconds(kReadingPatience * readingMs);
+    return std::min(deadline(), now + longer + kReadingMargin);
 }
 
 Task<bool> Exchange::holdMemory(const DispatchGrant &grant, HeldMemory &held)
--- a/src/gateway/worklist.cpp
+++ b/src/gateway/worklist.cpp
@@ -14,13 +14,6 @@
     return XXH64(replica.data(), replica.size(), 0);
 }
 
-constexpr double kMsPerSecond = 1000.0;
-
-Duration fromMs(double ms)
-{
-    return fromSeconds(ms / kMsPerSecond);
-}
-
 } // namespace
 
 WorkList::WorkList(asio::any_io_executor executor, const Clock &clock, std::string vm,
@@ -122,8 +115,7 @@
 {
     const std::size_t together =
         need.prompt.maySplit ? std::min<std::size_t>(replicas, m_options.maxHelpers + 1) : 1;
-    const double capacity = (1.0 - m_options.memoryMargin)
-        * static_cast<double>(figures.memoryTokens) * static_cast<double>(together);
+    const double capacity = usableTokens(figures, m_options) * static_cast<double>(together);
     return static_cast<double>(need.prompt.promptTokens + need.prompt.answerTokens) > capacity;
 }
 
@@ -148,7 +140,7 @@
     }
     const EngineFigures &figures = *service->engine;
     const auto placement = placePrompt(figures, ticket.need.prompt, all, m_options, m_clock.now());
-    const double leftMs = toSeconds(ticket.need.prompt.timeLeft) * kMsPerSecond;
+    const double leftMs = toMilliseconds(ticket.need.prompt.timeLeft);
     if (placement && placement->partReadMs > leftMs) {
         refuse(ticket, DispatchRefusal::NoTime);
         return true;
@@ -175,7 +167,7 @@
         heldTokens += helper.heldTokens;
     }
     grant.work = m_nextWork++;
-    grant.forecast = fromMs(placement.firstEventMs);
+    grant.forecast = fromMilliseconds(placement.firstEventMs);
     const ReplicaLoad &load = m_load.of(placement.replica);
     grant.wasIdle = load.reads.empty() && placement.helpers.empty();
     Work work;
--- a/src/policy/forecast.cpp
+++ b/src/policy/forecast.cpp
@@ -41,14 +41,14 @@
     }
     // Times in milliseconds from the first read on; it met a pass of the writers half way.
     const TimePoint origin = load.reads.front().sentAt;
-    const double end = toSeconds(now - origin) * kThousand;
+    const double end = toMilliseconds(now - origin);
     double passStart = kPassLeft * steps;
     std::size_t next = 0;
     while (next < load.reads.size()) {
         double length = steps;
         std::size_t last = next;
         while (last < load.reads.size()
-               && toSeconds(load.reads[last].sentAt - origin) * kThousand <= passStart) {
+               && toMilliseconds(load.reads[last].sentAt - origin) <= passStart) {
             length += pace * load.reads[last].readMs;
             ++last;
         }
@@ -67,18 +67,16 @@
     return state;
 }
 
-double firstEventMs(const EngineFigures &figures, const ReplicaLoad &load, double partReadMs,
-                    std::uint64_t contextTokens, double pace, TimePoint now)
+double firstEventMs(const EngineFigures &figures, const ReplicaLoad &load, const PassState &state,
+                    double partReadMs, std::uint64_t contextTokens, double pace)
 {
-    const PassState state = passState(figures, load, pace, now);
     const double steps = stepsMs(figures, load.writers + 1, load.contextTokens + contextTokens);
     return state.presentMs + state.waitingMs + pace * (partReadMs + steps);
 }
 
-double pauseMs(const EngineFigures &figures, const ReplicaLoad &load, double partReadMs,
-               double pace, TimePoint now)
+double pauseMs(const EngineFigures &figures, const ReplicaLoad &load, const PassState &state,
+               double partReadMs, double pace)
 {
-    const PassState state = passState(figures, load, pace, now);
     const double steps = stepsMs(figures, load.writers, load.contextTokens);
     return state.waitingMs + pace * (partReadMs + steps);
 }
--- a/src/policy/placementplan.cpp
+++ b/src/policy/placementplan.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <iterator>
 #include <limits>
 #include <tuple>
 
@@ -13,22 +14,27 @@
 
 namespace {
 
-constexpr double kMsPerSecond = 1000.0;
 /// Costs closer than this count as equal, so that packing decides.
 constexpr double kCostGrain = 0.05;
-constexpr std::array<std::uint32_t, 11> kSplits = {1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17};
+constexpr std::array<std::uint32_t, 10> kSplits = {2, 3, 4, 5, 6, 8, 10, 12, 14, 17};
 
-double toMs(Duration duration)
+/// A candidate and where it stands in its passes, which is the same for every way to place.
+struct Option
 {
-    return toSeconds(duration) * kMsPerSecond;
-}
+    const PlacementCandidate *candidate = nullptr;
+    PassState pass;
+};
+
+using Options = std::vector<Option>;
 
-Duration fromMs(double ms)
+/// An option at the cost of giving it a part of a certain length.
+struct PricedOption
 {
-    return fromSeconds(ms / kMsPerSecond);
-}
+    Option option;
+    double cost = 0;
+};
 
-using Candidates = std::vector<const PlacementCandidate *>;
+using PricedOptions = std::vector<PricedOption>;
 
 class PromptPlacer
 {
@@ -50,33 +56,42 @@
             m_fleetWriters += candidate.load.writers;
             m_readingReplicas += candidate.load.reads.empty() ? 0 : 1;
         }
-        Candidates writers;
-        for (const PlacementCandidate &candidate : all) {
-            if (hasRoom(candidate))
-                writers.push_back(&candidate);
-        }
+        const Options options = optionsOf(all);
+        Options writers;
+        std::copy_if(options.begin(), options.end(), std::back_inserter(writers),
+                     [&](const Option &option) { return hasRoom(*option.candidate); });
         std::optional<Placement> best;
         if (!writers.empty())
             best = placeAlone(writers);
         if (!m_prompt.maySplit || !isWorthSplitting())
             return best;
-        Candidates helpers;
-        for (const PlacementCandidate &candidate : all) {
-            if (candidate.load.helping < candidate.slots)
-                helpers.push_back(&candidate);
-        }
-        if (writers.empty())
-            return placeOverMemories(all, helpers);
+        Options helpers;
+        std::copy_if(options.begin(), options.end(), std::back_inserter(helpers),
+                     [](const Option &option) { return canHelp(*option.candidate); });
         for (std::uint32_t parts : kSplits) {
-            const bool isPossible =
-                parts > 1 && parts <= helpers.size() && parts <= m_options.maxHelpers + 1;
-            if (isPossible)
+            const bool isPossible = parts <= helpers.size() && parts <= m_options.maxHelpers + 1;
+            if (!isPossible)
+                continue;
+            if (writers.empty())
+                tryOverMemories(parts, options, helpers, best);
+            else
                 trySplit(parts, writers, helpers, best);
         }
         return best;
     }
 
 private:
+    Options optionsOf(std::span<const PlacementCandidate> all) const
+    {
+        Options options;
+        options.reserve(all.size());
+        for (const PlacementCandidate &candidate : all) {
+            options.push_back(
+                {&candidate, passState(m_figures, candidate.load, candidate.pace, m_now)});
+        }
+        return options;
+    }
+
     /// Below this a part is hardly shorter than the pass that reads it.
     bool isWorthSplitting() const { return m_wholeReadMs > m_options.splitMs; }
 
@@ -87,9 +102,7 @@
 
     std::uint64_t freeTokens(const PlacementCandidate &candidate) const
     {
-        const double capacity =
-            (1.0 - m_options.memoryMargin) * static_cast<double>(m_figures.memoryTokens);
-        const auto usable = static_cast<std::uint64_t>(capacity);
+        const auto usable = static_cast<std::uint64_t>(usableTokens(m_figures, m_options));
         return usable - std::min(usable, candidate.load.memoryTokens);
     }
 
@@ -98,6 +111,11 @@
         return candidate.load.running < candidate.slots;
     }
 
+    static bool canHelp(const PlacementCandidate &candidate)
+    {
+        return candidate.load.helping < candidate.slots;
+    }
+
     bool hasRoom(const PlacementCandidate &candidate) const
     {
         return hasSlot(candidate) && neededTokens() <= freeTokens(candidate);
@@ -105,7 +123,7 @@
 
     double lateChance(double firstMs) const
     {
-        const double ratio = firstMs / std::max(1.0, toMs(m_prompt.objective));
+        const double ratio = firstMs / std::max(1.0, toMilliseconds(m_prompt.objective));
         const double chance = (ratio - m_options.safeObjective) / m_options.lateSpan;
         // A little slope beyond certainty, so that later is still worse.
         constexpr double kSlope = 0.05;
@@ -115,12 +133,15 @@
     double weight() const { return promptWeight(m_prompt.promptTokens, m_options); }
 
     /// Answers made late on a replica that reads for `partMs` more.
-    double harm(const PlacementCandidate &candidate, double partMs) const
+    double harm(const Option &option, double partMs) const
     {
-        const double pause = pauseMs(m_figures, candidate.load, partMs, candidate.pace, m_now);
-        const PassState state = passState(m_figures, candidate.load, candidate.pace, m_now);
-        const double delay = candidate.pace * partMs / std::max(1.0, toMs(m_prompt.objective));
-        return candidate.load.weightHarmedBy(fromMs(pause)) + state.waitingReads * delay;
+        const PlacementCandidate &candidate = *option.candidate;
+        const double pause =
+            pauseMs(m_figures, candidate.load, option.pass, partMs, candidate.pace);
+        const double delay =
+            candidate.pace * partMs / std::max(1.0, toMilliseconds(m_prompt.objective));
+        return candidate.load.weightHarmedBy(fromMilliseconds(pause))
+            + option.pass.waitingReads * delay;
     }
 
     /// Answers that come meanwhile and are made late by `parts` replicas that read for `partMs`
@@ -148,138 +169,151 @@
         return m_options.answersPerReplicaMs * m_wholeReadMs * busy;
     }
 
-    static double shunCost(const PlacementCandidate &candidate)
+    static double shunCost(const Option &option)
     {
         constexpr double kShunned = 100.0;
-        return candidate.isShunned ? kShunned : 0.0;
+        return option.candidate->isShunned ? kShunned : 0.0;
     }
 
-    std::optional<Placement> placeAlone(const Candidates &writers)
+    std::optional<Placement> placeAlone(const Options &writers)
     {
-        const PlacementCandidate *best = nullptr;
+        const Option *best = nullptr;
         std::tuple<double, bool, bool, std::uint64_t> bestKey;
         const bool fromBack = isLong();
-        for (const PlacementCandidate *candidate : writers) {
-            const double first = firstMs(*candidate, m_wholeReadMs);
-            const double cost = weight() * lateChance(first) + harm(*candidate, m_wholeReadMs)
-                + shunCost(*candidate);
-            const double packed = m_options.packedSlots * candidate->slots;
-            const bool isFull = candidate->load.running >= packed;
-            const std::uint64_t order = fromBack ? ~candidate->order : candidate->order;
-            const std::tuple key = {std::floor(cost / kCostGrain), isFull, !candidate->isLocalZone,
+        for (const Option &writer : writers) {
+            const PlacementCandidate &candidate = *writer.candidate;
+            const double first = firstMs(writer, m_wholeReadMs);
+            const double cost =
+                weight() * lateChance(first) + harm(writer, m_wholeReadMs) + shunCost(writer);
+            const double packed = m_options.packedSlots * candidate.slots;
+            const bool isFull = candidate.load.running >= packed;
+            const std::uint64_t order = fromBack ? ~candidate.order : candidate.order;
+            const std::tuple key = {std::floor(cost / kCostGrain), isFull, !candidate.isLocalZone,
                                     order};
             if (best && key >= bestKey)
                 continue;
-            best = candidate;
+            best = &writer;
             bestKey = key;
         }
         m_bestCost = std::get<0>(bestKey) * kCostGrain;
-        return Placement{best->replica, {}, m_wholeReadMs, firstMs(*best, m_wholeReadMs)};
+        return Placement{
+            best->candidate->replica, {}, m_wholeReadMs, firstMs(*best, m_wholeReadMs)};
     }
 
-    double firstMs(const PlacementCandidate &candidate, double partMs) const
+    double firstMs(const Option &option, double partMs) const
     {
-        return arbutuspier::firstEventMs(m_figures, candidate.load, partMs, m_prompt.promptTokens,
-                                         candidate.pace, m_now);
+        const PlacementCandidate &candidate = *option.candidate;
+        return firstEventMs(m_figures, candidate.load, option.pass, partMs, m_prompt.promptTokens,
+                            candidate.pace);
     }
 
     /// Cost of giving a part to this replica, without the chance to be late.
-    double partCost(const PlacementCandidate &candidate, double partMs) const
+    double partCost(const Option &option, double partMs) const
+    {
+        const double waiting = option.pass.presentMs + option.pass.waitingMs;
+        const double objective = std::max(1.0, toMilliseconds(m_prompt.objective));
+        return harm(option, partMs) + weight() * waiting / objective + shunCost(option);
+    }
+
+    PricedOptions priced(const Options &options, double partMs) const
+    {
+        PricedOptions result;
+        result.reserve(options.size());
+        for (const Option &option : options)
+            result.push_back({option, partCost(option, partMs)});
+        return result;
+    }
+
+    /// The `count` cheapest helpers beside the writer; empty if there are fewer.
+    template <class Less>
+    static std::optional<PricedOptions> cheapestBeside(const PricedOption &writer,
+                                                       PricedOptions helpers, std::size_t count,
+                                                       Less isCheaper)
     {
-        const PassState state = passState(m_figures, candidate.load, candidate.pace, m_now);
-        const double waiting = state.presentMs + state.waitingMs;
-        const double objective = std::max(1.0, toMs(m_prompt.objective));
-        return harm(candidate, partMs) + weight() * waiting / objective + shunCost(candidate);
+        std::erase_if(helpers, [&](const PricedOption &helper) {
+            return helper.option.candidate == writer.option.candidate;
+        });
+        if (helpers.size() < count)
+            return std::nullopt;
+        std::sort(helpers.begin(), helpers.end(), isCheaper);
+        helpers.resize(count);
+        return helpers;
     }
 
-    void trySplit(std::uint32_t parts, const Candidates &writers, const Candidates &helpers,
+    void trySplit(std::uint32_t parts, const Options &writers, const Options &helpers,
                   std::optional<Placement> &best)
     {
         const double partMs = m_wholeReadMs / parts;
-        const auto isCheaper = [&](const PlacementCandidate *a, const PlacementCandidate *b) {
-            return std::tuple(partCost(*a, partMs), !a->isLocalZone, ~a->order)
-                < std::tuple(partCost(*b, partMs), !b->isLocalZone, ~b->order);
+        const auto key = [](const PricedOption &priced) {
+            const PlacementCandidate &candidate = *priced.option.candidate;
+            return std::tuple(priced.cost, !candidate.isLocalZone, ~candidate.order);
         };
-        const PlacementCandidate *writer =
-            *std::min_element(writers.begin(), writers.end(), isCheaper);
-        Candidates others = helpers;
-        std::erase(others, writer);
-        std::sort(others.begin(), others.end(), isCheaper);
-        if (others.size() < parts - 1)
+        const auto isCheaper = [&](const PricedOption &a, const PricedOption &b) {
+            return key(a) < key(b);
+        };
+        const PricedOptions pricedWriters = priced(writers, partMs);
+        const PricedOption &writer =
+            *std::min_element(pricedWriters.begin(), pricedWriters.end(), isCheaper);
+        const auto others = cheapestBeside(writer, priced(helpers, partMs), parts - 1, isCheaper);
+        if (!others)
             return;
-        others.resize(parts - 1);
-        double first = firstMs(*writer, partMs);
-        double cost = harm(*writer, partMs) + shunCost(*writer) + m_options.helperCost * parts
-            + blockCost(parts, partMs);
-        for (const PlacementCandidate *helper : others) {
-            first = std::max(first, firstMs(*helper, partMs));
-            cost += harm(*helper, partMs) + shunCost(*helper);
+        double first = firstMs(writer.option, partMs);
+        double cost = harm(writer.option, partMs) + shunCost(writer.option)
+            + m_options.helperCost * parts + blockCost(parts, partMs);
+        for (const PricedOption &helper : *others) {
+            first = std::max(first, firstMs(helper.option, partMs));
+            cost += harm(helper.option, partMs) + shunCost(helper.option);
         }
         cost += weight() * lateChance(first);
         if (cost + kCostGrain >= m_bestCost)
             return;
         m_bestCost = cost;
-        best = Placement{writer->replica, {}, partMs, first};
-        for (const PlacementCandidate *helper : others)
-            best->helpers.push_back({helper->replica, 0});
+        best = Placement{writer.option.candidate->replica, {}, partMs, first};
+        for (const PricedOption &helper : *others)
+            best->helpers.push_back({helper.option.candidate->replica, 0});
     }
 
     /// For a prompt that no replica has the memory for: the writer holds what it can, and helpers
     /// with the most free memory hold the rest.
-    std::optional<Placement> placeOverMemories(std::span<const PlacementCandidate> all,
-                                               const Candidates &helpers)
-    {
-        std::optional<Placement> best;
-        for (std::uint32_t parts : kSplits) {
-            const bool isPossible =
-                parts > 1 && parts <= helpers.size() && parts <= m_options.maxHelpers + 1;
-            if (isPossible)
-                tryOverMemories(parts, all, helpers, best);
-        }
-        return best;
-    }
-
-    void tryOverMemories(std::uint32_t parts, std::span<const PlacementCandidate> all,
-                         const Candidates &helpers, std::optional<Placement> &best)
+    void tryOverMemories(std::uint32_t parts, const Options &options, const Options &helpers,
+                         std::optional<Placement> &best)
     {
         const double partMs = m_wholeReadMs / parts;
-        const auto cost = [&](const PlacementCandidate *candidate) {
-            return partCost(*candidate, partMs);
+        const auto isCheaper = [](const PricedOption &a, const PricedOption &b) {
+            return a.cost < b.cost;
         };
-        const PlacementCandidate *writer = nullptr;
-        for (const PlacementCandidate &candidate : all) {
-            const bool isBetter = hasSlot(candidate)
-                && freeTokens(candidate) > m_prompt.answerTokens
-                && (!writer || cost(&candidate) < cost(writer));
-            if (isBetter)
-                writer = &candidate;
-        }
-        if (!writer)
+        Options able;
+        std::copy_if(options.begin(), options.end(), std::back_inserter(able),
+                     [&](const Option &option) {
+                         return hasSlot(*option.candidate)
+                             && freeTokens(*option.candidate) > m_prompt.answerTokens;
+                     });
+        const PricedOptions writers = priced(able, partMs);
+        if (writers.empty())
             return;
-        Candidates others = helpers;
-        std::erase(others, writer);
-        std::sort(others.begin(), others.end(),
-                  [&](const auto *a, const auto *b) { return cost(a) < cost(b); });
-        if (others.size() < parts - 1)
+        const PricedOption &writer = *std::min_element(writers.begin(), writers.end(), isCheaper);
+        const auto others = cheapestBeside(writer, priced(helpers, partMs), parts - 1, isCheaper);
+        if (!others)
             return;
-        others.resize(parts - 1);
-        Placement placement{writer->replica, {}, partMs, firstMs(*writer, partMs)};
-        double total = cost(writer) + m_options.helperCost * parts + blockCost(parts, partMs);
-        for (const PlacementCandidate *helper : others) {
-            placement.firstEventMs = std::max(placement.firstEventMs, firstMs(*helper, partMs));
-            placement.helpers.push_back({helper->replica, 0});
-            total += cost(helper);
+        Placement placement{
+            writer.option.candidate->replica, {}, partMs, firstMs(writer.option, partMs)};
+        double total = writer.cost + m_options.helperCost * parts + blockCost(parts, partMs);
+        for (const PricedOption &helper : *others) {
+            placement.firstEventMs =
+                std::max(placement.firstEventMs, firstMs(helper.option, partMs));
+            placement.helpers.push_back({helper.option.candidate->replica, 0});
+            total += helper.cost;
         }
-        if (placement.firstEventMs + answerMs(parts) > toMs(m_prompt.timeLeft))
+        if (placement.firstEventMs + answerMs(parts) > toMilliseconds(m_prompt.timeLeft))
             return;
-        const double late = std::min(1.0, lateChance(placement.firstEventMs));
-        const double gain = weight() * (1.0 - m_options.lateLoss * late);
+        const double lateness = lateChance(placement.firstEventMs);
+        const double gain = weight() * (1.0 - m_options.lateLoss * std::min(1.0, lateness));
         if (total + displacedCost() > gain)
             return;
-        total += weight() * lateChance(placement.firstEventMs);
+        total += weight() * lateness;
         if (best && total >= m_bestCost)
             return;
-        if (!spreadMemory(others, freeTokens(*writer), placement))
+        if (!spreadMemory(*others, freeTokens(*writer.option.candidate), placement))
             return;
         m_bestCost = total;
         best = std::move(placement);
@@ -287,16 +321,21 @@
 
     /// Gives helpers the memory that the writer lacks, the emptiest first. False if they lack it
     /// too.
-    bool spreadMemory(Candidates holders, std::uint64_t writerTokens, Placement &placement) const
+    bool spreadMemory(PricedOptions holders, std::uint64_t writerTokens, Placement &placement) const
     {
         std::uint64_t missing = neededTokens() - std::min(neededTokens(), writerTokens);
+        const auto freeOf = [&](const PricedOption &holder) {
+            return freeTokens(*holder.option.candidate);
+        };
         std::sort(holders.begin(), holders.end(),
-                  [&](const auto *a, const auto *b) { return freeTokens(*a) > freeTokens(*b); });
-        for (const PlacementCandidate *holder : holders) {
-            const std::uint64_t tokens = std::min(missing, freeTokens(*holder));
-            const auto helper = std::find_if(
-                placement.helpers.begin(), placement.helpers.end(),
-                [&](const HelperPlacement &other) { return other.replica == holder->replica; });
+                  [&](const auto &a, const auto &b) { return freeOf(a) > freeOf(b); });
+        for (const PricedOption &holder : holders) {
+            const std::uint64_t tokens = std::min(missing, freeOf(holder));
+            const auto helper =
+                std::find_if(placement.helpers.begin(), placement.helpers.end(),
+                             [&](const HelperPlacement &other) {
+                                 return other.replica == holder.option.candidate->replica;
+                             });
             helper->heldTokens = tokens;
             missing -= tokens;
         }
@@ -323,6 +362,11 @@
     return std::max(1.0, static_cast<double>(promptTokens) / options.tokensPerAnswer);
 }
 
+double usableTokens(const EngineFigures &figures, const PlacementOptions &options)
+{
+    return (1.0 - options.memoryMargin) * static_cast<double>(figures.memoryTokens);
+}
+
 std::optional<Placement> placePrompt(const EngineFigures &figures, const PromptShape &prompt,
                                      std::span<const PlacementCandidate> candidates,
                                      const PlacementOptions &options, TimePoint now)
--- a/tests/gate/placementtest.cpp
+++ b/tests/gate/placementtest.cpp
@@ -86,6 +86,14 @@
         return result;
     }
 
+    /// Forecast for a short prompt on this replica.
+    double firstEvent(const std::string &replica) const
+    {
+        const ReplicaLoad &present = load.of(replica);
+        const PassState pass = passState(engine(), present, 1.0, kNow);
+        return firstEventMs(engine(), present, pass, 31, 5'000, 1.0);
+    }
+
     std::optional<Placement> place(const PromptShape &shape) const
     {
         return placePrompt(engine(), shape, candidates(), {}, kNow);
@@ -130,10 +138,10 @@
 TEST(AFleetOfEngines, letsShortPromptsShareAPassWhileItIsShort)
 {
     run("r0", shortPrompt(), false);
-    const double one = firstEventMs(engine(), load.of("r0"), 31, 5'000, 1.0, kNow);
+    const double one = firstEvent("r0");
     run("r0", shortPrompt(), false);
     run("r0", shortPrompt(), false);
-    const double three = firstEventMs(engine(), load.of("r0"), 31, 5'000, 1.0, kNow);
+    const double three = firstEvent("r0");
     CHECK(three > one);
     CHECK(three < 300);
 }
