gateway: Give the configuration to peers only

Cause: one handler answered the readiness and the peers' port, so the balancer's port handed out the configuration with the teams' keys.

Change: each port has its own answers. tests/process/gate.sh checks both and failed before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -42,9 +42,9 @@
     , m_store(m_context, m_state)
     , m_hints(m_context, m_state, m_store)
     , m_readiness(m_context, m_settings.readiness,
-                  [this](std::string_view path) { return answerStatus(path); })
+                  [this](std::string_view path) { return answerReadiness(path); })
     , m_peers(m_context, m_settings.peers,
-              [this](std::string_view path) { return answerStatus(path); })
+              [this](std::string_view path) { return answerPeer(path); })
     , m_metrics(m_context, m_settings.metrics,
                 [this](std::string_view) {
                     return StatusAnswer{kOk, "text/plain; version=0.0.4", metricsText()};
@@ -81,14 +81,20 @@
     return m_state.routes() && m_store.hasReplicas() && !m_state.isDraining();
 }
 
-StatusAnswer Gateway::answerStatus(std::string_view path) const
+StatusAnswer Gateway::answerReadiness(std::string_view path) const
 {
-    if (path == "/readyz")
-        return isReady() ? StatusAnswer{kOk, "text/plain", "ready\n"}
-                         : StatusAnswer{kUnavailable, "text/plain", "not ready\n"};
-    if (path == "/configuration" && m_state.routes())
-        return {kOk, "application/octet-stream", m_store.configurationBytes()};
-    return {};
+    if (path != "/readyz")
+        return {};
+    return isReady() ? StatusAnswer{kOk, "text/plain", "ready\n"}
+                     : StatusAnswer{kUnavailable, "text/plain", "not ready\n"};
+}
+
+StatusAnswer Gateway::answerPeer(std::string_view path) const
+{
+    const bool isKnown = path == "/configuration" && m_state.routes();
+    if (!isKnown)
+        return {};
+    return {kOk, "application/octet-stream", m_store.configurationBytes()};
 }
 
 std::string Gateway::metricsText()
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -27,7 +27,9 @@
 
 private:
     bool isReady() const;
-    StatusAnswer answerStatus(std::string_view path) const;
+    StatusAnswer answerReadiness(std::string_view path) const;
+    /// The configuration holds the teams' keys, so only peers are given it.
+    StatusAnswer answerPeer(std::string_view path) const;
     std::string metricsText();
     Task<void> acceptCallers();
     Task<void> tick();
--- a/tests/process/gate.sh
+++ b/tests/process/gate.sh
@@ -90,6 +90,9 @@
 put_config 1 look
 check "both gates become ready" until_true 60 eval 'ready 2 && ready 3'
 
+check "the readiness port gives out no configuration" test "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.2:$((base + 11))/configuration")" = 404
+check "the peers' port does" test "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.2:$((base + 12))/configuration")" = 200
+
 say "Calls."
 check "a call is answered" code_is 200 2 /look/1
 check "an order runs and is answered" code_is 200 3 /order/1 -d 'stone=3'
