gateway: Tell peers less and mend losses on demand

Change: hints carry a number of their sender's life; a VM that misses one asks for everything that runs. Status goes out once a second or when it changes, all that runs each 8 s; a request's end takes 18 bytes, its beginning under 48. What to make of a hint is PeerTable, which has no I/O, and its tests lose, repeat and reorder hints.

--- a/src/gateway/hintcodec.cpp
+++ b/src/gateway/hintcodec.cpp
@@ -1,16 +1,22 @@
-// Short arrays by position: a hint is sent for every request, to every VM.
+// Short arrays by position, without empty lists at the end: a hint is sent for every request, to
+// every peer.
 #include "gateway/hintcodec.h"
 
-#include <nlohmann/json.hpp>
+#include "gateway/wirefields.h"
+
+#include <algorithm>
+#include <cmath>
 
 namespace arbutuspier {
 
 namespace {
 
-using Json = nlohmann::json;
-
-/// Lists in a hint longer than this are no hint of ours.
-constexpr std::size_t kMaxItems = 4096;
+/// Weights are sent in thousandths, which take a third of the bytes of a floating number.
+constexpr double kWeightUnit = 1000;
+/// Fields of a hint: the first ones are always there.
+constexpr std::size_t kMinFields = 2;
+constexpr std::size_t kWholeField = 4;
+constexpr std::size_t kFields = 8;
 
 std::int64_t toMs(Duration duration)
 {
@@ -25,12 +31,9 @@
                                      part.contextTokens, part.memoryTokens, part.isWriter}));
     }
     return Json::array(
-        {work.id, toMs(work.gapObjective), work.weight, work.isWriting, std::move(parts)});
-}
-
-bool isArray(const Json &value, std::size_t size)
-{
-    return value.is_array() && value.size() == size;
+        {work.id, toMs(work.gapObjective),
+         static_cast<std::uint64_t>(std::lround(std::max(0.0, work.weight) * kWeightUnit)),
+         work.isWriting, std::move(parts)});
 }
 
 std::optional<WorkPart> decodePart(const Json &value)
@@ -50,14 +53,14 @@
 {
     constexpr std::size_t kFields = 5;
     const bool isWork = isArray(value, kFields) && value[0].is_number_unsigned()
-        && value[1].is_number_integer() && value[2].is_number() && value[3].is_boolean()
+        && value[1].is_number_integer() && value[2].is_number_unsigned() && value[3].is_boolean()
         && value[4].is_array() && value[4].size() <= kMaxItems;
     if (!isWork)
         return std::nullopt;
     Work work;
     work.id = value[0].get<std::uint64_t>();
     work.gapObjective = std::chrono::milliseconds{value[1].get<std::int64_t>()};
-    work.weight = value[2].get<double>();
+    work.weight = value[2].get<double>() / kWeightUnit;
     work.isWriting = value[3].get<bool>();
     for (const Json &item : value[4]) {
         auto part = decodePart(item);
@@ -68,106 +71,72 @@
     return work;
 }
 
+/// The whole work where it began, its id alone where it ended, its id in a list between.
 Json encodeNews(const WorkNews &news)
 {
-    return Json::array(
-        {static_cast<int>(news.kind), news.id, news.work ? encodeWork(*news.work) : Json(nullptr)});
+    switch (news.kind) {
+    case WorkNews::Kind::Began:
+        return news.work ? encodeWork(*news.work) : Json(nullptr);
+    case WorkNews::Kind::Writing:
+        return Json::array({news.id});
+    case WorkNews::Kind::Ended:
+        break;
+    }
+    return news.id;
 }
 
 std::optional<WorkNews> decodeNews(const Json &value)
 {
-    constexpr std::size_t kFields = 3;
-    constexpr std::uint64_t kMaxKind = static_cast<std::uint64_t>(WorkNews::Kind::Ended);
-    const bool isNews = isArray(value, kFields) && value[0].is_number_unsigned()
-        && value[0].get<std::uint64_t>() <= kMaxKind && value[1].is_number_unsigned();
-    if (!isNews)
+    if (value.is_number_unsigned())
+        return WorkNews{WorkNews::Kind::Ended, value.get<std::uint64_t>(), std::nullopt};
+    if (isArray(value, 1) && value[0].is_number_unsigned())
+        return WorkNews{WorkNews::Kind::Writing, value[0].get<std::uint64_t>(), std::nullopt};
+    auto work = decodeWork(value);
+    if (!work)
         return std::nullopt;
-    WorkNews news;
-    news.kind = static_cast<WorkNews::Kind>(value[0].get<std::uint64_t>());
-    news.id = value[1].get<std::uint64_t>();
-    if (!value[2].is_null())
-        news.work = decodeWork(value[2]);
-    const bool lacksWork = news.kind == WorkNews::Kind::Began && !news.work;
-    return lacksWork ? std::nullopt : std::optional(std::move(news));
+    const std::uint64_t id = work->id;
+    return WorkNews{WorkNews::Kind::Began, id, std::move(work)};
 }
 
-std::optional<Departure> decodeDeparture(const Json &value)
+Json encodeStatus(const PeerStatus &status)
 {
-    constexpr std::size_t kFields = 3;
-    const bool isDeparture = isArray(value, kFields) && value[0].is_string()
-        && value[1].is_number_integer() && value[2].is_boolean();
-    if (!isDeparture)
-        return std::nullopt;
-    return Departure{{value[0].get<std::string>(), value[1].get<std::int64_t>()},
-                     value[2].get<bool>()};
+    return Json::array({status.vm, status.life, status.configVersion, status.replicaRevision,
+                        status.readsStore, status.isLeaving});
 }
 
-std::optional<SuspectNotice> decodeSuspect(const Json &value)
+std::optional<PeerStatus> decodeStatus(const Json &value)
 {
-    constexpr std::size_t kFields = 3;
-    const bool isNotice = isArray(value, kFields) && value[0].is_number_unsigned()
-        && value[1].is_array() && value[1].size() <= kMaxItems && value[2].is_boolean();
-    if (!isNotice)
+    constexpr std::size_t kFields = 6;
+    const bool isStatus = isArray(value, kFields) && value[0].is_string()
+        && value[1].is_number_unsigned() && value[2].is_number_unsigned()
+        && value[3].is_number_unsigned() && value[4].is_boolean() && value[5].is_boolean();
+    if (!isStatus)
         return std::nullopt;
-    SuspectNotice notice;
-    notice.fingerprint = Fingerprint{value[0].get<std::uint64_t>()};
-    notice.isCleared = value[2].get<bool>();
-    for (const Json &death : value[1]) {
-        if (!death.is_number_unsigned())
-            return std::nullopt;
-        notice.deaths.push_back(death.get<std::uint64_t>());
-    }
-    return notice;
+    return PeerStatus{value[0].get<std::string>(),   value[1].get<std::uint64_t>(),
+                      value[2].get<std::uint64_t>(), value[3].get<std::uint64_t>(),
+                      value[4].get<bool>(),          value[5].get<bool>()};
 }
 
-/// Decodes each item of a list. False if one is odd.
-template <class T, class Decode>
-bool decodeList(const Json &list, std::vector<T> &out, Decode decode)
-{
-    if (!list.is_array() || list.size() > kMaxItems)
-        return false;
-    for (const Json &item : list) {
-        auto value = decode(item);
-        if (!value)
-            return false;
-        out.push_back(std::move(*value));
-    }
-    return true;
-}
+} // namespace
 
-Json parseCbor(std::string_view bytes)
+std::uint32_t lifeTagOf(std::uint64_t life)
 {
-    // The reader throws on absurd sizes even where it is told not to.
-    try {
-        return Json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    } catch (const std::exception &) {
-        return Json(Json::value_t::discarded);
-    }
+    return static_cast<std::uint32_t>(life);
 }
 
-} // namespace
-
 std::string encodeHint(const Hint &hint)
 {
-    Json whole = nullptr;
-    if (hint.whole) {
-        whole = Json::array();
-        for (const Work &work : *hint.whole)
-            whole.push_back(encodeWork(work));
-    }
-    Json news = Json::array();
-    for (const WorkNews &item : hint.news)
-        news.push_back(encodeNews(item));
-    Json departures = Json::array();
-    for (const Departure &item : hint.departures)
-        departures.push_back(Json::array({item.life.id, item.life.bornMs, item.isDraining}));
-    Json suspects = Json::array();
-    for (const SuspectNotice &item : hint.suspects)
-        suspects.push_back(Json::array({item.fingerprint.value, item.deaths, item.isCleared}));
-    const Json document =
-        Json::array({hint.vm, hint.life, hint.sequence, hint.configVersion, hint.replicaRevision,
-                     hint.readsStore, hint.isLeaving, std::move(whole), std::move(news),
-                     std::move(departures), std::move(suspects)});
+    Json document = Json::array({hint.lifeTag, hint.sequence});
+    document.push_back(encodeList(hint.news, encodeNews));
+    document.push_back(hint.status ? encodeStatus(*hint.status) : Json(nullptr));
+    document.push_back(hint.whole ? encodeList(*hint.whole, encodeWork) : Json(nullptr));
+    document.push_back(encodeList(hint.departures, encodeDeparture));
+    document.push_back(encodeList(hint.suspects, encodeSuspect));
+    document.push_back(hint.asksWhole ? Json(true) : Json(nullptr));
+    // A list of what runs is kept even if it is empty: it says that nothing does.
+    const std::size_t least = hint.whole ? kWholeField + 1 : kMinFields;
+    while (document.size() > least && document.back().empty())
+        document.erase(document.size() - 1);
     std::string bytes;
     Json::to_cbor(document, bytes);
     return bytes;
@@ -175,31 +144,33 @@
 
 std::optional<Hint> decodeHint(std::string_view bytes)
 {
-    constexpr std::size_t kFields = 11;
-    const Json document = parseCbor(bytes);
-    const bool isHint = isArray(document, kFields) && document[0].is_string()
-        && document[1].is_number_unsigned() && document[2].is_number_unsigned()
-        && document[3].is_number_unsigned() && document[4].is_number_unsigned()
-        && document[5].is_boolean() && document[6].is_boolean();
+    Json document = parseCbor(bytes);
+    const bool isHint = document.is_array() && document.size() >= kMinFields
+        && document.size() <= kFields && document[0].is_number_unsigned()
+        && document[0].get<std::uint64_t>() <= UINT32_MAX && document[1].is_number_unsigned();
     if (!isHint)
         return std::nullopt;
+    while (document.size() < kFields)
+        document.push_back(nullptr);
     Hint hint;
-    hint.vm = document[0].get<std::string>();
-    hint.life = document[1].get<std::uint64_t>();
-    hint.sequence = document[2].get<std::uint64_t>();
-    hint.configVersion = document[3].get<std::uint64_t>();
-    hint.replicaRevision = document[4].get<std::uint64_t>();
-    hint.readsStore = document[5].get<bool>();
-    hint.isLeaving = document[6].get<bool>();
-    if (!document[7].is_null()) {
+    hint.lifeTag = document[0].get<std::uint32_t>();
+    hint.sequence = document[1].get<std::uint64_t>();
+    if (!document[3].is_null()) {
+        hint.status = decodeStatus(document[3]);
+        if (!hint.status)
+            return std::nullopt;
+    }
+    if (!document[kWholeField].is_null()) {
         hint.whole.emplace();
-        if (!decodeList(document[7], *hint.whole, decodeWork))
+        if (!decodeList(document[kWholeField], *hint.whole, decodeWork))
             return std::nullopt;
     }
-    const bool isWhole = decodeList(document[8], hint.news, decodeNews)
-        && decodeList(document[9], hint.departures, decodeDeparture)
-        && decodeList(document[10], hint.suspects, decodeSuspect);
-    return isWhole ? std::optional(std::move(hint)) : std::nullopt;
+    const bool isRead = decodeList(document[2], hint.news, decodeNews)
+        && decodeList(document[5], hint.departures, decodeDeparture)
+        && decodeList(document[6], hint.suspects, decodeSuspect)
+        && (document[7].is_null() || document[7].is_boolean());
+    hint.asksWhole = document[7] == Json(true);
+    return isRead ? std::optional(std::move(hint)) : std::nullopt;
 }
 
 } // namespace arbutuspier
--- a/src/gateway/hintcodec.h
+++ b/src/gateway/hintcodec.h
@@ -1,6 +1,7 @@
 // What VMs tell each other, as CBOR in one datagram.
 //
-// Every hint may be lost: a whole one follows soon, which replaces what was known of its sender.
+// Most hints are brief: a few changes of the sender's work, named by a tag of its life. Its status
+// and everything it runs follow from time to time, and when a peer says that it has missed a hint.
 #pragma once
 
 #include "arbutuspier/fleetload.h"
@@ -16,12 +17,12 @@
 
 namespace arbutuspier {
 
-struct Hint
+/// What a VM is and knows; it changes seldom.
+struct PeerStatus
 {
     std::string vm;
+    /// Grows with each start of the VM.
     std::uint64_t life = 0;
-    /// Grows with each hint of one life.
-    std::uint64_t sequence = 0;
     std::uint64_t configVersion = 0;
     /// Revision of the store at which the sender last saw the usable replicas change.
     std::uint64_t replicaRevision = 0;
@@ -29,13 +30,28 @@
     bool readsStore = true;
     /// The sender takes no new requests.
     bool isLeaving = false;
-    /// Everything that the sender runs; otherwise `news` tells what changed.
-    std::optional<std::vector<Work>> whole;
+
+    friend bool operator==(const PeerStatus &, const PeerStatus &) = default;
+};
+
+struct Hint
+{
+    /// The low bits of the sender's life.
+    std::uint32_t lifeTag = 0;
+    /// Grows by one with each hint that the sender sends to all of its peers.
+    std::uint64_t sequence = 0;
     std::vector<WorkNews> news;
+    std::optional<PeerStatus> status;
+    /// Everything that the sender runs.
+    std::optional<std::vector<Work>> whole;
     std::vector<Departure> departures;
     std::vector<SuspectNotice> suspects;
+    /// The sender has missed a hint of the receiver and wants its status and everything it runs.
+    bool asksWhole = false;
 };
 
+std::uint32_t lifeTagOf(std::uint64_t life);
+
 std::string encodeHint(const Hint &hint);
 /// Empty if the bytes are no hint.
 std::optional<Hint> decodeHint(std::string_view bytes);
--- a/src/gateway/peerhints.cpp
+++ b/src/gateway/peerhints.cpp
@@ -10,6 +10,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace arbutuspier {
 
@@ -18,10 +19,12 @@
 /// News of this long share a datagram.
 constexpr Duration kFlushDelay = std::chrono::milliseconds{3};
 constexpr Duration kBeat = std::chrono::milliseconds{500};
-/// A peer not heard for this long is taken to run nothing.
-constexpr Duration kSilent = std::chrono::milliseconds{1800};
-/// A peer not heard for this long gets no more hints unless the store still names it.
-constexpr Duration kForget = std::chrono::seconds{20};
+/// Every so many beats the status is told, and everything that runs: both are told when they change
+/// or when a peer has missed a hint, so these only mend what that leaves.
+constexpr std::uint64_t kBeatsPerStatus = 2;
+constexpr std::uint64_t kBeatsPerWhole = 16;
+/// A line on the traffic between VMs follows each so many beats.
+constexpr std::uint64_t kBeatsPerTrafficLine = 20;
 /// Departures are told again with every whole hint for this long, as a hint may be lost.
 constexpr Duration kRepeatDepartures = std::chrono::seconds{3};
 constexpr Duration kFetchTimeout = std::chrono::milliseconds{800};
@@ -35,6 +38,7 @@
     , m_store(store)
     , m_socket(context)
     , m_flushTimer(context)
+    , m_peers(state.settings.vm)
     , m_life(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
                                             state.clock.wallNow().time_since_epoch())
                                             .count()))
@@ -72,27 +76,20 @@
         if (!isOther)
             continue;
         const Tcp::endpoint endpoint = endpointOf(address);
-        Peer &peer = m_peers[Udp::endpoint(endpoint.address(), endpoint.port())];
-        peer.knownAt = m_state.clock.now();
+        m_peers.setKnown({endpoint.address(), endpoint.port()}, m_state.clock.now());
     }
 }
 
-std::size_t PeerHints::alivePeers() const
+PeerStatus PeerHints::status() const
 {
-    return static_cast<std::size_t>(std::count_if(
-        m_peers.begin(), m_peers.end(), [](const auto &entry) { return entry.second.isHeard; }));
-}
-
-Hint PeerHints::emptyHint()
-{
-    Hint hint;
-    hint.vm = m_state.settings.vm;
-    hint.life = m_life;
-    hint.configVersion = m_state.routes() ? m_state.routes()->version() : 0;
-    hint.replicaRevision = m_store.changeRevision();
-    hint.readsStore = m_state.directory.isReachable();
-    hint.isLeaving = m_state.isDraining();
-    return hint;
+    PeerStatus status;
+    status.vm = m_state.settings.vm;
+    status.life = m_life;
+    status.configVersion = m_state.routes() ? m_state.routes()->version() : 0;
+    status.replicaRevision = m_store.changeRevision();
+    status.readsStore = m_state.directory.isReachable();
+    status.isLeaving = m_state.isDraining();
+    return status;
 }
 
 void PeerHints::tell(const WorkNews &news)
@@ -127,38 +124,83 @@
         m_isFlushDue = false;
         if (error)
             return;
-        Hint hint = emptyHint();
-        hint.news = std::move(m_outbox.news);
-        hint.departures = std::move(m_outbox.departures);
-        hint.suspects = std::move(m_outbox.suspects);
-        m_outbox = Hint{};
-        send(std::move(hint));
+        Hint hint = std::exchange(m_outbox, Hint{});
+        if (status() != m_toldStatus)
+            hint.status = status();
+        sendToAll(std::move(hint));
     });
 }
 
-void PeerHints::send(Hint hint)
+void PeerHints::sendToAll(Hint hint)
 {
+    hint.lifeTag = lifeTagOf(m_life);
     hint.sequence = ++m_sequence;
+    if (hint.status)
+        m_toldStatus = *hint.status;
     const std::string bytes = encodeHint(hint);
+    for (const Udp::endpoint &endpoint : m_peers.endpoints())
+        send(bytes, endpoint);
+}
+
+void PeerHints::send(const std::string &bytes, const Udp::endpoint &to)
+{
     if (bytes.size() > kMaxDatagram) {
         LOG(WARNING) << LogLine("hint_too_large").add("bytes", bytes.size()).text();
         return;
     }
-    for (const auto &[endpoint, peer] : m_peers) {
-        // A hint that can't be sent now is dropped; the next whole one makes up for it.
-        ErrorCode dropped;
-        m_socket.send_to(asio::buffer(bytes), endpoint, 0, dropped);
-    }
+    // A hint that can't be sent now is dropped; the peer asks for what it missed.
+    ErrorCode dropped;
+    m_socket.send_to(asio::buffer(bytes), to, 0, dropped);
+    ++m_datagramsSent;
+    m_bytesSent += bytes.size();
+}
+
+void PeerHints::ask(const Udp::endpoint &to)
+{
+    Hint hint;
+    hint.lifeTag = lifeTagOf(m_life);
+    hint.sequence = m_sequence;
+    hint.asksWhole = true;
+    send(encodeHint(hint), to);
+}
+
+void PeerHints::answer(const Udp::endpoint &to)
+{
+    Hint hint;
+    hint.lifeTag = lifeTagOf(m_life);
+    hint.sequence = m_sequence;
+    hint.status = status();
+    hint.whole = m_state.load.worksOf(m_state.settings.vm);
+    send(encodeHint(hint), to);
+}
+
+void PeerHints::logTraffic()
+{
+    LOG(INFO) << LogLine("peer_traffic")
+                     .add("peers", alivePeers())
+                     .add("datagrams", m_datagramsSent)
+                     .add("bytes", m_bytesSent)
+                     .add("store_calls", m_store.calls())
+                     .add("running", m_state.workList.running())
+                     .add("waiting", m_state.workList.waiting())
+                     .text();
+    m_state.metrics.gauge("hint_bytes_sent", static_cast<double>(m_bytesSent));
+    m_state.metrics.gauge("hint_datagrams_sent", static_cast<double>(m_datagramsSent));
 }
 
 Task<void> PeerHints::beat()
 {
     asio::steady_timer timer(m_context);
-    while (true) {
-        Hint hint = emptyHint();
-        hint.whole = m_state.load.worksOf(m_state.settings.vm);
+    for (std::uint64_t beats = 1;; ++beats) {
+        if (beats % kBeatsPerTrafficLine == 0)
+            logTraffic();
+        Hint hint;
+        if (beats % kBeatsPerStatus == 1)
+            hint.status = status();
+        if (beats % kBeatsPerWhole == 1)
+            hint.whole = m_state.load.worksOf(m_state.settings.vm);
         hint.departures = recentDepartures();
-        send(std::move(hint));
+        sendToAll(std::move(hint));
         forgetSilent(m_state.clock.now());
         timer.expires_after(jittered(m_state.random, kBeat));
         co_await timer.async_wait(kAwait);
@@ -178,22 +220,12 @@
 
 void PeerHints::forgetSilent(TimePoint now)
 {
-    for (auto it = m_peers.begin(); it != m_peers.end();) {
-        Peer &peer = it->second;
-        if (peer.isHeard && now >= peer.heardAt + kSilent) {
-            peer.isHeard = false;
-            m_state.load.dropVm(peer.vm, now);
-            LOG(INFO) << LogLine("peer_lost").add("vm", peer.vm).text();
-        }
-        const bool isOld = now >= peer.heardAt + kForget && now >= peer.knownAt + kForget;
-        it = isOld ? m_peers.erase(it) : std::next(it);
+    for (const std::string &vm : m_peers.forgetSilent(now)) {
+        m_state.load.dropVm(vm, now);
+        LOG(INFO) << LogLine("peer_lost").add("vm", vm).text();
     }
-    m_state.setVmCount(alivePeers() + 1);
-    const auto isReader = [](const auto &entry) {
-        return entry.second.isHeard && entry.second.readsStore && !entry.second.isLeaving;
-    };
-    m_state.setReaderCount(
-        1 + static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), isReader)));
+    m_state.setVmCount(m_peers.alive() + 1);
+    m_state.setReaderCount(m_peers.readers() + 1);
 }
 
 Task<void> PeerHints::receive()
@@ -215,49 +247,48 @@
 
 void PeerHints::take(const Hint &hint, const Udp::endpoint &from)
 {
-    if (hint.vm == m_state.settings.vm)
-        return;
     const TimePoint now = m_state.clock.now();
-    Peer &peer = m_peers[from];
-    const bool isOld =
-        hint.life < peer.life || (hint.life == peer.life && hint.sequence <= peer.sequence);
-    if (isOld)
-        return;
-    if (hint.life != peer.life)
-        m_state.load.dropVm(hint.vm, now);
-    if (!peer.isHeard)
-        LOG(INFO) << LogLine("peer_heard").add("vm", hint.vm).add("life", hint.life).text();
-    peer.vm = hint.vm;
-    peer.life = hint.life;
-    peer.sequence = hint.sequence;
-    peer.heardAt = now;
-    peer.isHeard = true;
-    peer.readsStore = hint.readsStore;
-    peer.isLeaving = hint.isLeaving;
-    takeNews(hint);
-    m_store.onReplicasChanged(hint.replicaRevision);
+    const PeerTable::Reaction reaction = m_peers.take(hint, from, now);
+    if (reaction.isNewLife) {
+        LOG(INFO)
+            << LogLine("peer_heard").add("vm", reaction.vm).add("life", hint.status->life).text();
+        m_state.load.dropVm(reaction.vm, now);
+    }
+    if (reaction.answers)
+        answer(from);
+    if (reaction.asks)
+        ask(from);
+    if (reaction.hasStatus)
+        takeStatus(*hint.status, from);
+    if (reaction.hasNews)
+        takeNews(reaction.vm, hint);
+}
+
+void PeerHints::takeStatus(const PeerStatus &status, const Udp::endpoint &from)
+{
+    m_store.onReplicasChanged(status.replicaRevision);
     const std::uint64_t mine = m_state.routes() ? m_state.routes()->version() : 0;
-    if (hint.configVersion > mine && !m_isFetching) {
+    if (status.configVersion > mine && !m_isFetching) {
         m_isFetching = true;
         asio::co_spawn(m_context, fetchConfiguration(from), asio::detached);
     }
 }
 
-void PeerHints::takeNews(const Hint &hint)
+void PeerHints::takeNews(const std::string &vm, const Hint &hint)
 {
     const TimePoint now = m_state.clock.now();
     if (hint.whole)
-        m_state.load.replace(hint.vm, *hint.whole, now);
+        m_state.load.replace(vm, *hint.whole, now);
     for (const WorkNews &news : hint.news) {
         switch (news.kind) {
         case WorkNews::Kind::Began:
-            m_state.load.begin(hint.vm, *news.work, now);
+            m_state.load.begin(vm, *news.work, now);
             break;
         case WorkNews::Kind::Writing:
-            m_state.load.beginWriting(hint.vm, news.id, now);
+            m_state.load.beginWriting(vm, news.id, now);
             break;
         case WorkNews::Kind::Ended:
-            m_state.load.end(hint.vm, news.id);
+            m_state.load.end(vm, news.id);
             break;
         }
     }
@@ -267,7 +298,7 @@
         LOG(INFO) << LogLine("replica_leaving")
                          .add("replica", departure.life.id)
                          .add("draining", departure.isDraining ? "yes" : "no")
-                         .add("source", hint.vm)
+                         .add("source", vm)
                          .text();
     }
     // What a peer told is not told on: it tells everyone itself.
--- a/src/gateway/peerhints.h
+++ b/src/gateway/peerhints.h
@@ -3,6 +3,7 @@
 
 #include "gateway/gatestate.h"
 #include "gateway/hintcodec.h"
+#include "gateway/peertable.h"
 #include "gateway/storewatch.h"
 #include "net/asiotypes.h"
 
@@ -10,7 +11,6 @@
 
 #include <array>
 #include <cstdint>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -30,7 +30,7 @@
     /// Tells peers of replicas that left, and of a new configuration.
     void tellChanges();
     /// Peers heard of late.
-    std::size_t alivePeers() const;
+    std::size_t alivePeers() const { return m_peers.alive(); }
 
 private:
     using Udp = asio::ip::udp;
@@ -40,27 +40,20 @@
         TimePoint seenAt{};
         Departure departure;
     };
-    struct Peer
-    {
-        std::string vm;
-        std::uint64_t life = 0;
-        std::uint64_t sequence = 0;
-        TimePoint heardAt{};
-        TimePoint knownAt{};
-        bool isHeard = false;
-        bool readsStore = false;
-        bool isLeaving = false;
-    };
-
     Task<void> receive();
     Task<void> beat();
     Task<void> fetchConfiguration(Udp::endpoint endpoint);
     void take(const Hint &hint, const Udp::endpoint &from);
-    void takeNews(const Hint &hint);
+    void takeStatus(const PeerStatus &status, const Udp::endpoint &from);
+    void takeNews(const std::string &vm, const Hint &hint);
+    void ask(const Udp::endpoint &to);
+    void answer(const Udp::endpoint &to);
     void scheduleFlush();
-    void send(Hint hint);
+    void sendToAll(Hint hint);
+    void send(const std::string &bytes, const Udp::endpoint &to);
+    void logTraffic();
     void forgetSilent(TimePoint now);
-    Hint emptyHint();
+    PeerStatus status() const;
     std::vector<Departure> recentDepartures();
 
     asio::io_context &m_context;
@@ -72,9 +65,12 @@
     std::vector<SeenDeparture> m_recentDepartures;
     bool m_isFlushDue = false;
     bool m_isFetching = false;
+    PeerTable m_peers;
     std::uint64_t m_life;
     std::uint64_t m_sequence = 0;
-    std::map<Udp::endpoint, Peer> m_peers;
+    PeerStatus m_toldStatus;
+    std::uint64_t m_datagramsSent = 0;
+    std::uint64_t m_bytesSent = 0;
     std::array<char, 65536> m_buffer{};
 };
 
--- /dev/null
+++ b/src/gateway/peertable.cpp
@@ -0,0 +1,122 @@
+// Order of checks: an ask, the status, the life, the number, the news.
+#include "gateway/peertable.h"
+
+#include <algorithm>
+
+namespace arbutuspier {
+
+namespace {
+
+/// A peer not heard for this long is taken to run nothing.
+constexpr Duration kSilent = std::chrono::milliseconds{1800};
+/// A peer not heard for this long gets no more hints unless the store still names it.
+constexpr Duration kForget = std::chrono::seconds{20};
+/// A peer is asked, and answered, once in this time: answers to one loss don't pile up.
+constexpr Duration kAskPause = std::chrono::milliseconds{150};
+
+/// True once in each pause.
+bool isDue(TimePoint &last, TimePoint now)
+{
+    if (now < last + kAskPause)
+        return false;
+    last = now;
+    return true;
+}
+
+} // namespace
+
+void PeerTable::setKnown(const UdpEndpoint &endpoint, TimePoint now)
+{
+    m_peers[endpoint].knownAt = now;
+}
+
+PeerTable::Reaction PeerTable::take(const Hint &hint, const UdpEndpoint &from, TimePoint now)
+{
+    Reaction reaction;
+    if (hint.status && hint.status->vm == m_ownVm)
+        return reaction;
+    Peer &peer = m_peers[from];
+    if (hint.asksWhole) {
+        reaction.answers = isDue(peer.answeredAt, now);
+        return reaction;
+    }
+    if (hint.status && !takeStatus(peer, *hint.status, reaction))
+        return reaction;
+    reaction.vm = peer.status.vm;
+    if (hint.lifeTag != lifeTagOf(peer.status.life)) {
+        reaction.asks = isDue(peer.askedAt, now);
+        return reaction;
+    }
+    reaction.hasNews = takeSequence(peer, hint, reaction, now);
+    return reaction;
+}
+
+bool PeerTable::takeStatus(Peer &peer, const PeerStatus &status, Reaction &reaction)
+{
+    if (status.life < peer.status.life)
+        return false;
+    if (status.life != peer.status.life) {
+        reaction.isNewLife = true;
+        peer.sequence = 0;
+        peer.isHeard = false;
+    }
+    peer.status = status;
+    reaction.hasStatus = true;
+    return true;
+}
+
+bool PeerTable::takeSequence(Peer &peer, const Hint &hint, Reaction &reaction, TimePoint now)
+{
+    const bool isOld =
+        hint.sequence < peer.sequence || (hint.sequence == peer.sequence && !hint.whole);
+    if (isOld)
+        return false;
+    const bool isMissing = !peer.isHeard || hint.sequence > peer.sequence + 1;
+    if (isMissing && !hint.whole)
+        reaction.asks = isDue(peer.askedAt, now);
+    peer.sequence = hint.sequence;
+    peer.heardAt = now;
+    peer.isHeard = true;
+    return true;
+}
+
+std::vector<std::string> PeerTable::forgetSilent(TimePoint now)
+{
+    std::vector<std::string> lost;
+    for (auto it = m_peers.begin(); it != m_peers.end();) {
+        Peer &peer = it->second;
+        if (peer.isHeard && now >= peer.heardAt + kSilent) {
+            peer.isHeard = false;
+            lost.push_back(peer.status.vm);
+        }
+        const bool isOld = now >= peer.heardAt + kForget && now >= peer.knownAt + kForget;
+        it = isOld ? m_peers.erase(it) : std::next(it);
+    }
+    return lost;
+}
+
+std::vector<UdpEndpoint> PeerTable::endpoints() const
+{
+    std::vector<UdpEndpoint> result;
+    result.reserve(m_peers.size());
+    for (const auto &[endpoint, peer] : m_peers)
+        result.push_back(endpoint);
+    return result;
+}
+
+std::size_t PeerTable::alive() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_peers.begin(), m_peers.end(), [](const auto &entry) { return entry.second.isHeard; }));
+}
+
+std::size_t PeerTable::readers() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_peers.begin(), m_peers.end(), [](const auto &entry) {
+            const Peer &peer = entry.second;
+            return peer.isHeard && peer.status.readsStore && !peer.status.isLeaving;
+        }));
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/wirefields.cpp
@@ -0,0 +1,57 @@
+// Bounded on reading: what comes from a peer may be damaged.
+#include "gateway/wirefields.h"
+
+#include <exception>
+
+namespace arbutuspier {
+
+Json parseCbor(std::string_view bytes)
+{
+    // The reader throws on absurd sizes even where it is told not to.
+    try {
+        return Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    } catch (const std::exception &) {
+        return Json(Json::value_t::discarded);
+    }
+}
+
+Json encodeDeparture(const Departure &departure)
+{
+    return Json::array({departure.life.id, departure.life.bornMs, departure.isDraining});
+}
+
+std::optional<Departure> decodeDeparture(const Json &value)
+{
+    constexpr std::size_t kFields = 3;
+    const bool isDeparture = isArray(value, kFields) && value[0].is_string()
+        && value[1].is_number_integer() && value[2].is_boolean();
+    if (!isDeparture)
+        return std::nullopt;
+    return Departure{{value[0].get<std::string>(), value[1].get<std::int64_t>()},
+                     value[2].get<bool>()};
+}
+
+Json encodeSuspect(const SuspectNotice &notice)
+{
+    return Json::array({notice.fingerprint.value, notice.deaths, notice.isCleared});
+}
+
+std::optional<SuspectNotice> decodeSuspect(const Json &value)
+{
+    constexpr std::size_t kFields = 3;
+    const bool isNotice = isArray(value, kFields) && value[0].is_number_unsigned()
+        && value[1].is_array() && value[1].size() <= kMaxItems && value[2].is_boolean();
+    if (!isNotice)
+        return std::nullopt;
+    SuspectNotice notice;
+    notice.fingerprint = Fingerprint{value[0].get<std::uint64_t>()};
+    notice.isCleared = value[2].get<bool>();
+    for (const Json &death : value[1]) {
+        if (!death.is_number_unsigned())
+            return std::nullopt;
+        notice.deaths.push_back(death.get<std::uint64_t>());
+    }
+    return notice;
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/src/gateway/wirefields.h
@@ -0,0 +1,61 @@
+// Parts that the messages between VMs are made of: CBOR arrays by position.
+#pragma once
+
+#include "arbutuspier/peer.h"
+#include "arbutuspier/upstreamdirectory.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace arbutuspier {
+
+using Json = nlohmann::json;
+
+/// Lists longer than this are none of ours.
+inline constexpr std::size_t kMaxItems = 4096;
+
+/// A discarded value if the bytes are no CBOR.
+Json parseCbor(std::string_view bytes);
+
+inline bool isArray(const Json &value, std::size_t size)
+{
+    return value.is_array() && value.size() == size;
+}
+
+Json encodeDeparture(const Departure &departure);
+std::optional<Departure> decodeDeparture(const Json &value);
+Json encodeSuspect(const SuspectNotice &notice);
+std::optional<SuspectNotice> decodeSuspect(const Json &value);
+
+template <class T, class Encode>
+Json encodeList(const std::vector<T> &list, Encode encode)
+{
+    Json items = Json::array();
+    for (const T &item : list)
+        items.push_back(encode(item));
+    return items;
+}
+
+/// Decodes each item of a list, which is empty if it was left out. False if one is odd.
+template <class T, class Decode>
+bool decodeList(const Json &list, std::vector<T> &out, Decode decode)
+{
+    if (list.is_null())
+        return true;
+    if (!list.is_array() || list.size() > kMaxItems)
+        return false;
+    for (const Json &item : list) {
+        auto value = decode(item);
+        if (!value)
+            return false;
+        out.push_back(std::move(*value));
+    }
+    return true;
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/tests/gate/peertabletest.cpp
@@ -0,0 +1,226 @@
+// What VMs tell each other: the bytes, and what to make of hints that are lost, late or unknown.
+#include "gateway/peertable.h"
+#include "gateway/hintcodec.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+using namespace arbutuspier;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+Work someWork(std::uint64_t id)
+{
+    Work work;
+    work.id = id;
+    work.gapObjective = milliseconds{250};
+    work.weight = 1.5;
+    work.parts = {{"i-1", 31, 5000, 6600, true}, {"i-2", 31, 0, 0, false}};
+    return work;
+}
+
+} // namespace
+
+TEST_GROUP(AHint)
+{
+    Hint hint;
+
+    void setup() override
+    {
+        hint.lifeTag = 17;
+        hint.sequence = 3;
+        hint.status = PeerStatus{"edge-1", 17, 9, 40, true, false};
+        hint.whole = std::vector<Work>{someWork(5)};
+        hint.news = {{WorkNews::Kind::Began, 5, someWork(5)},
+                     {WorkNews::Kind::Writing, 3, std::nullopt},
+                     {WorkNews::Kind::Ended, 4, std::nullopt}};
+        hint.departures = {{{"i-3", 99}, true}};
+        hint.suspects = {{Fingerprint{77}, {1, 2}, false}};
+    }
+};
+
+TEST(AHint, comesOutAsItWentIn)
+{
+    const auto decoded = decodeHint(encodeHint(hint));
+    CHECK(decoded.has_value());
+    LONGS_EQUAL(17, decoded->lifeTag);
+    LONGS_EQUAL(3, decoded->sequence);
+    CHECK(decoded->status == hint.status);
+    LONGS_EQUAL(2, decoded->whole->front().parts.size());
+    DOUBLES_EQUAL(1.5, decoded->whole->front().weight, 1e-9);
+    CHECK(decoded->news[0].work.has_value());
+    CHECK(decoded->news[1].kind == WorkNews::Kind::Writing);
+    LONGS_EQUAL(3, decoded->news[1].id);
+    CHECK(decoded->news[2].kind == WorkNews::Kind::Ended);
+    LONGS_EQUAL(4, decoded->news[2].id);
+    CHECK(decoded->departures[0].isDraining);
+    LONGS_EQUAL(2, decoded->suspects[0].deaths.size());
+    CHECK(!decoded->asksWhole);
+}
+
+TEST(AHint, isShortWhereOneRequestBeginsOrEnds)
+{
+    Hint began;
+    began.lifeTag = 4'000'000'000;
+    began.sequence = 100'000;
+    began.news = {{WorkNews::Kind::Began, 30'000, someWork(30'000)}};
+    began.news[0].work->parts.pop_back();
+    CHECK(encodeHint(began).size() <= 48);
+    Hint ended = began;
+    ended.news = {{WorkNews::Kind::Ended, 30'000, std::nullopt}};
+    CHECK(encodeHint(ended).size() <= 18);
+}
+
+TEST(AHint, tellsNothingRunsFromNothingSaid)
+{
+    Hint idle;
+    CHECK(!decodeHint(encodeHint(idle))->whole.has_value());
+    idle.whole.emplace();
+    CHECK(decodeHint(encodeHint(idle))->whole.has_value());
+    idle.asksWhole = true;
+    CHECK(decodeHint(encodeHint(idle))->asksWhole);
+}
+
+TEST(AHint, isNoneIfItsBytesAreOdd)
+{
+    const std::string bytes = encodeHint(hint);
+    CHECK(!decodeHint("").has_value());
+    CHECK(!decodeHint(bytes.substr(0, bytes.size() - 1)).has_value());
+    const bool holds = rc::check("mutated hints", [&bytes] {
+        std::string odd = bytes;
+        const int edits = *rc::gen::inRange(1, 5);
+        for (int i = 0; i < edits; ++i)
+            odd[*rc::gen::inRange<std::size_t>(0, odd.size())] = *rc::gen::arbitrary<char>();
+        decodeHint(odd);
+    });
+    CHECK(holds);
+}
+
+TEST_GROUP(APeerTable)
+{
+    PeerTable table{"edge-1"};
+    const UdpEndpoint peer{asio::ip::make_address("127.0.0.2"), 9000};
+    TimePoint now = TimePoint{} + seconds{100};
+
+    static Hint brief(std::uint64_t sequence, std::uint64_t life = 17)
+    {
+        Hint hint;
+        hint.lifeTag = lifeTagOf(life);
+        hint.sequence = sequence;
+        hint.news = {{WorkNews::Kind::Ended, 4, std::nullopt}};
+        return hint;
+    }
+    static Hint full(std::uint64_t sequence, std::uint64_t life = 17)
+    {
+        Hint hint = brief(sequence, life);
+        hint.status = PeerStatus{"edge-2", life, 1, 1, true, false};
+        hint.whole.emplace();
+        return hint;
+    }
+    PeerTable::Reaction take(const Hint &hint, milliseconds later = milliseconds{200})
+    {
+        now += later;
+        return table.take(hint, peer, now);
+    }
+};
+
+TEST(APeerTable, asksAnUnknownPeerAndTakesNewsOnceItIsKnown)
+{
+    const auto first = take(brief(5));
+    CHECK(first.asks);
+    CHECK(!first.hasNews);
+    const auto answer = take(full(5));
+    CHECK(answer.isNewLife);
+    CHECK(answer.hasNews);
+    CHECK(!answer.asks);
+    STRCMP_EQUAL("edge-2", answer.vm.c_str());
+    const auto next = take(brief(6));
+    CHECK(next.hasNews);
+    CHECK(!next.asks);
+    LONGS_EQUAL(1, table.alive());
+}
+
+TEST(APeerTable, asksForWhatAGapSwallowedAndTakesTheNewsBesideIt)
+{
+    take(full(5));
+    const auto afterGap = take(brief(8));
+    CHECK(afterGap.asks);
+    CHECK(afterGap.hasNews);
+    CHECK(!take(brief(9)).asks);
+}
+
+TEST(APeerTable, takesNoHintTwiceAndNoneThatCameLate)
+{
+    take(full(5));
+    CHECK(!take(brief(5)).hasNews);
+    CHECK(!take(brief(4)).hasNews);
+    CHECK(take(full(5)).hasNews);
+}
+
+TEST(APeerTable, asksAndAnswersOncePerLoss)
+{
+    take(full(5));
+    CHECK(take(brief(8)).asks);
+    CHECK(!take(brief(11), milliseconds{1}).asks);
+    Hint ask = brief(1);
+    ask.asksWhole = true;
+    CHECK(take(ask).answers);
+    CHECK(!take(ask, milliseconds{1}).answers);
+    CHECK(!take(ask).hasNews);
+}
+
+TEST(APeerTable, beginsAnewWithALaterLifeAndIgnoresTheEarlierOne)
+{
+    take(full(50));
+    CHECK(take(brief(1, 18)).asks);
+    const auto restarted = take(full(1, 18));
+    CHECK(restarted.isNewLife);
+    CHECK(restarted.hasNews);
+    CHECK(!take(full(51)).hasNews);
+}
+
+TEST(APeerTable, asksAPeerThatIsHeardAgainAfterSilence)
+{
+    take(full(5));
+    now += seconds{2};
+    LONGS_EQUAL(1, table.forgetSilent(now).size());
+    LONGS_EQUAL(0, table.alive());
+    const auto back = take(brief(6));
+    CHECK(back.asks);
+    CHECK(back.hasNews);
+    LONGS_EQUAL(1, table.alive());
+}
+
+TEST(APeerTable, forgetsAPeerLongUnheardUnlessTheStoreNamesIt)
+{
+    take(full(5));
+    now += seconds{21};
+    table.setKnown(peer, now);
+    table.forgetSilent(now);
+    LONGS_EQUAL(1, table.endpoints().size());
+    now += seconds{21};
+    table.forgetSilent(now);
+    LONGS_EQUAL(0, table.endpoints().size());
+}
+
+TEST(APeerTable, isNotMovedByItsOwnHints)
+{
+    Hint own = full(5);
+    own.status->vm = "edge-1";
+    CHECK(!take(own).hasNews);
+    LONGS_EQUAL(0, table.endpoints().size());
+}
+
+TEST(APeerTable, countsReadersAmongThePeersThatStay)
+{
+    Hint leaving = full(5);
+    take(leaving);
+    LONGS_EQUAL(1, table.readers());
+    leaving = full(6);
+    leaving.status->isLeaving = true;
+    take(leaving);
+    LONGS_EQUAL(0, table.readers());
+    LONGS_EQUAL(1, table.alive());
+}
