--- /dev/null
+++ b/tests/gate/directoryorderstest.cpp
@@ -0,0 +1,318 @@
+// Every order in which two VMs learn of one replica that drains, leaves and comes back under its
+// id.
+#include "../allorders.h"
+#include "arbutuspier/upstreamdirectory.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace arbutuspier;
+
+namespace {
+
+constexpr std::size_t kDepth = 10;
+/// Without its memory a VM goes wrong within so many steps.
+constexpr std::size_t kFaultDepth = 7;
+constexpr const char *kId = "i-1";
+
+struct Move
+{
+    enum Kind {
+        Drain,
+        Remove,
+        Reborn,
+        Ask,
+        Answer,
+        LoseAnswer,
+        Tell,
+        LoseHint,
+        Snapshot,
+        Wait
+    } kind;
+    int vm;
+};
+
+/// The replica's row as the store has it.
+struct StoredRow
+{
+    std::uint64_t revision = 1;
+    std::optional<ReplicaEntry> entry;
+};
+
+struct Vm
+{
+    explicit Vm(const DirectoryOptions &options)
+        : directory(options)
+    {
+    }
+
+    UpstreamDirectory directory;
+    std::uint64_t revision = 0;
+    bool hasList = false;
+    bool readsWhole = true;
+    /// A read whose answer is on its way.
+    std::optional<StoredRow> answer;
+    std::uint64_t askedSince = 0;
+    bool asksWhole = true;
+    /// Departures on their way to the other VM.
+    std::vector<Departure> hints;
+    /// Lives that this VM was told are draining.
+    std::set<ReplicaLife> drained;
+    int asks = 0;
+};
+
+/// `kRemembers`: a VM keeps in mind which lives have left.
+template <bool kRemembers>
+class Replay
+{
+public:
+    explicit Replay(const std::vector<Move> &moves)
+    {
+        m_row.entry = life(1);
+        for (const Move &move : moves)
+            play(move);
+    }
+
+    std::vector<Move> possible() const
+    {
+        std::vector<Move> moves;
+        const bool isReady = m_row.entry && m_row.entry->state == ReplicaState::Ready;
+        if (isReady)
+            moves.push_back({Move::Drain, 0});
+        if (m_row.entry)
+            moves.push_back({Move::Remove, 0});
+        if (m_births < 2)
+            moves.push_back({Move::Reborn, 0});
+        if (m_waits < 2)
+            moves.push_back({Move::Wait, 0});
+        for (int vm = 0; vm < 2; ++vm) {
+            if (m_vms[vm].answer) {
+                moves.push_back({Move::Answer, vm});
+                moves.push_back({Move::LoseAnswer, vm});
+            } else if (m_vms[vm].asks < 3) {
+                moves.push_back({Move::Ask, vm});
+            }
+            if (!m_vms[vm].hints.empty()) {
+                moves.push_back({Move::Tell, vm});
+                moves.push_back({Move::LoseHint, vm});
+            }
+            const bool lacksList = !m_vms[vm].hasList && !m_vms[vm].directory.isReachable();
+            if (lacksList && m_vms[1 - vm].hasList)
+                moves.push_back({Move::Snapshot, vm});
+        }
+        return moves;
+    }
+
+    /// Says what is wrong; empty if nothing is.
+    std::string fault() const
+    {
+        for (const Vm &vm : m_vms) {
+            for (const ReplicaLife &drained : vm.drained) {
+                if (vm.directory.isUsable(drained))
+                    return "a life that was known to drain may be used again";
+            }
+            if (usableInTheEnd(vm) != usableInStore())
+                return "a VM that reads the list doesn't come to what it says";
+        }
+        return "";
+    }
+
+    std::string state() const
+    {
+        std::string text = std::to_string(m_row.revision) + describe(m_row.entry)
+            + std::to_string(m_births) + std::to_string(m_waits);
+        for (const Vm &vm : m_vms) {
+            text += '|' + std::to_string(vm.revision) + (vm.hasList ? 'l' : '-')
+                + (vm.readsWhole ? 'w' : '-') + (vm.directory.isReachable() ? 'r' : '-')
+                + std::to_string(vm.asks);
+            text += 'k' + (vm.directory.find(kId) ? describe(*vm.directory.find(kId)) : "none");
+            for (const Departure &left : vm.directory.departures())
+                text += 'd' + describe(left);
+            if (vm.answer)
+                text += 'a' + std::to_string(vm.askedSince) + std::to_string(vm.answer->revision)
+                    + describe(vm.answer->entry);
+            for (const Departure &hint : vm.hints)
+                text += 'h' + describe(hint);
+            for (const ReplicaLife &drained : vm.drained)
+                text += 'x' + std::to_string(drained.bornMs);
+            text += 'g' + std::to_string(m_graceLeft[&vm - m_vms]);
+        }
+        return text;
+    }
+
+private:
+    static ReplicaEntry life(std::int64_t born)
+    {
+        return {kId, "assist", "10.0.0.1:80", "yard", 16, ReplicaState::Ready, born};
+    }
+    static std::string describe(const std::optional<ReplicaEntry> &entry)
+    {
+        if (!entry)
+            return "none";
+        return std::to_string(entry->bornMs)
+            + (entry->state == ReplicaState::Draining ? "draining" : "ready");
+    }
+    static std::string describe(const Departure &left)
+    {
+        return std::to_string(left.life.bornMs) + (left.isDraining ? "draining" : "gone");
+    }
+    static std::int64_t usableLife(const UpstreamDirectory &directory)
+    {
+        const auto usable = directory.usable("assist");
+        return usable.empty() ? 0 : usable.front()->bornMs;
+    }
+
+    std::int64_t usableInStore() const
+    {
+        const bool isReady = m_row.entry && m_row.entry->state == ReplicaState::Ready;
+        return isReady ? m_row.entry->bornMs : 0;
+    }
+    /// What the VM uses once it has read the whole list, waited and read again.
+    std::int64_t usableInTheEnd(const Vm &vm) const
+    {
+        UpstreamDirectory directory = vm.directory;
+        TimePoint now = m_now;
+        for (int read = 0; read < 2; ++read) {
+            directory.setReachable(now);
+            directory.replaceAll({{kId, m_row.entry}}, now);
+            now += std::chrono::seconds{2};
+            directory.tick(now);
+        }
+        return usableLife(directory);
+    }
+
+    void play(const Move &move)
+    {
+        Vm &vm = m_vms[move.vm];
+        switch (move.kind) {
+        case Move::Drain:
+            m_row.entry->state = ReplicaState::Draining;
+            ++m_row.revision;
+            return;
+        case Move::Remove:
+            m_row.entry.reset();
+            ++m_row.revision;
+            return;
+        case Move::Reborn:
+            m_row.entry = life(2 + m_births++);
+            ++m_row.revision;
+            return;
+        case Move::Ask:
+            ++vm.asks;
+            vm.answer = m_row;
+            vm.askedSince = vm.revision;
+            vm.asksWhole = vm.readsWhole;
+            return;
+        case Move::Answer:
+            takeAnswer(move.vm);
+            return;
+        case Move::LoseAnswer:
+            vm.answer.reset();
+            vm.directory.setUnreachable();
+            vm.readsWhole = true;
+            return;
+        case Move::Tell:
+            m_vms[1 - move.vm].directory.markLeaving(vm.hints.front());
+            m_vms[1 - move.vm].directory.takeNewlyLeft();
+            if (vm.hints.front().isDraining)
+                m_vms[1 - move.vm].drained.insert(vm.hints.front().life);
+            vm.hints.erase(vm.hints.begin());
+            return;
+        case Move::LoseHint:
+            vm.hints.erase(vm.hints.begin());
+            return;
+        case Move::Snapshot:
+            takeSnapshot(vm, m_vms[1 - move.vm]);
+            return;
+        case Move::Wait:
+            ++m_waits;
+            m_now += std::chrono::seconds{2};
+            for (int other = 0; other < 2; ++other) {
+                m_graceLeft[other] = 0;
+                m_vms[other].directory.tick(m_now);
+                collect(m_vms[other]);
+            }
+            return;
+        }
+    }
+
+    void takeAnswer(int index)
+    {
+        Vm &vm = m_vms[index];
+        const StoredRow answer = *std::exchange(vm.answer, std::nullopt);
+        if (!vm.directory.isReachable())
+            m_graceLeft[index] = 1;
+        vm.directory.setReachable(m_now);
+        const bool isChanged = answer.revision > vm.askedSince;
+        if (vm.asksWhole)
+            vm.directory.replaceAll({{kId, answer.entry}}, m_now);
+        else if (isChanged)
+            vm.directory.apply({{kId, answer.entry}}, m_now);
+        vm.revision = answer.revision;
+        vm.hasList = true;
+        vm.readsWhole = false;
+        if (answer.entry && answer.entry->state == ReplicaState::Draining)
+            vm.drained.insert(answer.entry->life());
+        collect(vm);
+    }
+
+    void takeSnapshot(Vm &vm, const Vm &from)
+    {
+        std::vector<ReplicaRow> rows;
+        for (const ReplicaEntry &entry : from.directory.entries())
+            rows.push_back({entry.id, entry});
+        vm.directory.replaceAll(rows, m_now);
+        for (const Departure &left : from.directory.departures()) {
+            vm.directory.markLeaving(left);
+            if (left.isDraining)
+                vm.drained.insert(left.life);
+        }
+        vm.directory.takeNewlyLeft();
+        vm.hasList = true;
+    }
+
+    void collect(Vm &vm)
+    {
+        for (Departure &left : vm.directory.takeNewlyLeft())
+            vm.hints.push_back(std::move(left));
+    }
+
+    static DirectoryOptions options()
+    {
+        DirectoryOptions options;
+        if (!kRemembers)
+            options.maxLeft = 0;
+        return options;
+    }
+
+    StoredRow m_row;
+    Vm m_vms[2] = {Vm(options()), Vm(options())};
+    int m_births = 0;
+    int m_waits = 0;
+    /// Whether a missing entry may still come back, for each VM.
+    int m_graceLeft[2] = {};
+    TimePoint m_now = TimePoint{std::chrono::seconds{100}};
+};
+
+} // namespace
+
+TEST_GROUP(DirectoriesOfTwoVms){};
+
+TEST(DirectoriesOfTwoVms, neverUseWhatDrainsAndComeToWhatTheStoreSays)
+{
+    const auto result = searchAllOrders<Replay<true>, Move>(kDepth);
+    printSearch("directories", result, kDepth);
+    STRCMP_EQUAL("", result.fault.c_str());
+    CHECK(result.states > 100);
+}
+
+TEST(DirectoriesOfTwoVms, doSoOnlyBecauseLivesThatLeftAreRemembered)
+{
+    const auto result = searchAllOrders<Replay<false>, Move>(kFaultDepth);
+    STRCMP_EQUAL("a life that was known to drain may be used again", result.fault.c_str());
+}
