ctl, model: Show what the daemon says in one place; faults of the world apart

Four commands of the ctl fetched, failed and printed by the same lines; they go through Commands::show.

--- a/programs/arbutuspierctl/commands.cpp
+++ b/programs/arbutuspierctl/commands.cpp
@@ -10,6 +10,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <map>
 #include <random>
@@ -132,6 +133,9 @@
     int drain(const std::vector<std::string> &);
     int orders(const std::vector<std::string> &words);
     int list(const char *key, const std::vector<const char *> &columns);
+    /// Prints what the daemon says there, or the part under `key`: as JSON, or for people.
+    int show(const char *path, const char *key,
+             const std::function<void(const Json &)> &printForPeople);
     int waitInForce(std::uint64_t version);
     int usage(const std::string &why);
     static void printChanges(const Json &changes);
@@ -164,34 +168,36 @@
 
 int Commands::list(const char *key, const std::vector<const char *> &columns)
 {
-    const HttpReply reply = m_client.get("/admin/status");
+    return show("/admin/status", key,
+                [&](const Json &json) { printTable(tableOf(json, columns)); });
+}
+
+int Commands::show(const char *path, const char *key,
+                   const std::function<void(const Json &)> &printForPeople)
+{
+    const HttpReply reply = m_client.get(path);
     if (!reply.isOk())
         return fail(reply);
-    const Json json = Json::parse(reply.body, nullptr, false);
+    Json json = Json::parse(reply.body, nullptr, false);
+    if (key)
+        json = Json(json[key]);
     if (m_options.isJson)
-        std::cout << json[key].dump(2) << '\n';
+        std::cout << json.dump(2) << '\n';
     else
-        printTable(tableOf(json[key], columns));
+        printForPeople(json);
     return kExitDone;
 }
 
 int Commands::status(const std::vector<std::string> &)
 {
-    const HttpReply reply = m_client.get("/admin/status");
-    if (!reply.isOk())
-        return fail(reply);
-    const Json json = Json::parse(reply.body, nullptr, false);
-    if (m_options.isJson) {
-        std::cout << json.dump(2) << '\n';
-        return kExitDone;
-    }
-    std::vector<std::vector<std::string>> rows;
-    for (const char *key : {"draining", "platform_reachable", "limits_version", "queued", "running",
-                            "holdings", "releases_pending", "unsettled_keys"})
-        rows.push_back({key, cell(json, key)});
-    rows.push_back({"suspects", std::to_string(json["suspects"].size())});
-    printTable(rows);
-    return kExitDone;
+    return show("/admin/status", nullptr, [](const Json &json) {
+        std::vector<std::vector<std::string>> rows;
+        for (const char *key : {"draining", "platform_reachable", "limits_version", "queued",
+                                "running", "holdings", "releases_pending", "unsettled_keys"})
+            rows.push_back({key, cell(json, key)});
+        rows.push_back({"suspects", std::to_string(json["suspects"].size())});
+        printTable(rows);
+    });
 }
 
 int Commands::upstreams(const std::vector<std::string> &words)
@@ -226,16 +232,10 @@
 
 int Commands::limitsShow()
 {
-    const HttpReply reply = m_client.get("/admin/limits");
-    if (!reply.isOk())
-        return fail(reply);
-    const Json json = Json::parse(reply.body, nullptr, false);
-    if (m_options.isJson)
-        std::cout << json.dump(2) << '\n';
-    else
+    return show("/admin/limits", nullptr, [](const Json &json) {
         std::cout << "# version " << cell(json, "version") << " by " << cell(json, "editor") << '\n'
                   << cell(json, "csv");
-    return kExitDone;
+    });
 }
 
 int Commands::limitsEdit(const std::string &file)
@@ -364,15 +364,9 @@
 
 int Commands::limitsHistory()
 {
-    const HttpReply reply = m_client.get("/admin/limits/history");
-    if (!reply.isOk())
-        return fail(reply);
-    const Json json = Json::parse(reply.body, nullptr, false);
-    if (m_options.isJson)
-        std::cout << json.dump(2) << '\n';
-    else
+    return show("/admin/limits/history", nullptr, [](const Json &json) {
         printTable(tableOf(json, {"version", "editor", "rows_set", "rows_erased", "edit_id"}));
-    return kExitDone;
+    });
 }
 
 int Commands::quarantine(const std::vector<std::string> &words)
--- a/src/model/world.h
+++ b/src/model/world.h
@@ -124,6 +124,9 @@
     std::function<void(VmId, const Event &)> onEvent;
 
 private:
+    /// A connection that doesn't come about, or is silent, is given up after this.
+    static constexpr Duration kConnectTimeout = std::chrono::seconds{1};
+
     struct Vm
     {
         VmInfo info;
--- a/src/model/worldports.cpp
+++ b/src/model/worldports.cpp
@@ -1,4 +1,4 @@
-// The world's ports: what becomes of the nodes' commands, and the faults of upstreams and network.
+// The world's ports: what becomes of the nodes' commands.
 #include "model/world.h"
 
 #include <algorithm>
@@ -7,14 +7,11 @@
 
 namespace {
 
-constexpr Duration kConnectTimeout = std::chrono::seconds{1};
 constexpr Duration kRepeatDelay = std::chrono::milliseconds{50};
 constexpr Duration kPoisonDelay = std::chrono::milliseconds{100};
 
 } // namespace
 
-// --- commands ---
-
 void World::carryOut(Vm &vm, Command &command)
 {
     struct Visitor
@@ -366,86 +363,4 @@
     });
 }
 
-// --- upstreams and network ---
-
-void World::killUpstream(UpstreamId id, Fingerprint killer)
-{
-    Upstream &upstream = m_upstreams.at(id);
-    if (upstream.isDown)
-        return;
-    record(UpstreamDied{id, killer});
-    if (upstream.engine) {
-        for (const EngineOutput &output : upstream.engine->advance(m_now))
-            onOutput(output, id);
-    }
-    upstream.isDown = true;
-    ++upstream.lives;
-    upstream.wakeAt.reset();
-    std::vector<Transit> lost;
-    for (const auto &[attempt, transit] : m_transits) {
-        if (transit.upstream == id)
-            lost.push_back(transit);
-    }
-    for (const Transit &transit : lost) {
-        const std::string &vmZone = m_vms.at(transit.vm).info.zone;
-        if (!isCut(vmZone, upstream.info.zone))
-            fail(transit, FailureKind::Died);
-    }
-    schedule(m_options.upstreamRestart, [this, id] {
-        Upstream &fresh = m_upstreams.at(id);
-        fresh.isDown = false;
-        fresh.isLeaving = false;
-        if (!fresh.engine)
-            return;
-        EngineOptions engine = m_options.engine;
-        engine.memoryTokens = fresh.info.memoryTokens;
-        engine.checksFence = fresh.info.checksFence;
-        fresh.engine = std::make_unique<EngineModel>(engine, Incarnation{m_nextLife++});
-    });
-}
-
-void World::leaveUpstream(UpstreamId id)
-{
-    Upstream &upstream = m_upstreams.at(id);
-    if (upstream.isDown)
-        return;
-    upstream.isLeaving = true;
-    const Incarnation life =
-        upstream.engine ? upstream.engine->incarnation() : Incarnation{upstream.lives};
-    if (upstream.engine)
-        upstream.engine->setLeaving();
-    record(UpstreamLeft{id, life});
-    changeList();
-}
-
-void World::cutZones(const std::string &a, const std::string &b, bool isCutNow)
-{
-    if (!isCutNow) {
-        m_cuts.erase({a, b});
-        m_cuts.erase({b, a});
-        updateReach();
-        return;
-    }
-    m_cuts.insert({a, b});
-    updateReach();
-    std::vector<Transit> broken;
-    for (const auto &[attempt, transit] : m_transits) {
-        const std::string &vmZone = m_vms.at(transit.vm).info.zone;
-        const std::string &zone = m_upstreams.at(transit.upstream).info.zone;
-        if (isCut(vmZone, zone))
-            broken.push_back(transit);
-    }
-    for (const Transit &transit : broken)
-        schedule(kConnectTimeout, [this, transit] { fail(transit, FailureKind::Broken); });
-}
-
-void World::cutPlatform(const std::string &zone, bool isCutNow)
-{
-    if (isCutNow)
-        m_platformCuts.insert(zone);
-    else
-        m_platformCuts.erase(zone);
-    updateReach();
-}
-
 } // namespace arbutuspier::model
