gateway: Keep idle connections within a VM's share of the replica's cap

The cap on a replica's connections was read from the configuration and not used: with many VMs, kept connections alone could fill it. Each VM keeps at most half of its share idle; the oldest is closed first.

--- a/src/gateway/gatestate.cpp
+++ b/src/gateway/gatestate.cpp
@@ -6,6 +6,9 @@
 #include <glog/logging.h>
 #include <xxhash.h>
 
+#include <algorithm>
+#include <limits>
+
 namespace arbutuspier {
 
 namespace {
@@ -59,6 +62,20 @@
     , workList(executor, clock, settings.vm, settings.zone, directory, groups, load, health, zones)
     , random(seedOf(settings.vm, clock))
 {
+    pool.mostIdle = [this](const ReplicaLife &life) { return idleShare(life); };
+}
+
+std::size_t GateState::idleShare(const ReplicaLife &life) const
+{
+    const ReplicaEntry *entry = directory.find(life.id);
+    const ServiceSpec *service = entry && m_routes ? m_routes->service(entry->service) : nullptr;
+    const bool isBounded = service && service->maxConnections > 0;
+    if (!isBounded)
+        return std::numeric_limits<std::size_t>::max();
+    // The other half is for connections in use.
+    constexpr std::size_t kIdlePart = 2;
+    const std::size_t share = service->maxConnections / (m_sharingVms * kIdlePart);
+    return std::max<std::size_t>(share, 1);
 }
 
 bool GateState::applyConfiguration(std::shared_ptr<const RouteTable> table, std::string_view source)
--- a/src/gateway/gatestate.h
+++ b/src/gateway/gatestate.h
@@ -46,6 +46,10 @@
     /// VMs that serve at present, this one among them.
     std::size_t vmCount() const { return m_vmCount; }
     void setVmCount(std::size_t count) { m_vmCount = count; }
+    /// VMs that share replicas with this one at present, this one among them.
+    void setSharingVms(std::size_t count) { m_sharingVms = count; }
+    /// Idle connections that this VM may keep to a replica, as others have theirs.
+    std::size_t idleShare(const ReplicaLife &life) const;
     /// VMs that read the store at present and tell the others, this one among them.
     std::size_t readerCount() const { return m_readerCount; }
     void setReaderCount(std::size_t count) { m_readerCount = count; }
@@ -80,6 +84,7 @@
     std::shared_ptr<const RouteTable> m_routes;
     std::map<std::string, RetryAllowance> m_allowances;
     std::size_t m_vmCount = 1;
+    std::size_t m_sharingVms = 1;
     std::size_t m_readerCount = 1;
     std::optional<TimePoint> m_drainEnd;
     TimePoint m_lastStreamAt = TimePoint::max();
--- a/src/gateway/peerhints.cpp
+++ b/src/gateway/peerhints.cpp
@@ -248,6 +248,7 @@
         LOG(INFO) << LogLine("peer_lost").add("vm", vm).text();
     }
     const std::size_t inGroup = m_peers.alive() + 1;
+    m_state.setSharingVms(inGroup);
     m_state.setVmCount(m_state.groups.count() == 1 ? inGroup : m_state.groups.vmCount());
     m_state.setReaderCount(m_peers.readers() + 1);
 }
--- a/src/gateway/upstreampool.cpp
+++ b/src/gateway/upstreampool.cpp
@@ -35,7 +35,11 @@
     connection->idleSince = now;
     if (connection->keepAlive == Duration::zero())
         connection->keepAlive = m_options.defaultKeepAlive;
-    m_idle[life].push_back(std::move(connection));
+    auto &connections = m_idle[life];
+    connections.push_back(std::move(connection));
+    // The oldest goes: it would have been used last.
+    if (mostIdle && connections.size() > mostIdle(life))
+        connections.erase(connections.begin());
 }
 
 void UpstreamPool::tick(TimePoint now)
--- a/src/gateway/upstreampool.h
+++ b/src/gateway/upstreampool.h
@@ -8,6 +8,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -59,6 +60,9 @@
     void tick(TimePoint now);
     std::size_t idleCount() const;
 
+    /// How many idle connections to a replica may be kept; as many as there are if not set.
+    std::function<std::size_t(const ReplicaLife &)> mostIdle;
+
 private:
     bool isFresh(const UpstreamConnection &connection, bool isSafe, TimePoint now) const;
 
--- /dev/null
+++ b/tests/gate/upstreampooltest.cpp
@@ -0,0 +1,47 @@
+// Kept connections: which is used again, and how many are kept.
+#include "gateway/upstreampool.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace arbutuspier;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(AnUpstreamPool)
+{
+    const ReplicaLife life{"i-1", 7};
+    const TimePoint start = TimePoint{} + seconds{100};
+    asio::io_context context;
+    UpstreamPool pool{UpstreamPoolOptions{}};
+
+    void give(TimePoint now)
+    {
+        auto connection = std::make_unique<UpstreamConnection>(context.get_executor());
+        connection->keepAlive = seconds{10};
+        pool.give(life, std::move(connection), now);
+    }
+};
+
+TEST(AnUpstreamPool, keepsWhatItIsGivenUntilItIsOld)
+{
+    give(start);
+    give(start + seconds{1});
+    LONGS_EQUAL(2, pool.idleCount());
+    pool.tick(start + milliseconds{8'500});
+    LONGS_EQUAL(1, pool.idleCount());
+    pool.tick(start + milliseconds{9'500});
+    LONGS_EQUAL(0, pool.idleCount());
+}
+
+TEST(AnUpstreamPool, keepsNoMoreThanItsShareAndLetsTheOldestGo)
+{
+    pool.mostIdle = [](const ReplicaLife &) { return std::size_t{2}; };
+    for (int i = 0; i < 5; ++i)
+        give(start + seconds{i});
+    LONGS_EQUAL(2, pool.idleCount());
+    // The two that are left were given at 3 and 4 s: they are old at 11 and 12 s.
+    pool.tick(start + milliseconds{10'900});
+    LONGS_EQUAL(2, pool.idleCount());
+    pool.tick(start + milliseconds{11'100});
+    LONGS_EQUAL(1, pool.idleCount());
+}
