gateway: Release again after an extension that crossed the release

Extension and release travel on two connections; a replica that carries out the release first takes the extension for a new reservation and holds memory for nobody until its time limit, 3.2 s.

Change: an extension whose answer comes after the release is followed by another release. Test: one release before, two now. The other ways out are tested too: a replica refuses, an answer is lost, a release is lost.

--- a/src/gateway/memoryhold.cpp
+++ b/src/gateway/memoryhold.cpp
@@ -100,6 +100,9 @@
     }
     if (shared->pending > 0 && --shared->pending == 0)
         shared->settled.cancel();
+    // An extension that crossed the release may have set the memory aside anew.
+    if (shared->isReleased)
+        co_await release(shared, part);
 }
 
 Task<void> MemoryHold::release(std::shared_ptr<Shared> shared, std::size_t part)
