gateway: Take back the registrations of VMs that are gone

Cause: found while reading. A VM registers itself in the store and can't take that back when it is replaced; nobody did.

Change: VmRoster. A VM of the same group that was not heard for five minutes, while most of the others are, loses its registration, unless the row was written anew meanwhile. A VM that doesn't find its own row registers again.

--- a/src/gateway/peerhints.cpp
+++ b/src/gateway/peerhints.cpp
@@ -25,7 +25,7 @@
 constexpr std::uint64_t kBeatsPerWhole = 16;
 /// A line on the traffic between VMs follows each so many beats.
 constexpr std::uint64_t kBeatsPerTrafficLine = 20;
-/// Departures are told again with every whole hint for this long, as a hint may be lost.
+/// Departures are told again with every sign of life for this long, as a hint may be lost.
 constexpr Duration kRepeatDepartures = std::chrono::seconds{3};
 constexpr Duration kFetchTimeout = std::chrono::milliseconds{800};
 constexpr std::size_t kMaxDatagram = 60'000;
@@ -293,8 +293,10 @@
         ask(from);
     if (reaction.hasStatus)
         takeStatus(*hint.status, from);
-    if (reaction.hasNews)
-        takeNews(reaction.vm, hint);
+    if (!reaction.hasNews)
+        return;
+    m_store.onPeerHeard(reaction.vm);
+    takeNews(reaction.vm, hint);
 }
 
 void PeerHints::takeStatus(const PeerStatus &status, const Udp::endpoint &from)
--- a/src/gateway/storewatch.cpp
+++ b/src/gateway/storewatch.cpp
@@ -74,6 +74,7 @@
     , m_replicaSchedule(scaled(kJoinPart, state.settings.drainBound))
     , m_vmTimer(context)
     , m_vmSchedule(kJoinVms)
+    , m_roster(VmRosterOptions{})
     , m_configPace(configPace(state.settings))
     , m_replicaPace(replicaPace(state.settings))
     , m_vmPace(ReadPaceOptions{kVmInterval, kVmShare, kMaxVmInterval})
@@ -111,6 +112,11 @@
     m_replicaTimer.cancel();
 }
 
+void StoreWatch::onPeerHeard(const std::string &vm)
+{
+    m_roster.onHeard(vm, m_state.clock.now());
+}
+
 void StoreWatch::onVmsChanged()
 {
     m_vmSchedule.onNews(m_state.clock.now());
@@ -337,6 +343,29 @@
                                         m_state.settings.peers.text(), kCallTimeout);
 }
 
+Task<void> StoreWatch::removeGone(const platform::StoreRead &read)
+{
+    const TimePoint now = m_state.clock.now();
+    std::vector<std::string> others;
+    for (const platform::StoreRow &row : read.rows) {
+        const bool isOther = row.key != m_state.settings.vm;
+        if (isOther && m_state.groups.isInOwnGroup(row.key))
+            others.push_back(row.key);
+    }
+    m_roster.onRegistered(others, now);
+    const std::vector<std::string> gone = m_roster.gone(now);
+    for (const platform::StoreRow &row : read.rows) {
+        if (std::find(gone.begin(), gone.end(), row.key) == gone.end())
+            continue;
+        const bool isRemoved =
+            co_await m_vmClient.remove(platform::kVmTable, row.key, row.version, kCallTimeout);
+        LOG(INFO) << LogLine("vm_gone")
+                         .add("vm", row.key)
+                         .add("outcome", isRemoved ? "removed" : "left")
+                         .text();
+    }
+}
+
 Task<void> StoreWatch::watchVms()
 {
     std::uint32_t failures = 0;
@@ -346,12 +375,19 @@
             isRegistered = co_await registerSelf();
         const platform::StoreRead read =
             co_await m_vmClient.readTable(platform::kVmTable, kCallTimeout);
-        const bool isDone = isRegistered && read.outcome == Outcome::Done;
         std::vector<VmRow> vms;
         for (const platform::StoreRow &row : read.rows)
             vms.push_back({row.key, row.bytes});
-        if (read.outcome == Outcome::Done && onVms)
-            onVms(vms);
+        if (read.outcome == Outcome::Done) {
+            if (onVms)
+                onVms(vms);
+            // Peers that have not heard this VM for long may have taken back its registration.
+            isRegistered = std::any_of(vms.begin(), vms.end(), [this](const VmRow &row) {
+                return row.vm == m_state.settings.vm;
+            });
+            co_await removeGone(read);
+        }
+        const bool isDone = isRegistered && read.outcome == Outcome::Done;
         if (isDone)
             failures = 0;
         const Duration interval =
--- a/src/gateway/storewatch.h
+++ b/src/gateway/storewatch.h
@@ -3,6 +3,7 @@
 
 #include "arbutuspier/readpace.h"
 #include "arbutuspier/readschedule.h"
+#include "arbutuspier/vmroster.h"
 #include "gateway/gatestate.h"
 #include "gateway/hintcodec.h"
 #include "gateway/snapshotcodec.h"
@@ -36,6 +37,7 @@
     void refresh();
     /// A peer saw the replicas change at this revision; reads them soon if that is news.
     void onReplicasChanged(std::uint64_t revision);
+    void onPeerHeard(const std::string &vm);
     /// A VM is heard that the list of VMs doesn't name; reads the list soon.
     void onVmsChanged();
     /// Revision at which this VM last saw the usable replicas change.
@@ -63,6 +65,8 @@
     Task<void> watchReplicas();
     Task<void> watchVms();
     Task<bool> registerSelf();
+    /// Takes back the registrations of VMs that are gone.
+    Task<void> removeGone(const platform::StoreRead &read);
     Task<void> pause(asio::steady_timer &timer, Duration duration);
     /// Waits until then, or until news or a refresh asks for an earlier read.
     Task<void> awaitRead(ReadSchedule &schedule, asio::steady_timer &timer, TimePoint due);
@@ -82,6 +86,7 @@
     ReadSchedule m_replicaSchedule;
     asio::steady_timer m_vmTimer;
     ReadSchedule m_vmSchedule;
+    VmRoster m_roster;
     ReadPace m_configPace;
     ReadPace m_replicaPace;
     ReadPace m_vmPace;
--- /dev/null
+++ b/src/policy/vmroster.cpp
@@ -0,0 +1,34 @@
+// One time for each VM: its last sign of life.
+#include "arbutuspier/vmroster.h"
+
+namespace arbutuspier {
+
+void VmRoster::onRegistered(std::span<const std::string> vms, TimePoint now)
+{
+    std::map<std::string, TimePoint> lastSeen;
+    for (const std::string &vm : vms) {
+        const auto known = m_lastSeen.find(vm);
+        lastSeen[vm] = known == m_lastSeen.end() ? now : known->second;
+    }
+    m_lastSeen = std::move(lastSeen);
+}
+
+void VmRoster::onHeard(const std::string &vm, TimePoint now)
+{
+    const auto known = m_lastSeen.find(vm);
+    if (known != m_lastSeen.end())
+        known->second = now;
+}
+
+std::vector<std::string> VmRoster::gone(TimePoint now) const
+{
+    std::vector<std::string> silent;
+    for (const auto &[vm, seenAt] : m_lastSeen) {
+        if (now >= seenAt + m_options.gone)
+            silent.push_back(vm);
+    }
+    const bool hearsMost = silent.size() * 2 < m_lastSeen.size();
+    return hearsMost ? silent : std::vector<std::string>();
+}
+
+} // namespace arbutuspier
--- /dev/null
+++ b/tests/gate/vmrostertest.cpp
@@ -0,0 +1,57 @@
+// Registrations of VMs that were replaced, while others come, go and are cut off.
+#include "arbutuspier/vmroster.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace arbutuspier;
+using std::chrono::minutes;
+
+TEST_GROUP(AVmRoster)
+{
+    const std::vector<std::string> registered = {"vm-2", "vm-3", "vm-4", "vm-5"};
+    VmRoster roster{VmRosterOptions{minutes{5}}};
+    const TimePoint start = TimePoint{} + std::chrono::hours{1};
+
+    void setup() override
+    {
+        roster.onRegistered(registered, start);
+    }
+    void hear(std::initializer_list<const char *> vms, Duration when)
+    {
+        for (const char *vm : vms)
+            roster.onHeard(vm, start + when);
+    }
+};
+
+TEST(AVmRoster, callsAVmGoneThatIsLongUnheardWhileOthersAreHeard)
+{
+    hear({"vm-2", "vm-3", "vm-4"}, minutes{4});
+    CHECK(roster.gone(start + minutes{4}).empty());
+    const auto gone = roster.gone(start + minutes{5});
+    LONGS_EQUAL(1, gone.size());
+    STRCMP_EQUAL("vm-5", gone.front().c_str());
+}
+
+TEST(AVmRoster, callsNobodyGoneWhileItMayBeCutOffItself)
+{
+    hear({"vm-2"}, minutes{9});
+    CHECK(roster.gone(start + minutes{10}).empty());
+}
+
+TEST(AVmRoster, countsFromTheRegistrationForAVmNotHeardYet)
+{
+    hear({"vm-2", "vm-3", "vm-4", "vm-5"}, minutes{9});
+    auto more = registered;
+    more.push_back("vm-6");
+    roster.onRegistered(more, start + minutes{9});
+    CHECK(roster.gone(start + minutes{10}).empty());
+    hear({"vm-2", "vm-3", "vm-4", "vm-5"}, minutes{13});
+    LONGS_EQUAL(1, roster.gone(start + minutes{14}).size());
+}
+
+TEST(AVmRoster, forgetsAVmThatIsNotRegisteredAnyMore)
+{
+    hear({"vm-2", "vm-3", "vm-4"}, minutes{4});
+    roster.onRegistered(std::vector<std::string>{"vm-2", "vm-3", "vm-4"}, start + minutes{5});
+    CHECK(roster.gone(start + minutes{5}).empty());
+}
