gateway: Give up a silent replica once it has vanished from the list

Change: silence beyond the forecast is looked at each 250 ms; a life that left the list without draining, or whose id another took, is given up if the request can be sent again.

The test ends at its time limit with 504 without the change. Left: list and reads together can take longer than 4 s.

--- a/include/arbutuspier/upstreamdirectory.h
+++ b/include/arbutuspier/upstreamdirectory.h
@@ -92,6 +92,8 @@
     std::vector<const ReplicaEntry *> usable(std::string_view service) const;
     const ReplicaEntry *find(std::string_view id) const;
     bool isUsable(const ReplicaLife &life) const;
+    /// True if the life left the list without draining, or another one took its id.
+    bool hasVanished(const ReplicaLife &life) const;
     /// Every entry that isn't known to have left.
     std::vector<ReplicaEntry> entries() const;
     /// Every life that is remembered to have left.
--- a/src/coordination/upstreamdirectory.cpp
+++ b/src/coordination/upstreamdirectory.cpp
@@ -171,6 +171,14 @@
         && !hasLeft(life);
 }
 
+bool UpstreamDirectory::hasVanished(const ReplicaLife &life) const
+{
+    const auto left = m_left.find(life);
+    const ReplicaEntry *entry = find(life.id);
+    const bool isReplaced = entry && entry->bornMs > life.bornMs;
+    return isReplaced || (left != m_left.end() && !left->second.isDraining);
+}
+
 std::vector<Departure> UpstreamDirectory::takeNewlyLeft()
 {
     return std::exchange(m_newlyLeft, {});
--- a/src/gateway/exchangeattempt.cpp
+++ b/src/gateway/exchangeattempt.cpp
@@ -26,6 +26,8 @@
 /// A replica that is known to read is given this much longer than its forecast.
 constexpr double kReadingPatience = 1.3;
 constexpr Duration kReadingMargin = std::chrono::milliseconds{150};
+/// How often a replica that is silent beyond its forecast is looked up in the directory.
+constexpr Duration kSilenceCheck = std::chrono::milliseconds{250};
 constexpr double kFirstEventPatience = 1.2;
 constexpr double kForecastPatience = 2.0;
 constexpr double kCallPatience = 0.8;
@@ -113,6 +115,23 @@
     return std::min(deadline(), now + longer + kReadingMargin);
 }
 
+void Exchange::awaitUntil(UpstreamAttempt &attempt, TimePoint check, TimePoint end)
+{
+    m_silenceEnd = end;
+    attempt.expireAt(std::min(check, end));
+}
+
+std::optional<TimePoint> Exchange::afterSilence(const DispatchGrant &grant) const
+{
+    const bool isOver = couldRepeat() && m_state.directory.hasVanished(grant.replica.life());
+    if (isOver)
+        return std::nullopt;
+    const TimePoint now = m_state.clock.now();
+    if (now < m_silenceEnd)
+        return std::min(m_silenceEnd, now + kSilenceCheck);
+    return extendPatience(grant);
+}
+
 Task<bool> Exchange::holdMemory(const DispatchGrant &grant, HeldMemory &held)
 {
     held.reservations.resize(grant.helpers.size());
@@ -143,8 +162,9 @@
     }
     UpstreamAttempt attempt(m_state.executor, m_state.pool, grant.replica.life());
     m_attempt = &attempt;
-    attempt.expireAt(patienceEnd(grant));
-    attempt.onExpiry = [this, &grant] { return extendPatience(grant); };
+    const Duration reading = fromSeconds(kReadingPatience * toSeconds(grant.forecast));
+    awaitUntil(attempt, m_state.clock.now() + reading + kReadingMargin, patienceEnd(grant));
+    attempt.onExpiry = [this, &grant] { return afterSilence(grant); };
     const bool isSafe = m_route->kind == RepeatKind::AtMostOnce;
     const UpstreamAttempt::Request request = upstreamRequest(grant, held.reservations);
     m_sentAt = m_state.clock.now();
@@ -263,7 +283,7 @@
         isWriting = true;
         if (!co_await passOn(attempt, *events))
             co_return End::CallerGone;
-        attempt.expireAt(nextEventEnd());
+        awaitUntil(attempt, nextEventEnd(), nextEventEnd());
     }
     const bool isWhole = state == UpstreamAttempt::Body::End && m_splice->isAtBoundary();
     if (!isWhole || !m_hasHead)
--- a/tests/gate/exchangetest.cpp
+++ b/tests/gate/exchangetest.cpp
@@ -23,6 +23,9 @@
   "service":"desk","maxAttempts":2,"public":true,"resumable":false,"gapTargetMs":8000},
  {"host":"f.example","prefix":"/prompt/","routeKind":"streaming","timeoutMs":20000,"goalMs":3000,
   "service":"engine","maxAttempts":2,"public":true,"resumable":true,"gapTargetMs":8000},
+ {"host":"f.example","prefix":"/patient/","routeKind":"streaming","timeoutMs":20000,
+  "goalMs":20000,"service":"desk","maxAttempts":2,"public":true,"resumable":true,
+  "gapTargetMs":8000},
  {"host":"f.example","prefix":"/keyed/","routeKind":"idempotent","timeoutMs":20000,"goalMs":8000,
   "service":"desk","maxAttempts":2,"public":false}],
  "services":[{"name":"desk","maxConnections":100},{"name":"engine","maxConnections":100,
@@ -335,6 +338,30 @@
     CHECK(!contains(answer, "\r\n0\r\n\r\n"));
 }
 
+TEST(AStream, goesOnElsewhereOnceASilentReplicaHasVanishedFromTheList)
+{
+    const auto script = std::make_shared<Script>(std::vector<Step>{{""}, {stream(0, 3)}});
+    auto &first = world.addReplica("a", "desk", script);
+    auto &second = world.addReplica("b", "desk", script);
+    asio::co_spawn(
+        world.context,
+        [&]() -> Task<void> {
+            asio::steady_timer timer(world.context);
+            while (first.requests().empty() && second.requests().empty()) {
+                timer.expires_after(std::chrono::milliseconds{10});
+                co_await timer.async_wait(kAwait);
+            }
+            const char *silent = first.requests().empty() ? "b" : "a";
+            world.state.directory.apply({{silent, std::nullopt}}, world.clock.now());
+        },
+        asio::detached);
+    const std::string answer = world.call(GateWorld::request("POST", "/patient/5", "", "prompt"));
+    LONGS_EQUAL(200, statusOf(answer));
+    LONGS_EQUAL(1, first.requests().size());
+    LONGS_EQUAL(1, second.requests().size());
+    CHECK(contains(answer, event(3)));
+}
+
 TEST(AStream, freesItsReplicaWhenTheCallerLeaves)
 {
     auto &replica = world.addReplica("a", "desk", {{streamHead() + chunk(event(0))}});
--- a/tests/gate/upstreamdirectorytest.cpp
+++ b/tests/gate/upstreamdirectorytest.cpp
@@ -53,6 +53,17 @@
     LONGS_EQUAL(0, directory.usable("desk").size());
 }
 
+TEST(ADirectory, tellsALifeThatVanishedFromOneThatDrains)
+{
+    CHECK(!directory.hasVanished({"a", 1}));
+    directory.apply({gone("a")}, kStart);
+    CHECK(directory.hasVanished({"a", 1}));
+    directory.apply({row("b", 1, ReplicaState::Draining)}, kStart);
+    CHECK(!directory.hasVanished({"b", 1}));
+    directory.apply({row("b", 2)}, kStart);
+    CHECK(directory.hasVanished({"b", 1}));
+}
+
 TEST(ADirectory, dropsWhatIsMissingFromAWholeList)
 {
     directory.replaceAll({row("b", 1)}, kStart);
