gateway: Give up a vanished replica only before its first event

Change: the list is looked at only while a replica has said nothing; from the first event on pauses count as they did before.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -85,9 +85,10 @@
     TimePoint patienceEnd(const DispatchGrant &grant) const;
     /// More time for a replica that is known to read, past the time at which it was to be given up.
     std::optional<TimePoint> extendPatience(const DispatchGrant &grant) const;
-    /// Gives the replica until then to say something, and less if its life ends meanwhile.
-    void awaitUntil(UpstreamAttempt &attempt, TimePoint check, TimePoint end);
-    /// Until when to go on waiting for a silent replica; empty if not at all.
+    /// Gives the replica until `end` for its first event, and less if its life ends meanwhile,
+    /// which is looked at from `check` on.
+    void awaitFirstEvent(UpstreamAttempt &attempt, TimePoint check, TimePoint end);
+    /// Until when to go on waiting for a replica that has said nothing yet; empty if not at all.
     std::optional<TimePoint> afterSilence(const DispatchGrant &grant) const;
     bool couldRepeat() const;
 
@@ -131,7 +132,7 @@
     /// When the first event was expected, from the arrival.
     Duration m_forecast{};
     std::optional<Duration> m_firstEvent;
-    /// Until when the replica may be silent.
+    /// Until when the replica may take for its first event.
     TimePoint m_silenceEnd{};
     TimePoint m_lastEvent{};
     Duration m_longestGap{};
--- a/src/gateway/exchangeattempt.cpp
+++ b/src/gateway/exchangeattempt.cpp
@@ -115,7 +115,7 @@
     return std::min(deadline(), now + longer + kReadingMargin);
 }
 
-void Exchange::awaitUntil(UpstreamAttempt &attempt, TimePoint check, TimePoint end)
+void Exchange::awaitFirstEvent(UpstreamAttempt &attempt, TimePoint check, TimePoint end)
 {
     m_silenceEnd = end;
     attempt.expireAt(std::min(check, end));
@@ -163,7 +163,7 @@
     UpstreamAttempt attempt(m_state.executor, m_state.pool, grant.replica.life());
     m_attempt = &attempt;
     const Duration reading = fromSeconds(kReadingPatience * toSeconds(grant.forecast));
-    awaitUntil(attempt, m_state.clock.now() + reading + kReadingMargin, patienceEnd(grant));
+    awaitFirstEvent(attempt, m_state.clock.now() + reading + kReadingMargin, patienceEnd(grant));
     attempt.onExpiry = [this, &grant] { return afterSilence(grant); };
     const bool isSafe = m_route->kind == RepeatKind::AtMostOnce;
     const UpstreamAttempt::Request request = upstreamRequest(grant, held.reservations);
@@ -278,12 +278,15 @@
             co_return End::Lost;
         if (events->empty())
             continue;
-        if (!isWriting)
+        if (!isWriting) {
             noteFirstEvent(grant);
+            // A replica may leave the list and go on writing: only a pause too long speaks now.
+            attempt.onExpiry = [this, &grant] { return extendPatience(grant); };
+        }
         isWriting = true;
         if (!co_await passOn(attempt, *events))
             co_return End::CallerGone;
-        awaitUntil(attempt, nextEventEnd(), nextEventEnd());
+        attempt.expireAt(nextEventEnd());
     }
     const bool isWhole = state == UpstreamAttempt::Body::End && m_splice->isAtBoundary();
     if (!isWhole || !m_hasHead)
