coordination: Count an upstream's death once, however long it stays dead

Found on reading the change again: a dead upstream is reported each 100 ms, so after the window of two minutes its death was noted anew, with a new time, and while a VM is silent counted against innocents for as long as it stayed down.

Change: the life that ended last is kept for each upstream. The new test fails without it.

--- a/include/arbutuspier/unexplaineddeaths.h
+++ b/include/arbutuspier/unexplaineddeaths.h
@@ -7,6 +7,7 @@
 #include "arbutuspier/clock.h"
 #include "arbutuspier/ids.h"
 
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -60,6 +61,8 @@
     UnexplainedDeathsOptions m_options;
     /// Invariant: at most one entry for each life, in the order of `at`.
     std::vector<UpstreamDeath> m_deaths;
+    /// The life of each upstream that ended last.
+    std::map<UpstreamId, Incarnation> m_lastLife;
     std::optional<TimePoint> m_lastVmLost;
 };
 
--- a/src/coordination/unexplaineddeaths.cpp
+++ b/src/coordination/unexplaineddeaths.cpp
@@ -7,16 +7,18 @@
 
 void UnexplainedDeaths::onDeath(UpstreamId upstream, Incarnation incarnation, TimePoint now)
 {
-    const bool isKnown =
-        std::any_of(m_deaths.begin(), m_deaths.end(), [&](const UpstreamDeath &death) {
-            return death.upstream == upstream && death.incarnation == incarnation;
-        });
-    if (!isKnown)
-        m_deaths.push_back({upstream, incarnation, now});
+    // A dead upstream is reported again and again, also past the window.
+    const auto [last, isFirst] = m_lastLife.try_emplace(upstream, incarnation);
+    const bool isKnown = !isFirst && last->second == incarnation;
+    if (isKnown)
+        return;
+    last->second = incarnation;
+    m_deaths.push_back({upstream, incarnation, now});
 }
 
 void UnexplainedDeaths::retract(UpstreamId upstream, Incarnation incarnation)
 {
+    m_lastLife.erase(upstream);
     std::erase_if(m_deaths, [&](const UpstreamDeath &death) {
         return death.upstream == upstream && death.incarnation == incarnation;
     });
--- a/tests/coordinationtest.cpp
+++ b/tests/coordinationtest.cpp
@@ -385,6 +385,15 @@
     CHECK(accountAt(std::chrono::seconds{14}) == Account::Complete);
 }
 
+TEST(UnexplainedUpstreamDeaths, areNotNewAgainWhileTheSameLifeIsStillReportedDead)
+{
+    for (int second = 10; second < 200; ++second) {
+        die(1, std::chrono::seconds{second});
+        deaths.recent(TimePoint{} + std::chrono::seconds{second});
+    }
+    LONGS_EQUAL(0, deaths.recent(TimePoint{} + std::chrono::seconds{200}).size());
+}
+
 TEST(UnexplainedUpstreamDeaths, countOnceAndEndWithTheWindowOrWithALifeSeenAgain)
 {
     die(1, std::chrono::seconds{10});
