--- a/include/arbutuspier/crashdetector.h
+++ b/include/arbutuspier/crashdetector.h
@@ -35,6 +35,8 @@
     /// Whether so few replicas became unreachable within the window that this one may have crashed
     /// rather than be behind a network partition.
     bool mayHaveCrashed(const ReplicaIncarnation &incarnation, TimePoint now);
+    /// Replicas that became unreachable within the window before the last call.
+    std::size_t unreachableCount() const { return m_unreachable.size(); }
     /// Records that the caller has counted this incarnation as crashed.
     void recordCrash(const ReplicaIncarnation &incarnation) { m_crashed.insert(incarnation); }
     /// The incarnation sent a response. Returns true if it had been recorded as crashed, which was
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -99,11 +99,15 @@
     return true;
 }
 
-void GatewayState::publishSuspects(const std::vector<SuspectNotice> &notices)
+void GatewayState::publishSuspects(const std::vector<SuspectNotice> &notices,
+                                   std::string_view cause, const ReplicaEntry &replica)
 {
     for (const SuspectNotice &notice : notices) {
         LOG(INFO) << LogLine(notice.isCleared ? "suspect_cleared" : "suspect")
                          .add("fingerprint", notice.fingerprint.value)
+                         .add("cause", cause)
+                         .add("replica", replica.id)
+                         .add("born", static_cast<std::uint64_t>(replica.startedAtMs))
                          .add("deaths", notice.crashes.size())
                          .text();
         if (onSuspect)
@@ -111,17 +115,31 @@
     }
 }
 
-void GatewayState::recordCrash(const ReplicaIncarnation &incarnation, Fingerprint fingerprint)
+void GatewayState::applySuspectNotice(const SuspectNotice &notice, std::string_view vm)
 {
+    const bool hasChanged = quarantine.merge(notice, clock.now());
+    LOG(INFO) << LogLine("suspect_reported")
+                     .add("fingerprint", notice.fingerprint.value)
+                     .add("source", vm)
+                     .add("cleared", notice.isCleared ? "yes" : "no")
+                     .add("deaths", notice.crashes.size())
+                     .add("changed", hasChanged ? "yes" : "no")
+                     .text();
+}
+
+void GatewayState::recordCrash(const ReplicaEntry &replica, Fingerprint fingerprint)
+{
+    const ReplicaIncarnation incarnation = replica.incarnation();
     crashDetector.recordCrash(incarnation);
     const std::vector<Fingerprint> inFlight = {fingerprint};
     publishSuspects(quarantine.onUpstreamCrash(upstreamId(incarnation), incarnationOf(incarnation),
-                                               inFlight, clock.now()));
+                                               inFlight, clock.now()),
+                    "crash", replica);
 }
 
-void GatewayState::recordCompletion(Fingerprint fingerprint)
+void GatewayState::recordCompletion(const ReplicaEntry &replica, Fingerprint fingerprint)
 {
-    publishSuspects(quarantine.onCompleted(fingerprint));
+    publishSuspects(quarantine.onCompleted(fingerprint), "completed", replica);
 }
 
 void GatewayState::recordResponse(const ReplicaEntry &replica)
@@ -129,7 +147,8 @@
     const ReplicaIncarnation incarnation = replica.incarnation();
     zones.onResponse(replica.zone);
     if (crashDetector.onResponse(incarnation))
-        publishSuspects(quarantine.retract(upstreamId(incarnation), incarnationOf(incarnation)));
+        publishSuspects(quarantine.retract(upstreamId(incarnation), incarnationOf(incarnation)),
+                        "responded", replica);
 }
 
 void GatewayState::recordUnreachable(const ReplicaEntry &replica)
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -35,9 +35,11 @@
     const std::shared_ptr<const RouteTable> &routes() const { return m_routes; }
 
     /// Records that a replica seems to have crashed with this request in flight.
-    void recordCrash(const ReplicaIncarnation &incarnation, Fingerprint fingerprint);
+    void recordCrash(const ReplicaEntry &replica, Fingerprint fingerprint);
     /// Records that a request had a complete response, so that it is no suspect any more.
-    void recordCompletion(Fingerprint fingerprint);
+    void recordCompletion(const ReplicaEntry &replica, Fingerprint fingerprint);
+    /// Records a notice of another VM.
+    void applySuspectNotice(const SuspectNotice &notice, std::string_view vm);
     /// Records that a replica responded. If it had been counted as crashed, this is retracted for
     /// the requests that were suspected of it.
     void recordResponse(const ReplicaEntry &replica);
@@ -88,7 +90,9 @@
 
 private:
     FleetRetryBudgetOptions retryBudgetOptions() const;
-    void publishSuspects(const std::vector<SuspectNotice> &notices);
+    /// Logs the notices with their cause and sends them to the other VMs.
+    void publishSuspects(const std::vector<SuspectNotice> &notices, std::string_view cause,
+                         const ReplicaEntry &replica);
 
     std::shared_ptr<const RouteTable> m_routes;
     std::map<std::string, FleetRetryBudget> m_retryBudgets;
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -323,7 +323,7 @@
     switch (outcome) {
     case AttemptOutcome::Completed:
         m_state.health.onSuccess(grant.replica.incarnation(), 0);
-        m_state.recordCompletion(m_fingerprint);
+        m_state.recordCompletion(grant.replica, m_fingerprint);
         return;
     case AttemptOutcome::CallerDisconnected:
         m_possibleExecutions += attempt.wasReached() ? 1 : 0;
@@ -372,6 +372,7 @@
 {
     LogLine line("attempt_failed");
     line.add("request", m_head.requestId)
+        .add("fingerprint", m_fingerprint.value)
         .add("replica", grant.replica.id)
         .add("born", static_cast<std::uint64_t>(grant.replica.startedAtMs))
         .add("end", outcomeName(outcome))
@@ -403,6 +404,19 @@
 
 namespace {
 
+void logCrashCheck(GatewayState &state, const ReplicaEntry &replica, Fingerprint fingerprint,
+                   std::string_view outcome)
+{
+    state.metrics.incrementCounter("crash_checks", std::string(outcome));
+    LOG(INFO) << LogLine("crash_check")
+                     .add("fingerprint", fingerprint.value)
+                     .add("replica", replica.id)
+                     .add("born", static_cast<std::uint64_t>(replica.startedAtMs))
+                     .add("outcome", outcome)
+                     .add("unreachable", state.crashDetector.unreachableCount())
+                     .text();
+}
+
 /// Checks by a connection whether a replica crashed. It did if it can't be reached while only few
 /// other replicas became unreachable at the same time.
 Task<void> checkForCrash(GatewayState &state, ReplicaEntry replica, Fingerprint fingerprint)
@@ -415,15 +429,19 @@
     beast::tcp_stream stream(state.executor);
     stream.expires_after(kProbeTimeout);
     const auto [error] = co_await stream.async_connect(endpointOf(address), kAwait);
-    if (!error)
+    if (!error) {
+        logCrashCheck(state, replica, fingerprint, "reachable");
         co_return;
+    }
     const ReplicaIncarnation incarnation = replica.incarnation();
     state.recordUnreachable(replica);
     // A network partition makes other replicas unreachable too within this time.
     asio::steady_timer timer(state.executor, kPartitionDetectionTime);
     co_await timer.async_wait(kAwait);
-    if (state.crashDetector.mayHaveCrashed(incarnation, state.clock.now()))
-        state.recordCrash(incarnation, fingerprint);
+    const bool mayHaveCrashed = state.crashDetector.mayHaveCrashed(incarnation, state.clock.now());
+    logCrashCheck(state, replica, fingerprint, mayHaveCrashed ? "counted" : "presumed-partition");
+    if (mayHaveCrashed)
+        state.recordCrash(replica, fingerprint);
 }
 
 } // namespace
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -214,7 +214,7 @@
         tryApplyConfiguration(snapshot.configuration, "peer");
     const TimePoint now = m_state.clock.now();
     for (const SuspectNotice &notice : snapshot.suspects)
-        m_state.quarantine.merge(notice, now);
+        m_state.applySuspectNotice(notice, peer);
     if (m_hasReplicas || m_state.directory.isReachable() || snapshot.replicas.empty())
         return;
     std::vector<ReplicaRow> rows;
