--- /dev/null
+++ b/tests/gate/crashingrequesttest.cpp
@@ -0,0 +1,170 @@
+// A request that crashes each replica that runs it: the gateway has to recognise it through every
+// kind of trouble, and may not blame harmless requests for long.
+#include "gatewayfixture.h"
+
+#include "gateway/requesthandler.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace arbutuspier;
+using namespace arbutuspier::gatetest;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr const char *kRoutes = R"({"version":1,"routes":[
+ {"host":"f.example","prefix":"/look/","routeKind":"idempotent","timeoutMs":20000,"goalMs":8000,
+  "service":"desk","maxAttempts":2,"public":true},
+ {"host":"f.example","prefix":"/fast/","routeKind":"idempotent","timeoutMs":20000,"goalMs":100,
+  "service":"desk","maxAttempts":2,"public":true},
+ {"host":"f.example","prefix":"/order/","routeKind":"non_idempotent","timeoutMs":20000,
+  "goalMs":8000,"service":"desk","maxAttempts":1,"public":true}],
+ "services":[{"name":"desk","maxConnections":100}]})";
+
+/// Time in which a crash check ends.
+constexpr Duration kCheckTime = milliseconds{800};
+
+std::string fullResponse(int status)
+{
+    return "HTTP/1.1 " + std::to_string(status)
+        + " X\r\nX-Arbutuspier-Attempt-Id: %ID\r\nX-Arbutuspier-Response-Signature: s1\r\n"
+          "Content-Length: 4\r\n\r\ndone";
+}
+
+/// Response of a replica to a request that names another one.
+std::string otherReplica()
+{
+    return "HTTP/1.1 421 X\r\nX-Arbutuspier-Attempt-Id: %ID\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string harmlessRequest()
+{
+    return GatewayFixture::request("GET", "/look/1");
+}
+
+std::string crashingRequest(std::string_view path)
+{
+    return GatewayFixture::request("POST", path, "", "saw breaks");
+}
+
+} // namespace
+
+using State = Quarantine::QuarantineState;
+
+TEST_GROUP(ACrashingRequest)
+{
+    GatewayFixture fixture;
+
+    void setup() override
+    {
+        fixture.configure(kRoutes);
+    }
+
+    State stateOf(std::string_view path)
+    {
+        return fixture.state.quarantine.quarantineState(requestFingerprint(path, "", "saw breaks"));
+    }
+    /// Sends the request to the route whose requests are sent only once.
+    void crashOneReplica()
+    {
+        fixture.call(crashingRequest("/order/1"));
+        fixture.runFor(kCheckTime);
+    }
+};
+
+// Guards against a crash that was taken back as soon as the address of the replica answered again.
+TEST(ACrashingRequest, staysASuspectWhenAnotherReplicaTakesTheAddress)
+{
+    auto &replica = fixture.addReplica("a", "desk", {crash()});
+    crashOneReplica();
+    CHECK(stateOf("/order/1") == State::Suspect);
+    auto &successor = fixture.addSuccessor(replica, {{otherReplica()}});
+    fixture.call(harmlessRequest());
+    CHECK(!successor.requests().empty());
+    CHECK(stateOf("/order/1") == State::Suspect);
+}
+
+// Guards against the same for a replica that starts again under its id while its entry is stale.
+TEST(ACrashingRequest, staysASuspectWhenItsReplicaRestartsUnderTheSameId)
+{
+    auto &replica = fixture.addReplica("a", "desk", {crash()});
+    crashOneReplica();
+    auto &successor = fixture.addSuccessor(replica, {{fullResponse(200)}});
+    fixture.call(harmlessRequest());
+    LONGS_EQUAL(1, successor.requests().size());
+    CHECK(stateOf("/order/1") == State::Suspect);
+}
+
+// Guards against a suspicion that any complete response ended, also one that shows no execution.
+TEST(ACrashingRequest, staysASuspectAfterAnErrorResponse)
+{
+    auto &replica = fixture.addReplica("a", "desk", {crash()});
+    crashOneReplica();
+    fixture.addSuccessor(replica, {{fullResponse(500)}});
+    fixture.call(crashingRequest("/order/1"));
+    CHECK(stateOf("/order/1") == State::Suspect);
+}
+
+TEST(ACrashingRequest, isClearedByASuccessfulResponse)
+{
+    auto &replica = fixture.addReplica("a", "desk", {crash()});
+    crashOneReplica();
+    fixture.addSuccessor(replica, {{fullResponse(200)}});
+    fixture.call(crashingRequest("/order/1"));
+    CHECK(stateOf("/order/1") == State::Clean);
+}
+
+// Guards against crashes that were forgotten as several replicas became unreachable at once.
+TEST(ACrashingRequest, isQuarantinedWhenItCrashedManyReplicasAtOnce)
+{
+    for (const char *id : {"a", "b", "c", "d"})
+        fixture.addReplica(id, "desk", {crash()});
+    fixture.start(crashingRequest("/look/1"));
+    fixture.start(crashingRequest("/look/1"));
+    fixture.runFor(kCheckTime);
+    CHECK(stateOf("/look/1") == State::Quarantined);
+}
+
+// Guards against a crash that was not noticed because the replica fell silent instead of resetting.
+TEST(ACrashingRequest, isASuspectWhenItsReplicaFallsSilent)
+{
+    fixture.addReplica("a", "desk", {silentCrash()});
+    fixture.call(crashingRequest("/fast/1"));
+    fixture.runFor(kCheckTime);
+    CHECK(stateOf("/fast/1") == State::Suspect);
+}
+
+// Guards against a crash that was not counted because the caller had left before it.
+TEST(ACrashingRequest, isASuspectWhenItsCallerLeftBeforeTheCrash)
+{
+    auto &replica = fixture.addReplica("a", "desk", {{""}});
+    fixture.callAndDisconnect(crashingRequest("/look/1"), replica);
+    replica.close();
+    fixture.call(harmlessRequest());
+    fixture.runFor(kCheckTime);
+    CHECK(stateOf("/look/1") == State::Suspect);
+}
+
+// Guards against a request that was sent although it was quarantined while it waited for a replica.
+TEST(ACrashingRequest, isRejectedIfItIsQuarantinedWhileItWaits)
+{
+    auto &replica = fixture.addReplica("a", "desk", {{""}, {""}, {""}, {""}, {""}, {""}});
+    constexpr std::size_t kSlots = 6;
+    for (std::size_t i = 0; i < kSlots; ++i)
+        fixture.start(GatewayFixture::request("POST", "/order/" + std::to_string(i)));
+    fixture.runFor(milliseconds{50});
+    LONGS_EQUAL(kSlots, replica.requests().size());
+    fixture.start(crashingRequest("/order/1"));
+    fixture.runFor(milliseconds{50});
+    LONGS_EQUAL(1, fixture.state.dispatchQueue.waiting());
+    fixture.state.quarantine.merge(
+        {requestFingerprint("/order/1", "", "saw breaks"), {1, 2}, false}, fixture.clock.now());
+    for (const ActiveRequest &active :
+         fixture.state.load.activeRequestsOf(fixture.state.settings.vm)) {
+        fixture.state.dispatchQueue.end(active.id);
+        break;
+    }
+    fixture.runFor(milliseconds{50});
+    LONGS_EQUAL(0, fixture.state.dispatchQueue.waiting());
+    LONGS_EQUAL(kSlots, replica.requests().size());
+}
--- a/tests/gate/gatewayfixture.h
+++ b/tests/gate/gatewayfixture.h
@@ -28,8 +28,22 @@
     bool closesConnection = false;
     /// The replica resets the connection after the response.
     bool resetsConnection = false;
+    /// The replica accepts no connections any more, as after a crash.
+    bool stopsListening = false;
 };
 
+/// The request crashes the replica: its connection is reset and its address refuses new ones.
+inline ReplicaStep crash()
+{
+    return {"", false, true, true};
+}
+
+/// The replica's VM loses power: the connection stays open without data.
+inline ReplicaStep silentCrash()
+{
+    return {"", false, false, true};
+}
+
 /// The steps for successive requests, counted over all replicas that share the script. The last
 /// step is repeated.
 class Script
@@ -58,18 +72,19 @@
 public:
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
 
-    ScriptedReplica(asio::io_context &context, std::shared_ptr<Script> script)
+    /// Listens on a free port if `port` is zero.
+    ScriptedReplica(asio::io_context &context, std::shared_ptr<Script> script,
+                    std::uint16_t port = 0)
         : m_context(context)
-        , m_acceptor(context, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , m_acceptor(context, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), port))
         , m_script(std::move(script))
+        , m_port(m_acceptor.local_endpoint().port())
     {
         asio::co_spawn(context, accept(), asio::detached);
     }
 
-    std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
-    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+    std::uint16_t port() const { return m_port; }
     const std::vector<Request> &requests() const { return m_requests; }
     int connections() const { return m_connections; }
     /// Connections that the gateway closed.
@@ -107,6 +122,8 @@
             for (auto at = response.find("%ID"); at != std::string::npos; at = response.find("%ID"))
                 response.replace(at, 3, id);
             co_await asio::async_write(stream, asio::buffer(response), kAwait);
+            if (step.stopsListening)
+                m_acceptor.close();
             if (step.resetsConnection)
                 stream.socket().set_option(asio::socket_base::linger(true, 0));
             if (step.closesConnection || step.resetsConnection)
@@ -117,6 +134,7 @@
     asio::io_context &m_context;
     Tcp::acceptor m_acceptor;
     std::shared_ptr<Script> m_script;
+    std::uint16_t m_port;
     std::vector<Request> m_requests;
     int m_connections = 0;
     int m_closedByGateway = 0;
@@ -154,6 +172,15 @@
         return *m_replicas.back();
     }
 
+    /// Starts a process at the address of a replica that has crashed. The directory still lists the
+    /// replica that crashed.
+    ScriptedReplica &addSuccessor(const ScriptedReplica &crashed, std::vector<ReplicaStep> steps)
+    {
+        m_replicas.push_back(std::make_unique<ScriptedReplica>(
+            context, std::make_shared<Script>(std::move(steps)), crashed.port()));
+        return *m_replicas.back();
+    }
+
     void configure(std::string_view json)
     {
         auto table = platform::decodeConfiguration(json);
@@ -173,6 +200,24 @@
         return response;
     }
 
+    /// Handles events for this long.
+    void runFor(Duration duration)
+    {
+        const TimePoint end = clock.now() + duration;
+        while (clock.now() < end)
+            context.run_for(std::chrono::milliseconds{10});
+    }
+
+    /// Sends a request without waiting for the response.
+    void start(std::string request)
+    {
+        m_started.push_back(std::make_unique<StartedCall>());
+        StartedCall &started = *m_started.back();
+        asio::co_spawn(context,
+                       sendAndReceive(std::move(request), started.response, started.isDone),
+                       asio::detached);
+    }
+
     /// Sends a request, disconnects once a replica has received it, and waits until the gateway has
     /// closed the connection to that replica.
     void callAndDisconnect(std::string request, const ScriptedReplica &replica)
@@ -231,8 +276,15 @@
         isDone = true;
     }
 
+    struct StartedCall
+    {
+        std::string response;
+        bool isDone = false;
+    };
+
     Tcp::acceptor m_acceptor;
     std::vector<std::unique_ptr<ScriptedReplica>> m_replicas;
+    std::vector<std::unique_ptr<StartedCall>> m_started;
 };
 
 } // namespace arbutuspier::gatetest
--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -22,6 +22,7 @@
 DEFINE_string(id, "", "replica: instance id");
 DEFINE_string(service, "assist", "replica: name of its service");
 DEFINE_string(zone, "north", "replica: availability zone");
+DEFINE_string(crash_on, "", "replica: text in a request's body that crashes the replica");
 DEFINE_uint32(events, 10, "replica: number of events in a stream");
 DEFINE_uint32(work_ms, 20, "service: execution time of a call in milliseconds");
 DEFINE_double(writes_per_second, 300, "platform: table writes accepted per second");
@@ -82,6 +83,7 @@
         options.service = FLAGS_service;
         options.zone = FLAGS_zone;
         options.eventsPerStream = FLAGS_events;
+        options.crashText = FLAGS_crash_on;
         return runServer<ReplicaServer>(std::move(options));
     }
     std::cerr << "standin: --role must be engine, service, platform, store or replica\n";
--- a/tools/standin/replicaserver.cpp
+++ b/tools/standin/replicaserver.cpp
@@ -11,6 +11,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdlib>
+#include <iostream>
+
 namespace arbutuspier::standin {
 
 namespace http = boost::beast::http;
@@ -78,6 +81,7 @@
     if (request["X-Arbutuspier-Expected-Instance"] != m_options.id)
         co_return co_await reply(stream, request, kMisdirectedRequest, "{}");
     ++m_executedRequestCount;
+    crashIfAskedTo(request);
     if (request.count("X-Arbutuspier-Token-Usage") != 0)
         co_return co_await this->streamEvents(stream, request);
     // Built before the call, because this compiler can't keep an initializer list of pairs alive
@@ -90,6 +94,16 @@
     co_return co_await reply(stream, request, kOk, std::move(body), std::move(headers));
 }
 
+void ReplicaServer::crashIfAskedTo(const Request &request) const
+{
+    const bool crashes = !m_options.crashText.empty()
+        && request.body().find(m_options.crashText) != std::string::npos;
+    if (!crashes)
+        return;
+    std::cout << "crashed by request " << request["X-Arbutuspier-Attempt-Id"] << std::endl;
+    std::_Exit(1);
+}
+
 Task<bool> ReplicaServer::streamEvents(beast::tcp_stream &stream, const Request &request)
 {
     const std::string id(request["X-Arbutuspier-Attempt-Id"]);
--- a/tools/standin/replicaserver.h
+++ b/tools/standin/replicaserver.h
@@ -23,6 +23,8 @@
     /// Number of events in a stream, and the time before each.
     std::uint64_t eventsPerStream = 10;
     Duration eventGap = std::chrono::milliseconds{50};
+    /// A request whose body contains this text crashes the replica; empty for none.
+    std::string crashText;
 };
 
 /// `GET /runs` returns how many requests this replica executed. After SIGTERM it reports the state
@@ -38,6 +40,8 @@
     Task<void> watchSignals();
     Task<bool> handle(beast::tcp_stream &stream, Request request);
     Task<bool> streamEvents(beast::tcp_stream &stream, const Request &request);
+    /// Prints a line and ends the process at once if the request is one that crashes the replica.
+    void crashIfAskedTo(const Request &request) const;
 
     asio::io_context &m_context;
     ReplicaServerOptions m_options;
