gateway: Take a crash back only for a heartbeat of the same incarnation

Callers' copies of a request that crashes replicas were sent on and on: each crash was counted, and taken back on all VMs a little later. Cause: any response head from the replica's address took it back. After a crash the address belongs to another process, which answers 421, or to the next incarnation, which answers under the same id while its entry is stale. Change: responses prove nothing any more. The store's heartbeats do, as they carry the start of the incarnation: a row that was written three heartbeat intervals after the crash can't come from before it. The row's version and the start of the previous poll give a lower bound of when it was written. The test withdrawsTheCrashOfAnIncarnationThatResponds demanded the fault; three tests replace it, which demand that only a late enough heartbeat counts.

--- a/include/arbutuspier/crashdetector.h
+++ b/include/arbutuspier/crashdetector.h
@@ -2,7 +2,8 @@
 //
 // A single lost connection doesn't show which of the two happened. A request that crashes replicas
 // takes down one or two at a time; a network partition makes many unreachable at once, and the same
-// incarnations respond again afterwards.
+// incarnations write heartbeats afterwards. A response doesn't show that an incarnation is alive:
+// after a crash, another process may have its address, and even its id.
 #pragma once
 
 #include "arbutuspier/clock.h"
@@ -10,7 +11,6 @@
 
 #include <cstddef>
 #include <map>
-#include <set>
 
 namespace arbutuspier {
 
@@ -21,6 +21,10 @@
     /// If more replicas than this become unreachable within `window`, the cause is taken to be a
     /// network partition: one request can't crash that many.
     std::size_t maxCrashes = 2;
+    /// A heartbeat that was written this long after the crash can't come from before it.
+    Duration lateHeartbeatTime = std::chrono::milliseconds{3600};
+    /// A crash can be taken back for this long.
+    Duration crashMemory = std::chrono::minutes{10};
 };
 
 class CrashDetector
@@ -37,18 +41,21 @@
     bool mayHaveCrashed(const ReplicaIncarnation &incarnation, TimePoint now);
     /// Replicas that became unreachable within the window before the last call.
     std::size_t unreachableCount() const { return m_unreachable.size(); }
+    /// Something responded at the address of the incarnation.
+    void onResponse(const ReplicaIncarnation &incarnation) { m_unreachable.erase(incarnation); }
     /// Records that the caller has counted this incarnation as crashed.
-    void recordCrash(const ReplicaIncarnation &incarnation) { m_crashed.insert(incarnation); }
-    /// The incarnation sent a response. Returns true if it had been recorded as crashed, which was
-    /// a mistake that the caller has to correct.
-    bool onResponse(const ReplicaIncarnation &incarnation);
+    void recordCrash(const ReplicaIncarnation &incarnation, TimePoint now);
+    /// The incarnation wrote a heartbeat at `writtenAfter` or later. Returns true if it had been
+    /// recorded as crashed before that, which was a mistake that the caller has to correct.
+    bool onHeartbeat(const ReplicaIncarnation &incarnation, TimePoint writtenAfter);
 
 private:
     void expire(TimePoint now);
 
     CrashDetectorOptions m_options;
     std::map<ReplicaIncarnation, TimePoint> m_unreachable;
-    std::set<ReplicaIncarnation> m_crashed;
+    /// When each incarnation was first counted as crashed.
+    std::map<ReplicaIncarnation, TimePoint> m_crashed;
 };
 
 } // namespace arbutuspier
--- a/src/coordination/crashdetector.cpp
+++ b/src/coordination/crashdetector.cpp
@@ -23,10 +23,22 @@
     return others < m_options.maxCrashes;
 }
 
-bool CrashDetector::onResponse(const ReplicaIncarnation &incarnation)
+void CrashDetector::recordCrash(const ReplicaIncarnation &incarnation, TimePoint now)
 {
-    m_unreachable.erase(incarnation);
-    return m_crashed.erase(incarnation) != 0;
+    std::erase_if(m_crashed,
+                  [&](const auto &entry) { return entry.second + m_options.crashMemory < now; });
+    m_crashed.try_emplace(incarnation, now);
+}
+
+bool CrashDetector::onHeartbeat(const ReplicaIncarnation &incarnation, TimePoint writtenAfter)
+{
+    const auto found = m_crashed.find(incarnation);
+    const bool isAlive =
+        found != m_crashed.end() && writtenAfter >= found->second + m_options.lateHeartbeatTime;
+    if (!isAlive)
+        return false;
+    m_crashed.erase(found);
+    return true;
 }
 
 } // namespace arbutuspier
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -102,6 +102,8 @@
         settings.seedHosts.push_back(seed.substr(0, seed.rfind(':')));
     settings.drainBound = reader.milliseconds("bounds.drain_ms", settings.drainBound);
     settings.configBound = reader.milliseconds("bounds.config_ms", settings.configBound);
+    settings.replicaHeartbeat =
+        reader.milliseconds("bounds.heartbeat_ms", settings.replicaHeartbeat);
     settings.grace = reader.seconds("bounds.grace_s", settings.grace);
     settings.retryRatio = reader.number("retries.ratio", settings.retryRatio);
     settings.retrySlack = reader.number("retries.slack", settings.retrySlack);
@@ -147,6 +149,8 @@
     reportIfChanged("listen.readiness", active.readiness.text(), reloaded.readiness.text());
     reportIfChanged("listen.peers", active.peers.text(), reloaded.peers.text());
     reportIfChanged("listen.metrics", active.metrics.text(), reloaded.metrics.text());
+    reportIfChanged("bounds.heartbeat_ms", std::to_string(toSeconds(active.replicaHeartbeat)),
+                    std::to_string(toSeconds(reloaded.replicaHeartbeat)));
     reportIfChanged("platform.store", active.store.text(), reloaded.store.text());
     return needsRestart;
 }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -35,6 +35,8 @@
     Duration drainBound = std::chrono::seconds{2};
     /// Longest time until a new configuration is active.
     Duration configBound = std::chrono::seconds{2};
+    /// Interval at which a replica writes heartbeats to the store.
+    Duration replicaHeartbeat = std::chrono::milliseconds{1200};
     /// Time from SIGTERM to SIGKILL.
     Duration grace = std::chrono::seconds{8};
     /// In each window the fleet may send `retryRatio` retries per request, and `retrySlack` more.
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -39,6 +39,15 @@
     return Incarnation{static_cast<std::uint64_t>(incarnation.startedAtMs)};
 }
 
+CrashDetectorOptions crashDetectorOptions(const GatewaySettings &settings)
+{
+    // The platform removes the entry of a replica that has been silent for this many heartbeats.
+    constexpr int kHeartbeatsUntilRemoval = 3;
+    CrashDetectorOptions options;
+    options.lateHeartbeatTime = kHeartbeatsUntilRemoval * settings.replicaHeartbeat;
+    return options;
+}
+
 QuarantineOptions quarantineOptions()
 {
     QuarantineOptions options;
@@ -59,7 +68,7 @@
     , zones({})
     , pool({})
     , quarantine(quarantineOptions())
-    , crashDetector({})
+    , crashDetector(crashDetectorOptions(settings))
     , dispatchQueue(executor, clock, settings.vm, settings.zone, directory, groups, load, health,
                     zones)
     , random(seedOf(settings.vm, clock))
@@ -130,7 +139,7 @@
 void GatewayState::recordCrash(const ReplicaEntry &replica, Fingerprint fingerprint)
 {
     const ReplicaIncarnation incarnation = replica.incarnation();
-    crashDetector.recordCrash(incarnation);
+    crashDetector.recordCrash(incarnation, clock.now());
     const std::vector<Fingerprint> inFlight = {fingerprint};
     publishSuspects(quarantine.onUpstreamCrash(upstreamId(incarnation), incarnationOf(incarnation),
                                                inFlight, clock.now()),
@@ -144,11 +153,16 @@
 
 void GatewayState::recordResponse(const ReplicaEntry &replica)
 {
-    const ReplicaIncarnation incarnation = replica.incarnation();
     zones.onResponse(replica.zone);
-    if (crashDetector.onResponse(incarnation))
+    crashDetector.onResponse(replica.incarnation());
+}
+
+void GatewayState::recordHeartbeat(const ReplicaEntry &replica, TimePoint writtenAfter)
+{
+    const ReplicaIncarnation incarnation = replica.incarnation();
+    if (crashDetector.onHeartbeat(incarnation, writtenAfter))
         publishSuspects(quarantine.retract(upstreamId(incarnation), incarnationOf(incarnation)),
-                        "responded", replica);
+                        "heartbeat", replica);
 }
 
 void GatewayState::recordUnreachable(const ReplicaEntry &replica)
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -40,9 +40,11 @@
     void recordCompletion(const ReplicaEntry &replica, Fingerprint fingerprint);
     /// Records a notice of another VM.
     void applySuspectNotice(const SuspectNotice &notice, std::string_view vm);
-    /// Records that a replica responded. If it had been counted as crashed, this is retracted for
-    /// the requests that were suspected of it.
+    /// Records that a replica responded.
     void recordResponse(const ReplicaEntry &replica);
+    /// Records that a replica wrote a heartbeat at `writtenAfter` or later. If it had been counted
+    /// as crashed, this is retracted for the requests that were suspected of it.
+    void recordHeartbeat(const ReplicaEntry &replica, TimePoint writtenAfter);
     /// Records that the replica refused a connection or didn't accept it in time.
     void recordUnreachable(const ReplicaEntry &replica);
 
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -275,7 +275,20 @@
     }
 }
 
-void StoreWatcher::handleReplicaRead(const platform::StoreRead &read, bool isFullRead)
+void StoreWatcher::recordHeartbeats(const std::vector<platform::StoreRow> &rows,
+                                    const std::vector<ReplicaRow> &decoded)
+{
+    if (!m_replicaRevisionPolledAt)
+        return;
+    for (std::size_t i = 0; i < rows.size(); ++i) {
+        const bool isNewer = rows[i].version > m_replicaRevision;
+        if (isNewer && decoded[i].entry)
+            m_state.recordHeartbeat(*decoded[i].entry, *m_replicaRevisionPolledAt);
+    }
+}
+
+void StoreWatcher::handleReplicaRead(const platform::StoreRead &read, bool isFullRead,
+                                     TimePoint polledAt)
 {
     // A stale response would restore replicas that were removed.
     if (read.revision < m_replicaRevision) {
@@ -286,7 +299,6 @@
         return;
     }
     const TimePoint now = m_state.clock.now();
-    m_replicaRevision = read.revision;
     std::vector<ReplicaRow> rows;
     for (const platform::StoreRow &row : read.rows) {
         ReplicaRow decoded{row.key, std::nullopt};
@@ -294,6 +306,9 @@
             decoded.entry = platform::decodeReplica(row.key, row.bytes);
         rows.push_back(std::move(decoded));
     }
+    recordHeartbeats(read.rows, rows);
+    m_replicaRevision = read.revision;
+    m_replicaRevisionPolledAt = polledAt;
     m_state.directory.setReachable(now);
     const std::uint64_t before = m_state.directory.revision();
     if (isFullRead)
@@ -318,6 +333,7 @@
     std::uint32_t failures = 0;
     bool isFullRead = true;
     while (true) {
+        const TimePoint polledAt = m_state.clock.now();
         platform::StoreRead read;
         if (isFullRead) {
             read = co_await m_replicaClient.readTable(platform::kReplicaTable, kCallTimeout);
@@ -328,7 +344,7 @@
         updateStoreState(read.outcome == Outcome::Done, "replicas", read.status);
         if (read.outcome == Outcome::Done) {
             failures = 0;
-            handleReplicaRead(read, isFullRead);
+            handleReplicaRead(read, isFullRead, polledAt);
             isFullRead = false;
             co_await awaitPoll(m_replicaSchedule, m_replicaTimer,
                                m_replicaInterval.nextPoll(m_state.clock.now(),
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -78,7 +78,10 @@
     /// Applies a configuration if it is newer. One that can't be decoded is logged and ignored.
     void tryApplyConfiguration(const std::string &bytes, std::string_view source);
     void handleConfigurationRead(const platform::StoreRead &read);
-    void handleReplicaRead(const platform::StoreRead &read, bool isFullRead);
+    /// `polledAt` is the time at which the read began.
+    void handleReplicaRead(const platform::StoreRead &read, bool isFullRead, TimePoint polledAt);
+    void recordHeartbeats(const std::vector<platform::StoreRow> &rows,
+                          const std::vector<ReplicaRow> &decoded);
     void updateStoreState(bool isUp, std::string_view reader, int status);
     Duration backoff(std::uint32_t failures);
 
@@ -98,6 +101,9 @@
     std::string m_configurationBytes;
     std::uint64_t m_configRevision = 0;
     std::uint64_t m_replicaRevision = 0;
+    /// When the poll that returned m_replicaRevision began: rows of later versions were written
+    /// after it. Empty until the first poll.
+    std::optional<TimePoint> m_replicaRevisionPolledAt;
     std::uint64_t m_changeRevision = 0;
     /// Time at which a peer first reported a newer configuration; empty if none has.
     std::optional<TimePoint> m_staleConfigSince;
--- a/tests/gate/crashdetectortest.cpp
+++ b/tests/gate/crashdetectortest.cpp
@@ -46,10 +46,23 @@
     CHECK(detector.mayHaveCrashed({"e", 1}, kNow + std::chrono::seconds{2}));
 }
 
-TEST(ACrashDetector, withdrawsTheCrashOfAnIncarnationThatResponds)
+TEST(ACrashDetector, takesBackTheCrashOfAnIncarnationThatWritesHeartbeats)
 {
-    detector.recordCrash({"a", 1});
-    CHECK(!detector.onResponse({"a", 2}));
-    CHECK(detector.onResponse({"a", 1}));
-    CHECK(!detector.onResponse({"a", 1}));
+    detector.recordCrash({"a", 1}, kNow);
+    CHECK(!detector.onHeartbeat({"a", 2}, kNow + std::chrono::seconds{5}));
+    CHECK(detector.onHeartbeat({"a", 1}, kNow + std::chrono::seconds{5}));
+    CHECK(!detector.onHeartbeat({"a", 1}, kNow + std::chrono::seconds{6}));
+}
+
+TEST(ACrashDetector, ignoresAHeartbeatThatMayHaveBeenWrittenBeforeTheCrash)
+{
+    detector.recordCrash({"a", 1}, kNow);
+    CHECK(!detector.onHeartbeat({"a", 1}, kNow + std::chrono::seconds{3}));
+}
+
+TEST(ACrashDetector, doesNotTakeACrashBackBecauseItsAddressResponds)
+{
+    detector.recordCrash({"a", 1}, kNow);
+    detector.onResponse({"a", 1});
+    CHECK(detector.onHeartbeat({"a", 1}, kNow + std::chrono::seconds{5}));
 }
--- a/tests/gate/crashingrequesttest.cpp
+++ b/tests/gate/crashingrequesttest.cpp
@@ -95,6 +95,18 @@
     CHECK(stateOf("/order/1") == State::Suspect);
 }
 
+TEST(ACrashingRequest, isClearedWhenItsReplicaWritesHeartbeatsLater)
+{
+    auto &replica = fixture.addReplica("a", "desk", {crash()});
+    crashOneReplica();
+    ReplicaEntry entry = *fixture.state.directory.find("a");
+    fixture.state.recordHeartbeat(entry, fixture.clock.now());
+    CHECK(stateOf("/order/1") == State::Suspect);
+    fixture.state.recordHeartbeat(entry, fixture.clock.now() + std::chrono::seconds{5});
+    CHECK(stateOf("/order/1") == State::Clean);
+    LONGS_EQUAL(1, replica.requests().size());
+}
+
 // Guards against a suspicion that any complete response ended, also one that shows no execution.
 TEST(ACrashingRequest, staysASuspectAfterAnErrorResponse)
 {
