gateway: Clear a suspicion only after a successful response

A request that crashes replicas was no suspect any more once some replica answered it with an error. Cause: every complete response counted as an execution, also the 500 or 504 of a replica that fails its requests without running them. Evidence: ACrashingRequest.staysASuspectAfterAnErrorResponse failed. Change: only a 2xx clears the suspicion: a request that crashes each replica that runs it never gets one. Measured: the test passes; isClearedByASuccessfulResponse still does.

--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -36,7 +36,7 @@
 
     /// Records that a replica seems to have crashed with this request in flight.
     void recordCrash(const ReplicaEntry &replica, Fingerprint fingerprint);
-    /// Records that a request had a complete response, so that it is no suspect any more.
+    /// Records that a request was executed to its end, so that it is no suspect any more.
     void recordCompletion(const ReplicaEntry &replica, Fingerprint fingerprint);
     /// Records a notice of another VM.
     void applySuspectNotice(const SuspectNotice &notice, std::string_view vm);
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -42,6 +42,12 @@
 constexpr double kCallTimeoutFactor = 0.8;
 constexpr int kServerError = 500;
 constexpr int kOk = 200;
+constexpr int kMultipleChoices = 300;
+
+bool isSuccess(int status)
+{
+    return status >= kOk && status < kMultipleChoices;
+}
 
 } // namespace
 
@@ -323,7 +329,9 @@
     switch (outcome) {
     case AttemptOutcome::Completed:
         m_state.health.onSuccess(grant.replica.incarnation(), 0);
-        m_state.recordCompletion(grant.replica, m_fingerprint);
+        // An error response doesn't show that the replica executed the request.
+        if (isSuccess(attempt.status()))
+            m_state.recordCompletion(grant.replica, m_fingerprint);
         return;
     case AttemptOutcome::CallerDisconnected:
         m_possibleExecutions += attempt.wasReached() ? 1 : 0;
