quarantine: Keep a crash that may be a network partition as unconfirmed

A request that crashed several replicas at once, or beside other unreachable replicas, was never recognised, however often it was sent. Cause: if two other replicas were unreachable within 0.6 s, the crash check presumed a network partition and forgot the crash. Copies that crash three replicas together look just the same, as do crashes beside a cut. Change: each crash of a fingerprint has a state: unconfirmed, confirmed or cleared, of which the highest wins in whatever order VMs hear of them. Two confirmed crashes quarantine a request as before, or three of either kind. A completed response clears all, also of a quarantined request. A heartbeat of the replica clears its crash, so a partition quarantines a harmless request only if it lost three replicas, and for some seconds.

--- a/include/arbutuspier/peer.h
+++ b/include/arbutuspier/peer.h
@@ -73,6 +73,17 @@
     std::vector<ReservationNotice> notices;
 };
 
+/// What is known of an upstream crash for which a request may be to blame. When reports differ, the
+/// later state wins.
+enum class CrashState : std::uint8_t {
+    /// The upstream is unreachable, but so are several others: it may also be behind a network
+    /// partition.
+    Unconfirmed,
+    Confirmed,
+    /// The request is not to blame, or the upstream did not crash.
+    Cleared,
+};
+
 /// Upstream crashes during which a request with this fingerprint was in flight. The receiver merges
 /// them as a set.
 struct SuspectNotice
@@ -80,8 +91,9 @@
     Fingerprint fingerprint;
     /// Digests of the upstream incarnations that crashed.
     std::vector<std::uint64_t> crashes;
-    /// The fingerprint is no longer suspected of these crashes.
-    bool isCleared = false;
+    CrashState state = CrashState::Confirmed;
+
+    bool isCleared() const { return state == CrashState::Cleared; }
 };
 
 /// The versions of the limits table and the VM list from which a VM computed its limit shares. Both
--- a/include/arbutuspier/quarantine.h
+++ b/include/arbutuspier/quarantine.h
@@ -11,7 +11,7 @@
 #include "arbutuspier/peer.h"
 
 #include <cstdint>
-#include <list>
+#include <limits>
 #include <map>
 #include <set>
 #include <span>
@@ -22,8 +22,10 @@
 
 struct QuarantineOptions
 {
-    /// Number of crashes after which requests with this fingerprint are rejected.
+    /// Number of confirmed crashes after which requests with this fingerprint are rejected.
     std::size_t maxCrashes = 2;
+    /// Number of crashes, confirmed or not, after which they are rejected.
+    std::size_t maxUnconfirmedCrashes = 3;
     /// Most fingerprints that are remembered. The least recently updated is dropped first.
     std::size_t maxRecords = 16'384;
     /// A record is dropped this long after its last update.
@@ -41,17 +43,17 @@
     }
 
     QuarantineState quarantineState(Fingerprint fingerprint) const;
-    /// An upstream's incarnation crashed while these fingerprints were in flight. Returns notices
-    /// to send to every peer.
+    /// An upstream's incarnation crashed, or may have crashed, while these fingerprints were in
+    /// flight. Returns notices to send to every peer.
     std::vector<SuspectNotice> onUpstreamCrash(UpstreamId upstream, Incarnation incarnation,
-                                               std::span<const Fingerprint> inFlight,
-                                               TimePoint now);
+                                               std::span<const Fingerprint> inFlight, TimePoint now,
+                                               CrashState state = CrashState::Confirmed);
     /// The upstream's incarnation turned out to be still running, so it did not crash. Returns
     /// notices to send to every peer.
     std::vector<SuspectNotice> retract(UpstreamId upstream, Incarnation incarnation);
-    /// A request with this fingerprint got a complete response. Returns a notice for the peers if
-    /// it was a suspect.
-    std::vector<SuspectNotice> onCompleted(Fingerprint fingerprint);
+    /// A request with this fingerprint was executed to its end, so it is not to blame for the
+    /// crashes. Returns a notice for the peers if it was suspected of any.
+    std::vector<SuspectNotice> onCompleted(Fingerprint fingerprint) { return clear(fingerprint); }
     /// Merges a peer's notice or a row of the table service. Returns true if the quarantine state
     /// changed.
     bool merge(const SuspectNotice &notice, TimePoint now);
@@ -68,18 +70,28 @@
     /// A digest that identifies the crash of one incarnation, so that it counts only once.
     static std::uint64_t crashDigest(UpstreamId upstream, Incarnation incarnation);
 
+    /// Digests of the confirmed crashes.
     std::vector<std::uint64_t> crashesOf(Fingerprint fingerprint) const;
-    std::vector<SuspectNotice> records() const;
+    /// All that is known of a fingerprint: one notice for each state that it has crashes of.
+    std::vector<SuspectNotice> noticesOf(Fingerprint fingerprint) const;
+    /// The crashes that count against suspects and quarantined fingerprints, of at most `maxCount`
+    /// of these, the last updated first.
+    std::vector<SuspectNotice> records(
+        std::size_t maxCount = std::numeric_limits<std::size_t>::max()) const;
     std::size_t size() const { return m_records.size(); }
 
 private:
     struct Record
     {
-        /// Digests of the incarnations that crashed, see `crashDigest`.
-        std::set<std::uint64_t> crashes;
-        /// Digests that were cleared or retracted; late notices of them are ignored.
-        std::set<std::uint64_t> cleared;
+        /// By the digests of the incarnations, see `crashDigest`. A state is only ever replaced by
+        /// a later one, so that late notices have no effect.
+        std::map<std::uint64_t, CrashState> crashes;
         TimePoint updatedAt;
+
+        std::vector<std::uint64_t> crashesIn(CrashState state) const;
+        std::size_t count(CrashState state) const;
+        /// Returns true if the crash wasn't known yet to be in this or a later state.
+        bool raise(std::uint64_t crash, CrashState state);
     };
 
     Record &touchRecord(Fingerprint fingerprint, TimePoint now);
--- a/src/coordination/quarantine.cpp
+++ b/src/coordination/quarantine.cpp
@@ -1,11 +1,13 @@
-// For each fingerprint, keeps a grow-only set of crashes and a grow-only set of crashes from which
-// it was cleared. The crashes in the first but not in the second set count.
+// For each fingerprint, keeps the state of each crash. States only go up, so that notices can be
+// merged in any order and more than once.
 #include "arbutuspier/quarantine.h"
 
 #include <xxhash.h>
 
 #include <algorithm>
 #include <array>
+#include <functional>
+#include <utility>
 
 namespace arbutuspier {
 
@@ -24,13 +26,45 @@
     return XXH64(parts.data(), sizeof(parts), 0);
 }
 
+std::vector<std::uint64_t> Quarantine::Record::crashesIn(CrashState state) const
+{
+    std::vector<std::uint64_t> result;
+    for (const auto &[crash, crashState] : crashes) {
+        if (crashState == state)
+            result.push_back(crash);
+    }
+    return result;
+}
+
+std::size_t Quarantine::Record::count(CrashState state) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        crashes.begin(), crashes.end(), [&](const auto &entry) { return entry.second == state; }));
+}
+
+bool Quarantine::Record::raise(std::uint64_t crash, CrashState state)
+{
+    const auto [entry, isNew] = crashes.try_emplace(crash, state);
+    if (isNew)
+        return true;
+    if (entry->second >= state)
+        return false;
+    entry->second = state;
+    return true;
+}
+
 Quarantine::QuarantineState Quarantine::quarantineState(Fingerprint fingerprint) const
 {
     auto it = m_records.find(fingerprint);
-    if (it == m_records.end() || it->second.crashes.empty())
+    if (it == m_records.end())
+        return QuarantineState::Clean;
+    const std::size_t confirmed = it->second.count(CrashState::Confirmed);
+    const std::size_t all = confirmed + it->second.count(CrashState::Unconfirmed);
+    if (all == 0)
         return QuarantineState::Clean;
-    return it->second.crashes.size() >= m_options.maxCrashes ? QuarantineState::Quarantined
-                                                             : QuarantineState::Suspect;
+    const bool isQuarantined =
+        confirmed >= m_options.maxCrashes || all >= m_options.maxUnconfirmedCrashes;
+    return isQuarantined ? QuarantineState::Quarantined : QuarantineState::Suspect;
 }
 
 Quarantine::Record &Quarantine::touchRecord(Fingerprint fingerprint, TimePoint now)
@@ -50,18 +84,14 @@
 
 std::vector<SuspectNotice> Quarantine::onUpstreamCrash(UpstreamId upstream, Incarnation incarnation,
                                                        std::span<const Fingerprint> inFlight,
-                                                       TimePoint now)
+                                                       TimePoint now, CrashState state)
 {
     const std::uint64_t crash = crashDigest(upstream, incarnation);
     std::vector<SuspectNotice> notices;
     for (Fingerprint fingerprint : inFlight) {
         Record &record = touchRecord(fingerprint, now);
-        if (!record.crashes.insert(crash).second)
-            continue;
-        SuspectNotice notice;
-        notice.fingerprint = fingerprint;
-        notice.crashes.assign(record.crashes.begin(), record.crashes.end());
-        notices.push_back(std::move(notice));
+        if (record.raise(crash, state))
+            notices.push_back({fingerprint, record.crashesIn(state), state});
     }
     return notices;
 }
@@ -71,33 +101,27 @@
     const std::uint64_t crash = crashDigest(upstream, incarnation);
     std::vector<SuspectNotice> notices;
     for (auto &[fingerprint, record] : m_records) {
-        if (record.crashes.erase(crash) == 0)
-            continue;
-        record.cleared.insert(crash);
-        notices.push_back({fingerprint, {crash}, true});
+        const bool isKnown = record.crashes.contains(crash);
+        if (isKnown && record.raise(crash, CrashState::Cleared))
+            notices.push_back({fingerprint, {crash}, CrashState::Cleared});
     }
     return notices;
 }
 
-std::vector<SuspectNotice> Quarantine::onCompleted(Fingerprint fingerprint)
-{
-    if (quarantineState(fingerprint) != QuarantineState::Suspect)
-        return {};
-    return clear(fingerprint);
-}
-
 std::vector<SuspectNotice> Quarantine::clear(Fingerprint fingerprint)
 {
     auto it = m_records.find(fingerprint);
-    if (it == m_records.end() || it->second.crashes.empty())
+    if (it == m_records.end())
+        return {};
+    SuspectNotice notice{fingerprint, {}, CrashState::Cleared};
+    for (auto &[crash, state] : it->second.crashes) {
+        if (state == CrashState::Cleared)
+            continue;
+        state = CrashState::Cleared;
+        notice.crashes.push_back(crash);
+    }
+    if (notice.crashes.empty())
         return {};
-    Record &record = it->second;
-    SuspectNotice notice;
-    notice.fingerprint = fingerprint;
-    notice.crashes.assign(record.crashes.begin(), record.crashes.end());
-    notice.isCleared = true;
-    record.cleared.insert(record.crashes.begin(), record.crashes.end());
-    record.crashes.clear();
     return {std::move(notice)};
 }
 
@@ -105,14 +129,8 @@
 {
     const QuarantineState before = quarantineState(notice.fingerprint);
     Record &record = touchRecord(notice.fingerprint, now);
-    for (std::uint64_t crash : notice.crashes) {
-        if (notice.isCleared) {
-            record.cleared.insert(crash);
-            record.crashes.erase(crash);
-        } else if (!record.cleared.contains(crash)) {
-            record.crashes.insert(crash);
-        }
-    }
+    for (std::uint64_t crash : notice.crashes)
+        record.raise(crash, notice.state);
     return quarantineState(notice.fingerprint) != before;
 }
 
@@ -141,20 +159,39 @@
     auto it = m_records.find(fingerprint);
     if (it == m_records.end())
         return {};
-    return {it->second.crashes.begin(), it->second.crashes.end()};
+    return it->second.crashesIn(CrashState::Confirmed);
 }
 
-std::vector<SuspectNotice> Quarantine::records() const
+std::vector<SuspectNotice> Quarantine::noticesOf(Fingerprint fingerprint) const
 {
-    std::vector<SuspectNotice> found;
+    std::vector<SuspectNotice> notices;
+    auto it = m_records.find(fingerprint);
+    if (it == m_records.end())
+        return notices;
+    for (CrashState state : {CrashState::Unconfirmed, CrashState::Confirmed, CrashState::Cleared}) {
+        std::vector<std::uint64_t> crashes = it->second.crashesIn(state);
+        if (!crashes.empty())
+            notices.push_back({fingerprint, std::move(crashes), state});
+    }
+    return notices;
+}
+
+std::vector<SuspectNotice> Quarantine::records(std::size_t maxCount) const
+{
+    std::vector<std::pair<TimePoint, Fingerprint>> suspects;
     for (const auto &[fingerprint, record] : m_records) {
-        if (record.crashes.empty())
-            continue;
-        found.push_back({fingerprint, {record.crashes.begin(), record.crashes.end()}, false});
+        if (quarantineState(fingerprint) != QuarantineState::Clean)
+            suspects.emplace_back(record.updatedAt, fingerprint);
+    }
+    std::sort(suspects.begin(), suspects.end(), std::greater<>());
+    suspects.resize(std::min(suspects.size(), maxCount));
+    std::vector<SuspectNotice> found;
+    for (const auto &[updatedAt, fingerprint] : suspects) {
+        for (SuspectNotice &notice : noticesOf(fingerprint)) {
+            if (!notice.isCleared())
+                found.push_back(std::move(notice));
+        }
     }
-    std::sort(found.begin(), found.end(), [](const SuspectNotice &a, const SuspectNotice &b) {
-        return a.fingerprint < b.fingerprint;
-    });
     return found;
 }
 
--- a/src/gateway/cborfields.cpp
+++ b/src/gateway/cborfields.cpp
@@ -32,21 +32,41 @@
                      value[2].get<bool>()};
 }
 
+namespace {
+
+/// True if the suspicion is cleared, null if the crash is unconfirmed.
+Json encodeCrashState(CrashState state)
+{
+    if (state == CrashState::Unconfirmed)
+        return nullptr;
+    return state == CrashState::Cleared;
+}
+
+CrashState decodeCrashState(const Json &value)
+{
+    if (value.is_null())
+        return CrashState::Unconfirmed;
+    return value == Json(true) ? CrashState::Cleared : CrashState::Confirmed;
+}
+
+} // namespace
+
 Json encodeSuspectNotice(const SuspectNotice &notice)
 {
-    return Json::array({notice.fingerprint.value, notice.crashes, notice.isCleared});
+    return Json::array({notice.fingerprint.value, notice.crashes, encodeCrashState(notice.state)});
 }
 
 std::optional<SuspectNotice> decodeSuspectNotice(const Json &value)
 {
     constexpr std::size_t kFields = 3;
     const bool isNotice = isArray(value, kFields) && value[0].is_number_unsigned()
-        && value[1].is_array() && value[1].size() <= kMaxListItems && value[2].is_boolean();
+        && value[1].is_array() && value[1].size() <= kMaxListItems
+        && (value[2].is_boolean() || value[2].is_null());
     if (!isNotice)
         return std::nullopt;
     SuspectNotice notice;
     notice.fingerprint = Fingerprint{value[0].get<std::uint64_t>()};
-    notice.isCleared = value[2].get<bool>();
+    notice.state = decodeCrashState(value[2]);
     for (const Json &crash : value[1]) {
         if (!crash.is_number_unsigned())
             return std::nullopt;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -112,7 +112,7 @@
                                    std::string_view cause, const ReplicaEntry &replica)
 {
     for (const SuspectNotice &notice : notices) {
-        LOG(INFO) << LogLine(notice.isCleared ? "suspect_cleared" : "suspect")
+        LOG(INFO) << LogLine(notice.isCleared() ? "suspect_cleared" : "suspect")
                          .add("fingerprint", notice.fingerprint.value)
                          .add("cause", cause)
                          .add("replica", replica.id)
@@ -130,20 +130,21 @@
     LOG(INFO) << LogLine("suspect_reported")
                      .add("fingerprint", notice.fingerprint.value)
                      .add("source", vm)
-                     .add("cleared", notice.isCleared ? "yes" : "no")
+                     .add("cleared", notice.isCleared() ? "yes" : "no")
                      .add("deaths", notice.crashes.size())
                      .add("changed", hasChanged ? "yes" : "no")
                      .text();
 }
 
-void GatewayState::recordCrash(const ReplicaEntry &replica, Fingerprint fingerprint)
+void GatewayState::recordCrash(const ReplicaEntry &replica, Fingerprint fingerprint,
+                               CrashState state)
 {
     const ReplicaIncarnation incarnation = replica.incarnation();
     crashDetector.recordCrash(incarnation, clock.now());
     const std::vector<Fingerprint> inFlight = {fingerprint};
     publishSuspects(quarantine.onUpstreamCrash(upstreamId(incarnation), incarnationOf(incarnation),
-                                               inFlight, clock.now()),
-                    "crash", replica);
+                                               inFlight, clock.now(), state),
+                    state == CrashState::Confirmed ? "crash" : "unconfirmed-crash", replica);
 }
 
 void GatewayState::recordCompletion(const ReplicaEntry &replica, Fingerprint fingerprint)
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -35,7 +35,7 @@
     const std::shared_ptr<const RouteTable> &routes() const { return m_routes; }
 
     /// Records that a replica seems to have crashed with this request in flight.
-    void recordCrash(const ReplicaEntry &replica, Fingerprint fingerprint);
+    void recordCrash(const ReplicaEntry &replica, Fingerprint fingerprint, CrashState state);
     /// Records that a request was executed to its end, so that it is no suspect any more.
     void recordCompletion(const ReplicaEntry &replica, Fingerprint fingerprint);
     /// Records a notice of another VM.
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -447,9 +447,9 @@
     asio::steady_timer timer(state.executor, kPartitionDetectionTime);
     co_await timer.async_wait(kAwait);
     const bool mayHaveCrashed = state.crashDetector.mayHaveCrashed(incarnation, state.clock.now());
-    logCrashCheck(state, replica, fingerprint, mayHaveCrashed ? "counted" : "presumed-partition");
-    if (mayHaveCrashed)
-        state.recordCrash(replica, fingerprint);
+    logCrashCheck(state, replica, fingerprint, mayHaveCrashed ? "confirmed" : "unconfirmed");
+    state.recordCrash(replica, fingerprint,
+                      mayHaveCrashed ? CrashState::Confirmed : CrashState::Unconfirmed);
 }
 
 } // namespace
--- a/src/net/peercodec.cpp
+++ b/src/net/peercodec.cpp
@@ -109,7 +109,7 @@
     }
     Json operator()(const SuspectNotice &b) const
     {
-        return {b.fingerprint.value, Json(b.crashes), b.isCleared};
+        return {b.fingerprint.value, Json(b.crashes), b.isCleared()};
     }
     Json operator()(const ShareTransfer &b) const
     {
@@ -165,7 +165,7 @@
     notice.fingerprint = Fingerprint{toNumber(json[0])};
     for (const Json &crash : checkArray(json[1], 0))
         notice.crashes.push_back(toNumber(crash));
-    notice.isCleared = toBool(json[2]);
+    notice.state = toBool(json[2]) ? CrashState::Cleared : CrashState::Confirmed;
     return notice;
 }
 
--- a/src/node/controlplanehandler.cpp
+++ b/src/node/controlplanehandler.cpp
@@ -296,7 +296,7 @@
 {
     auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
     const bool isChanged = quarantine.merge(notice, m_context.now);
-    if (isChanged && !notice.isCleared)
+    if (isChanged && !notice.isCleared())
         m_attempts.onSuspectChange(notice.fingerprint);
 }
 
--- a/src/node/suspectstore.cpp
+++ b/src/node/suspectstore.cpp
@@ -173,7 +173,8 @@
     if (storedRow.version == 0)
         return;
     auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
-    if (quarantine.merge({fingerprint, decodeCrashes(storedRow.value), false}, m_context.now))
+    if (quarantine.merge({fingerprint, decodeCrashes(storedRow.value), CrashState::Confirmed},
+                         m_context.now))
         m_changed.push_back(fingerprint);
 }
 
--- a/tests/coordinationtest.cpp
+++ b/tests/coordinationtest.cpp
@@ -452,6 +452,47 @@
     CHECK(quarantine.quarantineState(fingerprint) == Quarantine::QuarantineState::Clean);
 }
 
+TEST(AQuarantine, quarantinesAFingerprintAfterThreeUnconfirmedCrashes)
+{
+    const std::span<const Fingerprint> inFlight(&fingerprint, 1);
+    for (std::uint64_t upstream = 1; upstream <= 2; ++upstream)
+        quarantine.onUpstreamCrash(UpstreamId{upstream}, Incarnation{1}, inFlight, at(0),
+                                   CrashState::Unconfirmed);
+    CHECK(quarantine.quarantineState(fingerprint) == Quarantine::QuarantineState::Suspect);
+    quarantine.onUpstreamCrash(UpstreamId{3}, Incarnation{1}, inFlight, at(0),
+                               CrashState::Unconfirmed);
+    CHECK(quarantine.quarantineState(fingerprint) == Quarantine::QuarantineState::Quarantined);
+    quarantine.retract(UpstreamId{2}, Incarnation{1});
+    CHECK(quarantine.quarantineState(fingerprint) == Quarantine::QuarantineState::Suspect);
+}
+
+TEST(AQuarantine, endsInTheSameStateWhateverTheOrderOfNotices)
+{
+    const SuspectNotice unconfirmed{fingerprint, {1, 2, 3}, CrashState::Unconfirmed};
+    const SuspectNotice confirmed{fingerprint, {1, 2}, CrashState::Confirmed};
+    const SuspectNotice cleared{fingerprint, {1}, CrashState::Cleared};
+    std::vector<SuspectNotice> notices = {unconfirmed, confirmed, cleared};
+    constexpr int kOrders = 6;
+    for (int order = 0; order < kOrders; ++order) {
+        Quarantine merged{QuarantineOptions{}};
+        for (const SuspectNotice &notice : notices)
+            merged.merge(notice, at(0));
+        LONGS_EQUAL(1, merged.crashesOf(fingerprint).size());
+        CHECK(merged.quarantineState(fingerprint) == Quarantine::QuarantineState::Suspect);
+        std::next_permutation(
+            notices.begin(), notices.end(),
+            [](const SuspectNotice &a, const SuspectNotice &b) { return a.state < b.state; });
+    }
+}
+
+TEST(AQuarantine, forgetsTheCrashesOfAQuarantinedRequestThatCompletesAfterAll)
+{
+    reportCrash(1);
+    reportCrash(2);
+    LONGS_EQUAL(1, quarantine.onCompleted(fingerprint).size());
+    CHECK(quarantine.quarantineState(fingerprint) == Quarantine::QuarantineState::Clean);
+}
+
 TEST(AQuarantine, choosesTheSameIsolationUpstreamOnEveryVm)
 {
     const std::vector<UpstreamId> one = {UpstreamId{1}, UpstreamId{2}, UpstreamId{3}};
@@ -462,7 +503,7 @@
 
 TEST(AQuarantine, limitsTheNumberOfRecords)
 {
-    Quarantine small{QuarantineOptions{2, 10, std::chrono::hours{1}}};
+    Quarantine small{QuarantineOptions{2, 3, 10, std::chrono::hours{1}}};
     for (std::uint64_t i = 1; i <= 100; ++i) {
         const Fingerprint each{i};
         small.onUpstreamCrash(UpstreamId{1}, Incarnation{i}, std::span<const Fingerprint>(&each, 1),
--- a/tests/gate/crashingrequesttest.cpp
+++ b/tests/gate/crashingrequesttest.cpp
@@ -169,8 +169,8 @@
     fixture.start(crashingRequest("/order/1"));
     fixture.runFor(milliseconds{50});
     LONGS_EQUAL(1, fixture.state.dispatchQueue.waiting());
-    fixture.state.quarantine.merge(
-        {requestFingerprint("/order/1", "", "saw breaks"), {1, 2}, false}, fixture.clock.now());
+    fixture.state.quarantine.merge({requestFingerprint("/order/1", "", "saw breaks"), {1, 2}},
+                                   fixture.clock.now());
     for (const ActiveRequest &active :
          fixture.state.load.activeRequestsOf(fixture.state.settings.vm)) {
         fixture.state.dispatchQueue.end(active.id);
--- a/tests/gate/peertabletest.cpp
+++ b/tests/gate/peertabletest.cpp
@@ -39,7 +39,7 @@
                             {ActiveRequestUpdate::Kind::Decoding, 3, std::nullopt},
                             {ActiveRequestUpdate::Kind::Ended, 4, std::nullopt}};
         datagram.departures = {{{"i-3", 99}, true}};
-        datagram.suspects = {{Fingerprint{77}, {1, 2}, false}};
+        datagram.suspects = {{Fingerprint{77}, {1, 2}}};
     }
 };
 
@@ -107,7 +107,7 @@
                       {{"i-1", "assist", "127.0.0.1:8000", "north", 8, ReplicaState::Draining,
                         1'700'000'000'000}},
                       {{{"i-3", 99}, true}},
-                      {{Fingerprint{77}, {1, 2}, false}}};
+                      {{Fingerprint{77}, {1, 2}}}};
 };
 
 TEST(SnapshotCodec, decodesToWhatWasEncoded)
--- a/tests/nettest.cpp
+++ b/tests/nettest.cpp
@@ -37,7 +37,7 @@
             LimitsPull{},
             ReservationNotices{{{ReservationId{1}, UpstreamId{2}, VmId{3}, Incarnation{4},
                                  Fingerprint{5}, std::chrono::seconds{6}, true}}},
-            SuspectNotice{Fingerprint{1}, {2, 3}, true},
+            SuspectNotice{Fingerprint{1}, {2, 3}, CrashState::Cleared},
             ShareTransfer{1, {2, 3}, "row", 4},
             ShareTransferAck{1},
             ShareRequest{{1, 2}, "row", 3},
