gateway: Move crash checks and suspects into a class of their own

Cause: the check ran in the request handler, the counting in GatewayState; the next changes need both in one place. Change: SuspectTracker owns crash detector and quarantine. No decision changes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -55,7 +55,9 @@
     m_state.dispatchQueue.onActiveRequestUpdate = [this](const ActiveRequestUpdate &update) {
         m_messenger.broadcast(update);
     };
-    m_state.onSuspect = [this](const SuspectNotice &notice) { m_messenger.broadcast(notice); };
+    m_state.suspects.onNotice = [this](const SuspectNotice &notice) {
+        m_messenger.broadcast(notice);
+    };
     m_storeWatcher.onVms = [this](const std::vector<VmRegistration> &vms) {
         m_messenger.setVms(vms);
     };
@@ -158,7 +160,7 @@
         detectSuspension(now);
         m_state.directory.tick(now);
         m_state.pool.tick(now);
-        m_state.quarantine.tick(now);
+        m_state.suspects.tick();
         m_state.dispatchQueue.dispatchWaiting();
         std::erase_if(m_callerConnections,
                       [](const auto &connection) { return connection.expired(); });
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-/// How long a suspect request is remembered after the last replica crash that it was in flight at.
-constexpr Duration kSuspectRetention = std::chrono::minutes{5};
-
 /// Fraction of the grace period after which everything in flight has ended.
 constexpr double kDrainFraction = 0.88;
 /// Fraction of the grace period in which new streams are still accepted. The load balancer sends
@@ -29,32 +26,6 @@
     return XXH64(vm.data(), vm.size(), start);
 }
 
-UpstreamId upstreamId(const ReplicaIncarnation &incarnation)
-{
-    return UpstreamId{XXH64(incarnation.id.data(), incarnation.id.size(), 0)};
-}
-
-Incarnation incarnationOf(const ReplicaIncarnation &incarnation)
-{
-    return Incarnation{static_cast<std::uint64_t>(incarnation.startedAtMs)};
-}
-
-CrashDetectorOptions crashDetectorOptions(const GatewaySettings &settings)
-{
-    // The platform removes the entry of a replica that has been silent for this many heartbeats.
-    constexpr int kHeartbeatsUntilRemoval = 3;
-    CrashDetectorOptions options;
-    options.lateHeartbeatTime = kHeartbeatsUntilRemoval * settings.replicaHeartbeat;
-    return options;
-}
-
-QuarantineOptions quarantineOptions()
-{
-    QuarantineOptions options;
-    options.recordLifetime = kSuspectRetention;
-    return options;
-}
-
 } // namespace
 
 GatewayState::GatewayState(asio::any_io_executor executorToUse,
@@ -67,8 +38,7 @@
     , health({})
     , zones({})
     , pool({})
-    , quarantine(quarantineOptions())
-    , crashDetector(crashDetectorOptions(settings))
+    , suspects(executor, clock, metrics, settings.replicaHeartbeat)
     , dispatchQueue(executor, clock, settings.vm, settings.zone, directory, groups, load, health,
                     zones)
     , random(seedOf(settings.vm, clock))
@@ -76,6 +46,7 @@
     pool.maxIdleConnections = [this](const ReplicaIncarnation &incarnation) {
         return maxIdleConnectionsTo(incarnation);
     };
+    suspects.onReplicaDown = [this](const ReplicaEntry &replica) { recordUnreachable(replica); };
 }
 
 std::size_t GatewayState::maxIdleConnectionsTo(const ReplicaIncarnation &incarnation) const
@@ -108,69 +79,17 @@
     return true;
 }
 
-void GatewayState::publishSuspects(const std::vector<SuspectNotice> &notices,
-                                   std::string_view cause, const ReplicaEntry &replica)
-{
-    for (const SuspectNotice &notice : notices) {
-        LOG(INFO) << LogLine(notice.isCleared() ? "suspect_cleared" : "suspect")
-                         .add("fingerprint", notice.fingerprint.value)
-                         .add("cause", cause)
-                         .add("replica", replica.id)
-                         .add("born", static_cast<std::uint64_t>(replica.startedAtMs))
-                         .add("deaths", notice.crashes.size())
-                         .text();
-        if (onSuspect)
-            onSuspect(notice);
-    }
-}
-
-void GatewayState::applySuspectNotice(const SuspectNotice &notice, std::string_view vm)
-{
-    const bool hasChanged = quarantine.merge(notice, clock.now());
-    LOG(INFO) << LogLine("suspect_reported")
-                     .add("fingerprint", notice.fingerprint.value)
-                     .add("source", vm)
-                     .add("cleared", notice.isCleared() ? "yes" : "no")
-                     .add("deaths", notice.crashes.size())
-                     .add("changed", hasChanged ? "yes" : "no")
-                     .text();
-}
-
-void GatewayState::recordCrash(const ReplicaEntry &replica, Fingerprint fingerprint,
-                               CrashState state)
-{
-    const ReplicaIncarnation incarnation = replica.incarnation();
-    crashDetector.recordCrash(incarnation, clock.now());
-    const std::vector<Fingerprint> inFlight = {fingerprint};
-    publishSuspects(quarantine.onUpstreamCrash(upstreamId(incarnation), incarnationOf(incarnation),
-                                               inFlight, clock.now(), state),
-                    state == CrashState::Confirmed ? "crash" : "unconfirmed-crash", replica);
-}
-
-void GatewayState::recordCompletion(const ReplicaEntry &replica, Fingerprint fingerprint)
-{
-    publishSuspects(quarantine.onCompleted(fingerprint), "completed", replica);
-}
-
 void GatewayState::recordResponse(const ReplicaEntry &replica)
 {
     zones.onResponse(replica.zone);
-    crashDetector.onResponse(replica.incarnation());
-}
-
-void GatewayState::recordHeartbeat(const ReplicaEntry &replica, TimePoint writtenAfter)
-{
-    const ReplicaIncarnation incarnation = replica.incarnation();
-    if (crashDetector.onHeartbeat(incarnation, writtenAfter))
-        publishSuspects(quarantine.retract(upstreamId(incarnation), incarnationOf(incarnation)),
-                        "heartbeat", replica);
+    suspects.onResponse(replica.incarnation());
 }
 
 void GatewayState::recordUnreachable(const ReplicaEntry &replica)
 {
     const ReplicaIncarnation incarnation = replica.incarnation();
     zones.onUnresponsive(replica.zone, replica.id, clock.now());
-    crashDetector.onUnreachable(incarnation, clock.now());
+    suspects.onUnreachable(incarnation);
     health.onUnreachable(incarnation, clock.now());
     pool.closeIdle(incarnation);
 }
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -1,10 +1,8 @@
 // The state that all requests of one gateway share. Used by the gateway's one thread only.
 #pragma once
 
-#include "arbutuspier/crashdetector.h"
 #include "arbutuspier/fleetgroups.h"
 #include "arbutuspier/fleetretrybudget.h"
-#include "arbutuspier/quarantine.h"
 #include "arbutuspier/random.h"
 #include "arbutuspier/replicahealth.h"
 #include "arbutuspier/routetable.h"
@@ -13,9 +11,9 @@
 #include "gateway/dispatchqueue.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/gatewaysettings.h"
+#include "gateway/suspecttracker.h"
 #include "gateway/upstreampool.h"
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,17 +32,8 @@
     /// The active configuration; null until one is known.
     const std::shared_ptr<const RouteTable> &routes() const { return m_routes; }
 
-    /// Records that a replica seems to have crashed with this request in flight.
-    void recordCrash(const ReplicaEntry &replica, Fingerprint fingerprint, CrashState state);
-    /// Records that a request was executed to its end, so that it is no suspect any more.
-    void recordCompletion(const ReplicaEntry &replica, Fingerprint fingerprint);
-    /// Records a notice of another VM.
-    void applySuspectNotice(const SuspectNotice &notice, std::string_view vm);
     /// Records that a replica responded.
     void recordResponse(const ReplicaEntry &replica);
-    /// Records that a replica wrote a heartbeat at `writtenAfter` or later. If it had been counted
-    /// as crashed, this is retracted for the requests that were suspected of it.
-    void recordHeartbeat(const ReplicaEntry &replica, TimePoint writtenAfter);
     /// Records that the replica refused a connection or didn't accept it in time.
     void recordUnreachable(const ReplicaEntry &replica);
 
@@ -82,19 +71,13 @@
     ReplicaHealth health;
     ZoneHealth zones;
     UpstreamPool pool;
-    Quarantine quarantine;
-    CrashDetector crashDetector;
-    DispatchQueue dispatchQueue;
     GatewayMetrics metrics;
+    SuspectTracker suspects;
+    DispatchQueue dispatchQueue;
     Random random;
-    /// Sends a change of a suspect request to the other VMs.
-    std::function<void(const SuspectNotice &)> onSuspect;
 
 private:
     FleetRetryBudgetOptions retryBudgetOptions() const;
-    /// Logs the notices with their cause and sends them to the other VMs.
-    void publishSuspects(const std::vector<SuspectNotice> &notices, std::string_view cause,
-                         const ReplicaEntry &replica);
 
     std::shared_ptr<const RouteTable> m_routes;
     std::map<std::string, FleetRetryBudget> m_retryBudgets;
--- a/src/gateway/peermessenger.cpp
+++ b/src/gateway/peermessenger.cpp
@@ -344,7 +344,7 @@
     // Departures reported by a peer are not forwarded: it sends them to all VMs itself.
     m_state.directory.takeNewDepartures();
     for (const SuspectNotice &notice : datagram.suspects)
-        m_state.applySuspectNotice(notice, vm);
+        m_state.suspects.merge(notice, vm);
     m_state.dispatchQueue.dispatchWaiting();
 }
 
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -138,8 +138,7 @@
         co_return;
     }
     m_fingerprint = requestFingerprint(text(m_request.target()), m_team, m_request.body());
-    if (m_state.quarantine.quarantineState(m_fingerprint)
-        == Quarantine::QuarantineState::Quarantined) {
+    if (m_state.suspects.isQuarantined(m_fingerprint)) {
         co_await reject(kUnavailable, "quarantined", std::nullopt);
         co_return;
     }
@@ -254,8 +253,7 @@
 {
     if (m_caller.isDisconnected() || m_state.clock.now() >= deadline())
         return false;
-    if (m_state.quarantine.quarantineState(m_fingerprint)
-        == Quarantine::QuarantineState::Quarantined)
+    if (m_state.suspects.isQuarantined(m_fingerprint))
         return false;
     if (outcome == AttemptOutcome::NotExecuted && m_reachedAttempts == 0
         && m_failedReservations > 0)
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -99,8 +99,6 @@
     /// Updates the counters of this request and the health of the replica after an attempt.
     void onAttemptEnded(AttemptOutcome outcome, const UpstreamAttempt &attempt,
                         const DispatchGrant &grant);
-    /// Starts a check of whether the replica crashed, which runs on after this request.
-    void startCrashCheck(const DispatchGrant &grant);
     /// Time at which the attempt is given up for a retry unless its first event has come; the
     /// request's deadline if no retry is allowed.
     TimePoint firstEventDeadline(const DispatchGrant &grant) const;
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -4,10 +4,6 @@
 
 #include "arbutuspier/forecast.h"
 #include "kernel/logline.h"
-#include "net/httpchannel.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <glog/logging.h>
 
@@ -331,7 +327,7 @@
         m_state.health.onSuccess(grant.replica.incarnation(), 0);
         // An error response doesn't show that the replica executed the request.
         if (isSuccess(attempt.status()))
-            m_state.recordCompletion(grant.replica, m_fingerprint);
+            m_state.suspects.onCompleted(grant.replica, m_fingerprint);
         return;
     case AttemptOutcome::CallerDisconnected:
         m_possibleExecutions += attempt.wasReached() ? 1 : 0;
@@ -370,7 +366,7 @@
     m_canSplit = m_canSplit && grant.helpers.empty();
     m_state.health.onFailure(grant.replica.incarnation(), now);
     if (!attempt.hasExpired())
-        startCrashCheck(grant);
+        m_state.suspects.onBrokenOff(grant.replica, m_fingerprint);
     else if (attempt.status() == 0)
         m_state.zones.onUnresponsive(grant.replica.zone, grant.replica.id, now);
 }
@@ -410,54 +406,4 @@
     return "lost";
 }
 
-namespace {
-
-void logCrashCheck(GatewayState &state, const ReplicaEntry &replica, Fingerprint fingerprint,
-                   std::string_view outcome)
-{
-    state.metrics.incrementCounter("crash_checks", std::string(outcome));
-    LOG(INFO) << LogLine("crash_check")
-                     .add("fingerprint", fingerprint.value)
-                     .add("replica", replica.id)
-                     .add("born", static_cast<std::uint64_t>(replica.startedAtMs))
-                     .add("outcome", outcome)
-                     .add("unreachable", state.crashDetector.unreachableCount())
-                     .text();
-}
-
-/// Checks by a connection whether a replica crashed. It did if it can't be reached while only few
-/// other replicas became unreachable at the same time.
-Task<void> checkForCrash(GatewayState &state, ReplicaEntry replica, Fingerprint fingerprint)
-{
-    constexpr Duration kProbeTimeout = std::chrono::milliseconds{250};
-    constexpr Duration kPartitionDetectionTime = std::chrono::milliseconds{250};
-    Address address;
-    if (!parseAddress(replica.address, address))
-        co_return;
-    beast::tcp_stream stream(state.executor);
-    stream.expires_after(kProbeTimeout);
-    const auto [error] = co_await stream.async_connect(endpointOf(address), kAwait);
-    if (!error) {
-        logCrashCheck(state, replica, fingerprint, "reachable");
-        co_return;
-    }
-    const ReplicaIncarnation incarnation = replica.incarnation();
-    state.recordUnreachable(replica);
-    // A network partition makes other replicas unreachable too within this time.
-    asio::steady_timer timer(state.executor, kPartitionDetectionTime);
-    co_await timer.async_wait(kAwait);
-    const bool mayHaveCrashed = state.crashDetector.mayHaveCrashed(incarnation, state.clock.now());
-    logCrashCheck(state, replica, fingerprint, mayHaveCrashed ? "confirmed" : "unconfirmed");
-    state.recordCrash(replica, fingerprint,
-                      mayHaveCrashed ? CrashState::Confirmed : CrashState::Unconfirmed);
-}
-
-} // namespace
-
-void RequestHandler::startCrashCheck(const DispatchGrant &grant)
-{
-    asio::co_spawn(m_state.executor, checkForCrash(m_state, grant.replica, m_fingerprint),
-                   asio::detached);
-}
-
 } // namespace arbutuspier
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -190,7 +190,7 @@
 Snapshot StoreWatcher::snapshot() const
 {
     return {m_configurationBytes, m_state.directory.entries(), m_state.directory.departures(),
-            m_state.quarantine.records()};
+            m_state.suspects.quarantine().records()};
 }
 
 bool StoreWatcher::needsSnapshot(const PeerStatus &peer)
@@ -214,7 +214,7 @@
         tryApplyConfiguration(snapshot.configuration, "peer");
     const TimePoint now = m_state.clock.now();
     for (const SuspectNotice &notice : snapshot.suspects)
-        m_state.applySuspectNotice(notice, peer);
+        m_state.suspects.merge(notice, peer);
     if (m_hasReplicas || m_state.directory.isReachable() || snapshot.replicas.empty())
         return;
     std::vector<ReplicaRow> rows;
@@ -283,7 +283,8 @@
     for (std::size_t i = 0; i < rows.size(); ++i) {
         const bool isNewer = rows[i].version > m_replicaRevision;
         if (isNewer && decoded[i].entry)
-            m_state.recordHeartbeat(*decoded[i].entry, *m_replicaRevisionPolledAt);
+            m_state.suspects.onHeartbeat(decoded[i].entry->incarnation(),
+                                         *m_replicaRevisionPolledAt);
     }
 }
 
--- /dev/null
+++ b/src/gateway/suspecttracker.h
@@ -0,0 +1,68 @@
+// Finds the requests that crash replicas: records attempts without a response, checks whether their
+// replicas crashed, and tells the other VMs which requests are suspects.
+#pragma once
+
+#include "arbutuspier/crashdetector.h"
+#include "arbutuspier/quarantine.h"
+#include "arbutuspier/upstreamdirectory.h"
+#include "gateway/gatewaymetrics.h"
+#include "net/asiotypes.h"
+
+#include <functional>
+#include <set>
+#include <string_view>
+#include <vector>
+
+namespace arbutuspier {
+
+class SuspectTracker
+{
+public:
+    /// `clock`, `directory` and `metrics` must outlive the tracker. `replicaHeartbeat` is the
+    /// interval at which a replica writes heartbeats to the store.
+    SuspectTracker(asio::any_io_executor executor, const Clock &clock, GatewayMetrics &metrics,
+                   Duration replicaHeartbeat);
+
+    bool isQuarantined(Fingerprint fingerprint) const;
+    /// An attempt broke off without a response: checks whether the replica crashed.
+    void onBrokenOff(const ReplicaEntry &replica, Fingerprint fingerprint);
+    /// A request was executed to its end, so that it is no suspect any more.
+    void onCompleted(const ReplicaEntry &replica, Fingerprint fingerprint);
+    /// A replica refused a connection or didn't accept it in time.
+    void onUnreachable(const ReplicaIncarnation &incarnation);
+    /// A replica responded.
+    void onResponse(const ReplicaIncarnation &incarnation);
+    /// A replica wrote a heartbeat at `writtenAfter` or later. If it had been counted as crashed,
+    /// this is taken back for the requests that were suspected of it.
+    void onHeartbeat(const ReplicaIncarnation &incarnation, TimePoint writtenAfter);
+    /// Counts the crash of a replica against a request.
+    void recordCrash(const ReplicaIncarnation &incarnation, Fingerprint fingerprint,
+                     CrashState state);
+    /// Merges a notice of another VM.
+    void merge(const SuspectNotice &notice, std::string_view source);
+    void tick();
+
+    const Quarantine &quarantine() const { return m_quarantine; }
+
+    /// Called for each new notice of this VM, which the other VMs have to get.
+    std::function<void(const SuspectNotice &)> onNotice;
+    /// Called for a replica that a check found unreachable.
+    std::function<void(const ReplicaEntry &)> onReplicaDown;
+
+private:
+    /// Checks by a connection whether a replica crashed. It did if it can't be reached; if several
+    /// others can't be reached either, this is unconfirmed.
+    Task<void> checkForCrash(ReplicaEntry replica, Fingerprint fingerprint);
+    void logCheck(const ReplicaIncarnation &incarnation, std::string_view outcome);
+    /// Logs the notices with their cause and sends them to the other VMs.
+    void publish(const std::vector<SuspectNotice> &notices, std::string_view cause,
+                 const ReplicaIncarnation &incarnation);
+
+    asio::any_io_executor m_executor;
+    const Clock &m_clock;
+    GatewayMetrics &m_metrics;
+    CrashDetector m_crashDetector;
+    Quarantine m_quarantine;
+};
+
+} // namespace arbutuspier
--- a/tests/gate/crashingrequesttest.cpp
+++ b/tests/gate/crashingrequesttest.cpp
@@ -62,7 +62,8 @@
 
     State stateOf(std::string_view path)
     {
-        return fixture.state.quarantine.quarantineState(requestFingerprint(path, "", "saw breaks"));
+        return fixture.state.suspects.quarantine().quarantineState(
+            requestFingerprint(path, "", "saw breaks"));
     }
     /// Sends the request to the route whose requests are sent only once.
     void crashOneReplica()
@@ -99,10 +100,10 @@
 {
     auto &replica = fixture.addReplica("a", "desk", {crash()});
     crashOneReplica();
-    ReplicaEntry entry = *fixture.state.directory.find("a");
-    fixture.state.recordHeartbeat(entry, fixture.clock.now());
+    const ReplicaIncarnation incarnation = fixture.state.directory.find("a")->incarnation();
+    fixture.state.suspects.onHeartbeat(incarnation, fixture.clock.now());
     CHECK(stateOf("/order/1") == State::Suspect);
-    fixture.state.recordHeartbeat(entry, fixture.clock.now() + std::chrono::seconds{5});
+    fixture.state.suspects.onHeartbeat(incarnation, fixture.clock.now() + std::chrono::seconds{5});
     CHECK(stateOf("/order/1") == State::Clean);
     LONGS_EQUAL(1, replica.requests().size());
 }
@@ -169,8 +170,8 @@
     fixture.start(crashingRequest("/order/1"));
     fixture.runFor(milliseconds{50});
     LONGS_EQUAL(1, fixture.state.dispatchQueue.waiting());
-    fixture.state.quarantine.merge({requestFingerprint("/order/1", "", "saw breaks"), {1, 2}},
-                                   fixture.clock.now());
+    fixture.state.suspects.merge({requestFingerprint("/order/1", "", "saw breaks"), {1, 2}},
+                                 "edge-2");
     for (const ActiveRequest &active :
          fixture.state.load.activeRequestsOf(fixture.state.settings.vm)) {
         fixture.state.dispatchQueue.end(active.id);
--- a/tests/gate/gatewayfixture.h
+++ b/tests/gate/gatewayfixture.h
@@ -148,7 +148,6 @@
         : state(context.get_executor(), settings, clock)
         , m_acceptor(context, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
     {
-        state.onSuspect = [](const SuspectNotice &) {};
         asio::co_spawn(context, accept(), asio::detached);
     }
 
--- a/tests/gate/requesthandlertest.cpp
+++ b/tests/gate/requesthandlertest.cpp
@@ -398,7 +398,7 @@
     auto &replica = fixture.addReplica("a", "desk", {{stream(0, 1)}});
     callStream();
     const Fingerprint fingerprint = requestFingerprint("/ask/5", "", "prompt");
-    fixture.state.quarantine.merge({fingerprint, {1, 2}}, fixture.clock.now());
+    fixture.state.suspects.merge({fingerprint, {1, 2}}, "edge-2");
     LONGS_EQUAL(503, statusOf(callStream()));
     LONGS_EQUAL(1, replica.requests().size());
 }
