gateway: Count crashes of replicas that fell silent or whose callers left

A request that crashed replicas without a reset, or whose caller left before the crash, was never recognised. Cause: a crash check followed only a connection that broke. An attempt that expired, or whose caller left, ended without a check, though its replica could have crashed, or crash later: a replica may run a request on after its connection was closed. Change: UnansweredAttempts remembers for 8 s which requests had no response from which incarnation. When an incarnation is found crashed by a check, or removed from the store's list, each of these requests is counted. An expired attempt is checked like a broken one; an abandoned one is not, it only waits to be counted. One check at a time runs for a replica instead of one for each lost attempt.

--- a/include/arbutuspier/crashdetector.h
+++ b/include/arbutuspier/crashdetector.h
@@ -11,6 +11,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 
 namespace arbutuspier {
 
@@ -45,6 +46,8 @@
     void onResponse(const ReplicaIncarnation &incarnation) { m_unreachable.erase(incarnation); }
     /// Records that the caller has counted this incarnation as crashed.
     void recordCrash(const ReplicaIncarnation &incarnation, TimePoint now);
+    /// When the incarnation was first counted as crashed; empty if it wasn't.
+    std::optional<TimePoint> crashedAt(const ReplicaIncarnation &incarnation) const;
     /// The incarnation wrote a heartbeat at `writtenAfter` or later. Returns true if it had been
     /// recorded as crashed before that, which was a mistake that the caller has to correct.
     bool onHeartbeat(const ReplicaIncarnation &incarnation, TimePoint writtenAfter);
--- /dev/null
+++ b/include/arbutuspier/unansweredattempts.h
@@ -0,0 +1,50 @@
+// Remembers which requests were sent to a replica and got no response, for the case that the
+// replica turns out to have crashed.
+//
+// An attempt may end long before its replica crashes: its caller leaves, or it is given up after a
+// timeout, while the replica still runs it.
+#pragma once
+
+#include "arbutuspier/clock.h"
+#include "arbutuspier/ids.h"
+#include "arbutuspier/upstreamdirectory.h"
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+namespace arbutuspier {
+
+struct UnansweredAttemptsOptions
+{
+    /// Time after the end of an attempt in which its replica may still run it and in which the list
+    /// shows that the replica has ended.
+    Duration window = std::chrono::seconds{8};
+    /// Most attempts that are remembered for a replica. Beyond them, new ones are ignored.
+    std::size_t maxAttemptsPerReplica = 1024;
+};
+
+class UnansweredAttempts
+{
+public:
+    explicit UnansweredAttempts(UnansweredAttemptsOptions options)
+        : m_options(options)
+    {
+    }
+
+    /// An attempt at the replica ended now without a response.
+    void record(const ReplicaIncarnation &incarnation, Fingerprint fingerprint, TimePoint now);
+    /// Requests whose attempts at the replica ended within the window, each once.
+    std::vector<Fingerprint> of(const ReplicaIncarnation &incarnation, TimePoint now) const;
+    /// Replicas with such attempts.
+    std::vector<ReplicaIncarnation> incarnations() const;
+    /// Forgets attempts that ended before the window.
+    void tick(TimePoint now);
+
+private:
+    UnansweredAttemptsOptions m_options;
+    /// End of the last attempt of each request. Invariant: no inner map is empty.
+    std::map<ReplicaIncarnation, std::map<Fingerprint, TimePoint>> m_attempts;
+};
+
+} // namespace arbutuspier
--- a/src/coordination/crashdetector.cpp
+++ b/src/coordination/crashdetector.cpp
@@ -30,6 +30,12 @@
     m_crashed.try_emplace(incarnation, now);
 }
 
+std::optional<TimePoint> CrashDetector::crashedAt(const ReplicaIncarnation &incarnation) const
+{
+    const auto found = m_crashed.find(incarnation);
+    return found == m_crashed.end() ? std::nullopt : std::optional(found->second);
+}
+
 bool CrashDetector::onHeartbeat(const ReplicaIncarnation &incarnation, TimePoint writtenAfter)
 {
     const auto found = m_crashed.find(incarnation);
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -89,7 +89,7 @@
 {
     const ReplicaIncarnation incarnation = replica.incarnation();
     zones.onUnresponsive(replica.zone, replica.id, clock.now());
-    suspects.onUnreachable(incarnation);
+    suspects.onUnreachable(replica);
     health.onUnreachable(incarnation, clock.now());
     pool.closeIdle(incarnation);
 }
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -331,6 +331,8 @@
         return;
     case AttemptOutcome::CallerDisconnected:
         m_possibleExecutions += attempt.wasReached() ? 1 : 0;
+        if (attempt.wasReached() && attempt.status() == 0)
+            m_state.suspects.onAbandoned(grant.replica, m_fingerprint, m_sentAt);
         if (!m_wasLogged)
             log("caller-gone", "in-flight");
         return;
@@ -365,9 +367,8 @@
     ++m_possibleExecutions;
     m_canSplit = m_canSplit && grant.helpers.empty();
     m_state.health.onFailure(grant.replica.incarnation(), now);
-    if (!attempt.hasExpired())
-        m_state.suspects.onBrokenOff(grant.replica, m_fingerprint);
-    else if (attempt.status() == 0)
+    m_state.suspects.onLost(grant.replica, m_fingerprint, m_sentAt);
+    if (attempt.hasExpired() && attempt.status() == 0)
         m_state.zones.onUnresponsive(grant.replica.zone, grant.replica.id, now);
 }
 
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -324,6 +324,7 @@
                          .add("known", m_state.directory.size())
                          .text();
     }
+    m_state.suspects.onDirectoryChanged(m_state.directory);
     m_hasReplicas = true;
     if (onReplicas)
         onReplicas();
--- a/src/gateway/suspecttracker.cpp
+++ b/src/gateway/suspecttracker.cpp
@@ -14,8 +14,6 @@
 #include <glog/logging.h>
 #include <xxhash.h>
 
-#include <span>
-
 namespace arbutuspier {
 
 namespace {
@@ -60,6 +58,7 @@
     , m_clock(clock)
     , m_metrics(metrics)
     , m_crashDetector(crashDetectorOptions(replicaHeartbeat))
+    , m_unanswered({})
     , m_quarantine(quarantineOptions())
 {
 }
@@ -69,21 +68,47 @@
     return m_quarantine.quarantineState(fingerprint) == Quarantine::QuarantineState::Quarantined;
 }
 
-void SuspectTracker::onBrokenOff(const ReplicaEntry &replica, Fingerprint fingerprint)
+void SuspectTracker::onLost(const ReplicaEntry &replica, Fingerprint fingerprint, TimePoint sentAt)
+{
+    recordUnanswered(replica.incarnation(), fingerprint, sentAt);
+    startCheck(replica);
+}
+
+void SuspectTracker::onAbandoned(const ReplicaEntry &replica, Fingerprint fingerprint,
+                                 TimePoint sentAt)
 {
-    asio::co_spawn(m_executor, checkForCrash(replica, fingerprint), asio::detached);
+    recordUnanswered(replica.incarnation(), fingerprint, sentAt);
 }
 
-Task<void> SuspectTracker::checkForCrash(ReplicaEntry replica, Fingerprint fingerprint)
+void SuspectTracker::recordUnanswered(const ReplicaIncarnation &incarnation,
+                                      Fingerprint fingerprint, TimePoint sentAt)
 {
+    m_unanswered.record(incarnation, fingerprint, m_clock.now());
+    const auto crashedAt = m_crashDetector.crashedAt(incarnation);
+    if (crashedAt && sentAt < *crashedAt)
+        countCrash(incarnation, std::span(&fingerprint, 1), CrashState::Unconfirmed);
+}
+
+void SuspectTracker::startCheck(const ReplicaEntry &replica)
+{
+    if (m_checking.insert(replica.incarnation()).second)
+        asio::co_spawn(m_executor, checkForCrash(replica), asio::detached);
+}
+
+Task<void> SuspectTracker::checkForCrash(ReplicaEntry replica)
+{
+    const ReplicaIncarnation incarnation = replica.incarnation();
     Address address;
-    if (!parseAddress(replica.address, address))
+    if (!parseAddress(replica.address, address)) {
+        m_checking.erase(incarnation);
+        logCheck(incarnation, "no-address");
         co_return;
-    const ReplicaIncarnation incarnation = replica.incarnation();
+    }
     beast::tcp_stream stream(m_executor);
     stream.expires_after(kProbeTimeout);
     const auto [error] = co_await stream.async_connect(endpointOf(address), kAwait);
     if (!error) {
+        m_checking.erase(incarnation);
         logCheck(incarnation, "reachable");
         co_return;
     }
@@ -91,10 +116,10 @@
         onReplicaDown(replica);
     asio::steady_timer timer(m_executor, kPartitionDetectionTime);
     co_await timer.async_wait(kAwait);
+    m_checking.erase(incarnation);
     const bool isConfirmed = m_crashDetector.mayHaveCrashed(incarnation, m_clock.now());
     logCheck(incarnation, isConfirmed ? "confirmed" : "unconfirmed");
-    recordCrash(incarnation, fingerprint,
-                isConfirmed ? CrashState::Confirmed : CrashState::Unconfirmed);
+    recordCrash(incarnation, isConfirmed ? CrashState::Confirmed : CrashState::Unconfirmed);
 }
 
 void SuspectTracker::logCheck(const ReplicaIncarnation &incarnation, std::string_view outcome)
@@ -136,11 +161,16 @@
                      .text();
 }
 
-void SuspectTracker::recordCrash(const ReplicaIncarnation &incarnation, Fingerprint fingerprint,
-                                 CrashState state)
+void SuspectTracker::recordCrash(const ReplicaIncarnation &incarnation, CrashState state)
+{
+    const TimePoint now = m_clock.now();
+    m_crashDetector.recordCrash(incarnation, now);
+    countCrash(incarnation, m_unanswered.of(incarnation, now), state);
+}
+
+void SuspectTracker::countCrash(const ReplicaIncarnation &incarnation,
+                                std::span<const Fingerprint> inFlight, CrashState state)
 {
-    m_crashDetector.recordCrash(incarnation, m_clock.now());
-    const std::span<const Fingerprint> inFlight(&fingerprint, 1);
     publish(m_quarantine.onUpstreamCrash(upstreamId(incarnation), incarnationOf(incarnation),
                                          inFlight, m_clock.now(), state),
             state == CrashState::Confirmed ? "crash" : "unconfirmed-crash", incarnation);
@@ -151,9 +181,21 @@
     publish(m_quarantine.onCompleted(fingerprint), "completed", replica.incarnation());
 }
 
-void SuspectTracker::onUnreachable(const ReplicaIncarnation &incarnation)
+void SuspectTracker::onUnreachable(const ReplicaEntry &replica)
 {
+    const ReplicaIncarnation incarnation = replica.incarnation();
     m_crashDetector.onUnreachable(incarnation, m_clock.now());
+    const bool mayBeToBlame = !m_unanswered.of(incarnation, m_clock.now()).empty();
+    if (mayBeToBlame && !m_crashDetector.crashedAt(incarnation))
+        startCheck(replica);
+}
+
+void SuspectTracker::onDirectoryChanged(const UpstreamDirectory &directory)
+{
+    for (const ReplicaIncarnation &incarnation : m_unanswered.incarnations()) {
+        if (directory.wasRemovedOrReplaced(incarnation))
+            recordCrash(incarnation, CrashState::Unconfirmed);
+    }
 }
 
 void SuspectTracker::onResponse(const ReplicaIncarnation &incarnation)
@@ -170,6 +212,7 @@
 
 void SuspectTracker::tick()
 {
+    m_unanswered.tick(m_clock.now());
     m_quarantine.tick(m_clock.now());
 }
 
--- a/src/gateway/suspecttracker.h
+++ b/src/gateway/suspecttracker.h
@@ -4,12 +4,14 @@
 
 #include "arbutuspier/crashdetector.h"
 #include "arbutuspier/quarantine.h"
+#include "arbutuspier/unansweredattempts.h"
 #include "arbutuspier/upstreamdirectory.h"
 #include "gateway/gatewaymetrics.h"
 #include "net/asiotypes.h"
 
 #include <functional>
 #include <set>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -24,20 +26,24 @@
                    Duration replicaHeartbeat);
 
     bool isQuarantined(Fingerprint fingerprint) const;
-    /// An attempt broke off without a response: checks whether the replica crashed.
-    void onBrokenOff(const ReplicaEntry &replica, Fingerprint fingerprint);
+    /// An attempt that was sent at `sentAt` broke off or expired without a complete response:
+    /// checks whether the replica crashed.
+    void onLost(const ReplicaEntry &replica, Fingerprint fingerprint, TimePoint sentAt);
+    /// The caller left before the replica responded. Nothing is checked, but the request is a
+    /// suspect if the replica turns out to have crashed.
+    void onAbandoned(const ReplicaEntry &replica, Fingerprint fingerprint, TimePoint sentAt);
     /// A request was executed to its end, so that it is no suspect any more.
     void onCompleted(const ReplicaEntry &replica, Fingerprint fingerprint);
-    /// A replica refused a connection or didn't accept it in time.
-    void onUnreachable(const ReplicaIncarnation &incarnation);
+    /// A replica refused a connection or didn't accept it in time. If attempts there got no
+    /// response, this checks whether it crashed.
+    void onUnreachable(const ReplicaEntry &replica);
+    /// The list of replicas changed. One that was removed from it may have crashed.
+    void onDirectoryChanged(const UpstreamDirectory &directory);
     /// A replica responded.
     void onResponse(const ReplicaIncarnation &incarnation);
     /// A replica wrote a heartbeat at `writtenAfter` or later. If it had been counted as crashed,
     /// this is taken back for the requests that were suspected of it.
     void onHeartbeat(const ReplicaIncarnation &incarnation, TimePoint writtenAfter);
-    /// Counts the crash of a replica against a request.
-    void recordCrash(const ReplicaIncarnation &incarnation, Fingerprint fingerprint,
-                     CrashState state);
     /// Merges a notice of another VM.
     void merge(const SuspectNotice &notice, std::string_view source);
     void tick();
@@ -50,9 +56,19 @@
     std::function<void(const ReplicaEntry &)> onReplicaDown;
 
 private:
+    /// Remembers an attempt without a response. If the replica is already known to have crashed
+    /// after it was sent, the crash is counted at once.
+    void recordUnanswered(const ReplicaIncarnation &incarnation, Fingerprint fingerprint,
+                          TimePoint sentAt);
+    /// Counts the crash of a replica against all requests with unanswered attempts there.
+    void recordCrash(const ReplicaIncarnation &incarnation, CrashState state);
+    void countCrash(const ReplicaIncarnation &incarnation, std::span<const Fingerprint> inFlight,
+                    CrashState state);
+    /// Starts a check unless one of this replica is running.
+    void startCheck(const ReplicaEntry &replica);
     /// Checks by a connection whether a replica crashed. It did if it can't be reached; if several
     /// others can't be reached either, this is unconfirmed.
-    Task<void> checkForCrash(ReplicaEntry replica, Fingerprint fingerprint);
+    Task<void> checkForCrash(ReplicaEntry replica);
     void logCheck(const ReplicaIncarnation &incarnation, std::string_view outcome);
     /// Logs the notices with their cause and sends them to the other VMs.
     void publish(const std::vector<SuspectNotice> &notices, std::string_view cause,
@@ -62,6 +78,9 @@
     const Clock &m_clock;
     GatewayMetrics &m_metrics;
     CrashDetector m_crashDetector;
+    UnansweredAttempts m_unanswered;
+    /// Replicas that a check is running for.
+    std::set<ReplicaIncarnation> m_checking;
     Quarantine m_quarantine;
 };
 
