gateway: Check again before each send whether a request is quarantined

Cause: the quarantine was checked on arrival and before a retry only. Evidence: ACrashingRequest.isRejectedIfItIsQuarantinedWhileItWaits failed. Change: it is checked when the request has its replica, and again once memory is reserved; a request that was never sent is answered 503. Measured: the test passes; 16 of 16 tests of crash handling pass. Of tests/process/crash.sh 9 of 13 checks hold; it stays known red.

--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -138,7 +138,7 @@
         co_return;
     }
     m_fingerprint = requestFingerprint(text(m_request.target()), m_team, m_request.body());
-    if (m_state.suspects.isQuarantined(m_fingerprint)) {
+    if (isQuarantined()) {
         co_await reject(kUnavailable, "quarantined", std::nullopt);
         co_return;
     }
@@ -253,7 +253,7 @@
 {
     if (m_caller.isDisconnected() || m_state.clock.now() >= deadline())
         return false;
-    if (m_state.suspects.isQuarantined(m_fingerprint))
+    if (isQuarantined())
         return false;
     if (outcome == AttemptOutcome::NotExecuted && m_reachedAttempts == 0
         && m_failedReservations > 0)
@@ -281,6 +281,10 @@
         log("broken-off", "upstream-lost");
         co_return;
     }
+    if (m_possibleExecutions == 0 && isQuarantined()) {
+        co_await reject(kUnavailable, "quarantined", std::nullopt);
+        co_return;
+    }
     if (m_possibleExecutions == 0) {
         co_await reject(kUnavailable, "upstream-refused", kRetryWhenFull);
         co_return;
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -53,6 +53,7 @@
     bool authenticate();
     /// Sets the deadlines of the route and of the caller.
     void setDeadlines();
+    bool isQuarantined() const { return m_state.suspects.isQuarantined(m_fingerprint); }
     PromptShape promptShape() const;
     /// Time after which a rejected request is likely to be accepted.
     Duration retryAfter(DispatchRejection rejection) const;
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -166,6 +166,9 @@
         log("caller-gone", "before-send");
         co_return AttemptOutcome::CallerDisconnected;
     }
+    // It may have crashed a replica for another caller while it waited.
+    if (isQuarantined())
+        co_return AttemptOutcome::NotExecuted;
     m_triedReplicas.insert(grant.replica.id);
     recordAttempt(grant);
     ReservedMemory reserved;
@@ -173,6 +176,8 @@
         ++m_failedReservations;
         co_return AttemptOutcome::NotExecuted;
     }
+    if (isQuarantined())
+        co_return AttemptOutcome::NotExecuted;
     UpstreamAttempt attempt(m_state.executor, m_state.pool, grant.replica.incarnation());
     m_currentAttempt = &attempt;
     const Duration prefillTimeout = fromSeconds(kPrefillTimeoutFactor * toSeconds(grant.forecast));
