gateway: Count a crash at the first failed connection, and confirm it later

Copies of a request that followed each other within 0.3 s crashed a replica each, two for each copy. Cause: a crash counted only after the check had waited 0.25 s for a network partition to show, and a retry did not wait for the check at all. Besides, a process that ends may accept a last connection, which the check took for life. Evidence: tests/process/crash.sh, "it crashes at most 3 replicas" did not hold; in its log crash_check replica=i-5-1 outcome=reachable 0.2 ms after that replica ended. Change: a failed connection counts the crash as unconfirmed at once, the wait confirms it. A retry after a lost attempt waits up to 30 ms for the check's first result. A probe must stay open for 50 ms; one that is closed at once is repeated, as a replica with too many connections closes them too.

--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -243,6 +243,9 @@
         m_state.dispatchQueue.end(result.grant->activeRequestId);
         if (outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::CallerDisconnected)
             co_return;
+        // A retry of a request that crashed its replica would crash the next one too.
+        if (outcome == AttemptOutcome::Lost)
+            co_await m_state.suspects.awaitCheck(result.grant->replica.incarnation());
         if (!mayRetry(outcome))
             break;
     }
--- a/src/gateway/suspecttracker.cpp
+++ b/src/gateway/suspecttracker.cpp
@@ -14,6 +14,8 @@
 #include <glog/logging.h>
 #include <xxhash.h>
 
+#include <array>
+
 namespace arbutuspier {
 
 namespace {
@@ -23,6 +25,10 @@
 /// The platform removes the entry of a replica that has been silent for this many heartbeats.
 constexpr int kHeartbeatsUntilRemoval = 3;
 constexpr Duration kProbeTimeout = std::chrono::milliseconds{250};
+/// A probe connection that is open for this long was accepted by a running process.
+constexpr Duration kProbeHoldTime = std::chrono::milliseconds{50};
+/// Longest time for which a retry waits for the result of a check.
+constexpr Duration kMaxRetryDelay = std::chrono::milliseconds{30};
 /// A network partition makes other replicas unreachable too within this time.
 constexpr Duration kPartitionDetectionTime = std::chrono::milliseconds{250};
 
@@ -91,48 +97,96 @@
 
 void SuspectTracker::startCheck(const ReplicaEntry &replica)
 {
-    if (m_checking.insert(replica.incarnation()).second)
-        asio::co_spawn(m_executor, checkForCrash(replica), asio::detached);
+    const auto [check, isNew] = m_checking.try_emplace(replica.incarnation());
+    if (!isNew)
+        return;
+    check->second = std::make_shared<asio::steady_timer>(m_executor, kMaxRetryDelay);
+    asio::co_spawn(m_executor, checkForCrash(replica), asio::detached);
+}
+
+Task<void> SuspectTracker::awaitCheck(const ReplicaIncarnation &incarnation)
+{
+    const auto check = m_checking.find(incarnation);
+    if (check == m_checking.end())
+        co_return;
+    const std::shared_ptr<asio::steady_timer> firstResult = check->second;
+    co_await firstResult->async_wait(kAwait);
+}
+
+void SuspectTracker::endCheck(const ReplicaIncarnation &incarnation, std::string_view outcome)
+{
+    const auto check = m_checking.find(incarnation);
+    check->second->expires_after(Duration::zero());
+    m_checking.erase(check);
+    m_metrics.incrementCounter("crash_checks", std::string(outcome));
+    LOG(INFO) << LogLine("crash_check")
+                     .add("replica", incarnation.id)
+                     .add("born", static_cast<std::uint64_t>(incarnation.startedAtMs))
+                     .add("outcome", outcome)
+                     .add("unreachable", m_crashDetector.unreachableCount())
+                     .text();
+}
+
+namespace {
+
+enum class ProbeResult : std::uint8_t {
+    /// The address refused the connection or didn't accept it in time.
+    Unreachable,
+    /// The connection was accepted and closed at once.
+    ClosedAtOnce,
+    StaysOpen,
+};
+
+Task<ProbeResult> probe(asio::any_io_executor executor, const Address &address)
+{
+    beast::tcp_stream stream(executor);
+    stream.expires_after(kProbeTimeout);
+    const auto [connectError] = co_await stream.async_connect(endpointOf(address), kAwait);
+    if (connectError)
+        co_return ProbeResult::Unreachable;
+    std::array<char, 1> unexpected{};
+    stream.expires_after(kProbeHoldTime);
+    const auto [readError, size] =
+        co_await stream.async_read_some(asio::buffer(unexpected), kAwait);
+    const bool staysOpen = !readError || readError == beast::error::timeout;
+    co_return staysOpen ? ProbeResult::StaysOpen : ProbeResult::ClosedAtOnce;
+}
+
+/// A process that ends may still accept a connection and then close it, but so does a replica that
+/// has too many connections. Only a second connection tells these apart.
+Task<bool> isReachable(asio::any_io_executor executor, Address address)
+{
+    ProbeResult result = co_await probe(executor, address);
+    if (result == ProbeResult::ClosedAtOnce)
+        result = co_await probe(executor, address);
+    co_return result != ProbeResult::Unreachable;
 }
 
+} // namespace
+
 Task<void> SuspectTracker::checkForCrash(ReplicaEntry replica)
 {
     const ReplicaIncarnation incarnation = replica.incarnation();
     Address address;
     if (!parseAddress(replica.address, address)) {
-        m_checking.erase(incarnation);
-        logCheck(incarnation, "no-address");
+        endCheck(incarnation, "no-address");
         co_return;
     }
-    beast::tcp_stream stream(m_executor);
-    stream.expires_after(kProbeTimeout);
-    const auto [error] = co_await stream.async_connect(endpointOf(address), kAwait);
-    if (!error) {
-        m_checking.erase(incarnation);
-        logCheck(incarnation, "reachable");
+    if (co_await isReachable(m_executor, address)) {
+        endCheck(incarnation, "reachable");
         co_return;
     }
     if (onReplicaDown)
         onReplicaDown(replica);
+    recordCrash(incarnation, CrashState::Unconfirmed);
+    m_checking.at(incarnation)->expires_after(Duration::zero());
     asio::steady_timer timer(m_executor, kPartitionDetectionTime);
     co_await timer.async_wait(kAwait);
-    m_checking.erase(incarnation);
     const bool isConfirmed = m_crashDetector.mayHaveCrashed(incarnation, m_clock.now());
-    logCheck(incarnation, isConfirmed ? "confirmed" : "unconfirmed");
+    endCheck(incarnation, isConfirmed ? "confirmed" : "unconfirmed");
     recordCrash(incarnation, isConfirmed ? CrashState::Confirmed : CrashState::Unconfirmed);
 }
 
-void SuspectTracker::logCheck(const ReplicaIncarnation &incarnation, std::string_view outcome)
-{
-    m_metrics.incrementCounter("crash_checks", std::string(outcome));
-    LOG(INFO) << LogLine("crash_check")
-                     .add("replica", incarnation.id)
-                     .add("born", static_cast<std::uint64_t>(incarnation.startedAtMs))
-                     .add("outcome", outcome)
-                     .add("unreachable", m_crashDetector.unreachableCount())
-                     .text();
-}
-
 void SuspectTracker::publish(const std::vector<SuspectNotice> &notices, std::string_view cause,
                              const ReplicaIncarnation &incarnation)
 {
--- a/src/gateway/suspecttracker.h
+++ b/src/gateway/suspecttracker.h
@@ -10,7 +10,8 @@
 #include "net/asiotypes.h"
 
 #include <functional>
-#include <set>
+#include <map>
+#include <memory>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -29,6 +30,8 @@
     /// An attempt that was sent at `sentAt` broke off or expired without a complete response:
     /// checks whether the replica crashed.
     void onLost(const ReplicaEntry &replica, Fingerprint fingerprint, TimePoint sentAt);
+    /// Waits until a running check of the replica has its first result, but not for long.
+    Task<void> awaitCheck(const ReplicaIncarnation &incarnation);
     /// The caller left before the replica responded. Nothing is checked, but the request is a
     /// suspect if the replica turns out to have crashed.
     void onAbandoned(const ReplicaEntry &replica, Fingerprint fingerprint, TimePoint sentAt);
@@ -66,10 +69,10 @@
                     CrashState state);
     /// Starts a check unless one of this replica is running.
     void startCheck(const ReplicaEntry &replica);
-    /// Checks by a connection whether a replica crashed. It did if it can't be reached; if several
-    /// others can't be reached either, this is unconfirmed.
+    /// Checks by a connection whether a replica crashed. If it can't be reached, the crash is
+    /// unconfirmed at first, and confirmed unless several others can't be reached either.
     Task<void> checkForCrash(ReplicaEntry replica);
-    void logCheck(const ReplicaIncarnation &incarnation, std::string_view outcome);
+    void endCheck(const ReplicaIncarnation &incarnation, std::string_view outcome);
     /// Logs the notices with their cause and sends them to the other VMs.
     void publish(const std::vector<SuspectNotice> &notices, std::string_view cause,
                  const ReplicaIncarnation &incarnation);
@@ -79,8 +82,8 @@
     GatewayMetrics &m_metrics;
     CrashDetector m_crashDetector;
     UnansweredAttempts m_unanswered;
-    /// Replicas that a check is running for.
-    std::set<ReplicaIncarnation> m_checking;
+    /// Replicas that a check is running for. The timer expires at its first result.
+    std::map<ReplicaIncarnation, std::shared_ptr<asio::steady_timer>> m_checking;
     Quarantine m_quarantine;
 };
 
--- a/tests/gate/crashingrequesttest.cpp
+++ b/tests/gate/crashingrequesttest.cpp
@@ -138,6 +138,29 @@
     CHECK(stateOf("/look/1") == State::Quarantined);
 }
 
+// Guards against copies that follow each other faster than a network partition can be ruled out.
+TEST(ACrashingRequest, crashesThreeReplicasAtMostIfItsCopiesFollowEachOtherAtOnce)
+{
+    std::vector<const ScriptedReplica *> replicas;
+    for (const char *id : {"a", "b", "c", "d", "e", "f"})
+        replicas.push_back(&fixture.addReplica(id, "desk", {crash()}));
+    for (int copy = 0; copy < 3; ++copy)
+        fixture.call(crashingRequest("/look/1"));
+    std::size_t crashes = 0;
+    for (const ScriptedReplica *replica : replicas)
+        crashes += replica->requests().size();
+    LONGS_EQUAL(3, crashes);
+}
+
+// Guards against a crash that was not noticed because the process that ended accepted a last
+// connection.
+TEST(ACrashingRequest, isASuspectWhenItsReplicaAcceptsAConnectionWhileItEnds)
+{
+    fixture.addReplica("a", "desk", {slowCrash()});
+    crashOneReplica();
+    CHECK(stateOf("/order/1") == State::Suspect);
+}
+
 // Guards against a crash that was not noticed because the replica fell silent instead of resetting.
 TEST(ACrashingRequest, isASuspectWhenItsReplicaFallsSilent)
 {
--- a/tests/gate/gatewayfixture.h
+++ b/tests/gate/gatewayfixture.h
@@ -30,6 +30,8 @@
     bool resetsConnection = false;
     /// The replica accepts no connections any more, as after a crash.
     bool stopsListening = false;
+    /// The next connection is still accepted, and closed at once.
+    bool acceptsOneMore = false;
 };
 
 /// The request crashes the replica: its connection is reset and its address refuses new ones.
@@ -38,6 +40,12 @@
     return {"", false, true, true};
 }
 
+/// As crash(), but the process takes a moment to end.
+inline ReplicaStep slowCrash()
+{
+    return {"", false, true, false, true};
+}
+
 /// The replica's VM loses power: the connection stays open without data.
 inline ReplicaStep silentCrash()
 {
@@ -99,6 +107,10 @@
             if (error)
                 co_return;
             ++m_connections;
+            if (m_acceptsOneMore) {
+                m_acceptor.close();
+                co_return;
+            }
             asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
         }
     }
@@ -124,6 +136,7 @@
             co_await asio::async_write(stream, asio::buffer(response), kAwait);
             if (step.stopsListening)
                 m_acceptor.close();
+            m_acceptsOneMore = step.acceptsOneMore;
             if (step.resetsConnection)
                 stream.socket().set_option(asio::socket_base::linger(true, 0));
             if (step.closesConnection || step.resetsConnection)
@@ -136,6 +149,7 @@
     std::shared_ptr<Script> m_script;
     std::uint16_t m_port;
     std::vector<Request> m_requests;
+    bool m_acceptsOneMore = false;
     int m_connections = 0;
     int m_closedByGateway = 0;
 };
