gateway: Write suspects with a delay and log only what changes

Change: a suspect is written after a second, a quarantined request at once; a write is no longer followed by a read; a notice is logged only if it changes whether a request is a suspect or quarantined.

--- a/src/gateway/suspecttable.cpp
+++ b/src/gateway/suspecttable.cpp
@@ -20,8 +20,8 @@
 namespace {
 
 constexpr Duration kCallTimeout = std::chrono::milliseconds{800};
-/// Changes within this time are written in one transaction.
-constexpr Duration kCoalesceDelay = std::chrono::milliseconds{300};
+/// Time before a changed suspect is written. Most suspects are cleared within it.
+constexpr Duration kWriteDelay = std::chrono::seconds{1};
 /// Interval of reading while all VMs of the fleet hear each other, so that the table only repairs
 /// what differs.
 constexpr SharedPollIntervalOptions kQuietInterval{std::chrono::seconds{8}, 0.5,
@@ -30,6 +30,8 @@
 /// suspects. VMs that hear each other share the reading.
 constexpr SharedPollIntervalOptions kPartitionInterval{std::chrono::seconds{1}, 0.22,
                                                        std::chrono::seconds{8}};
+/// Interval of checking whether a partition has begun, so that the table is read sooner.
+constexpr Duration kPartitionCheck = std::chrono::seconds{1};
 constexpr Duration kFirstBackoff = std::chrono::milliseconds{200};
 constexpr std::uint32_t kMaxDoublings = 4;
 
@@ -40,7 +42,7 @@
     , m_state(state)
     , m_client(context.get_executor(), state.settings.store)
     , m_timer(context)
-    , m_schedule(kCoalesceDelay)
+    , m_schedule(kWriteDelay)
     , m_quietInterval(kQuietInterval)
     , m_partitionInterval(kPartitionInterval)
 {
@@ -54,7 +56,10 @@
 void SuspectTable::markChanged(Fingerprint fingerprint)
 {
     m_changed.insert(fingerprint);
-    m_schedule.onChange(m_state.clock.now());
+    if (m_state.suspects.isQuarantined(fingerprint))
+        m_schedule.scheduleNow(m_state.clock.now());
+    else
+        m_schedule.onChange(m_state.clock.now());
     m_timer.cancel();
 }
 
@@ -76,7 +81,7 @@
     return first != m_rows.end() && first->first.starts_with(prefix);
 }
 
-TimePoint SuspectTable::nextPoll()
+TimePoint SuspectTable::nextRead()
 {
     const TimePoint now = m_state.clock.now();
     SharedPollInterval &interval = m_state.hearsAllVms() ? m_quietInterval : m_partitionInterval;
@@ -85,24 +90,41 @@
 
 Task<void> SuspectTable::run()
 {
+    TimePoint readAt{};
     while (true) {
         const bool isWritten = co_await writeChanged();
-        const bool isRead = co_await readChanges();
-        m_wasRead = true;
+        bool isRead = true;
+        if (m_state.clock.now() >= readAt) {
+            isRead = co_await readChanges();
+            m_wasRead = true;
+        }
         if (isRead)
             co_await removeExpired();
         const bool hasFailed = !isWritten || !isRead;
         m_failures = hasFailed ? m_failures + 1 : 0;
-        const Duration backoff = kFirstBackoff * (1U << std::min(m_failures, kMaxDoublings));
-        m_schedule.scheduleAt(hasFailed ? m_state.clock.now() + jittered(m_state.random, backoff)
-                                        : nextPoll());
-        while (!m_schedule.isDue(m_state.clock.now())) {
-            m_timer.expires_at(m_schedule.due());
-            co_await m_timer.async_wait(kAwait);
-            // A partition that began meanwhile makes the next poll due earlier.
-            if (!hasFailed && !m_state.hearsAllVms())
-                m_schedule.scheduleAt(std::min(m_schedule.due(), nextPoll()));
-        }
+        readAt = hasFailed ? m_state.clock.now() + backoff() : nextRead();
+        co_await awaitDue(readAt);
+    }
+}
+
+Duration SuspectTable::backoff()
+{
+    const Duration base = kFirstBackoff * (1U << std::min(m_failures, kMaxDoublings));
+    return jittered(m_state.random, base);
+}
+
+Task<void> SuspectTable::awaitDue(TimePoint &readAt)
+{
+    m_schedule.scheduleAt(m_changed.empty() ? readAt
+                                            : std::min(readAt, m_state.clock.now() + kWriteDelay));
+    while (!m_schedule.isDue(m_state.clock.now())) {
+        m_timer.expires_at(std::min(m_schedule.due(), m_state.clock.now() + kPartitionCheck));
+        co_await m_timer.async_wait(kAwait);
+        const bool isNewPartition = m_failures == 0 && !m_state.hearsAllVms();
+        if (!isNewPartition)
+            continue;
+        readAt = std::min(readAt, nextRead());
+        m_schedule.scheduleAt(std::min(m_schedule.due(), readAt));
     }
 }
 
--- a/src/gateway/suspecttable.h
+++ b/src/gateway/suspecttable.h
@@ -52,7 +52,11 @@
     /// Whether some VM has a row for the request.
     bool hasRow(Fingerprint fingerprint) const;
     std::string ownKey(Fingerprint fingerprint) const;
-    TimePoint nextPoll();
+    TimePoint nextRead();
+    Duration backoff();
+    /// Waits until there is something to write, or until `readAt`, which a partition that begins
+    /// meanwhile moves forward.
+    Task<void> awaitDue(TimePoint &readAt);
     std::chrono::seconds wallSeconds() const;
 
     asio::io_context &m_context;
--- a/src/gateway/suspecttracker.cpp
+++ b/src/gateway/suspecttracker.cpp
@@ -204,14 +204,15 @@
 bool SuspectTracker::merge(const SuspectNotice &notice, std::string_view source)
 {
     const bool hasChanged = m_quarantine.merge(notice, m_clock.now());
+    if (!hasChanged)
+        return false;
     LOG(INFO) << LogLine("suspect_reported")
                      .add("fingerprint", notice.fingerprint.value)
                      .add("source", source)
                      .add("cleared", notice.isCleared() ? "yes" : "no")
                      .add("deaths", notice.crashes.size())
-                     .add("changed", hasChanged ? "yes" : "no")
                      .text();
-    return hasChanged;
+    return true;
 }
 
 void SuspectTracker::recordCrash(const ReplicaIncarnation &incarnation, CrashState state)
