gateway: Confirm no crash against a request that had produced output

Change: a request that crashes replicas does so when it begins to run, so an attempt with output counts as unconfirmed only.

--- a/include/arbutuspier/unansweredattempts.h
+++ b/include/arbutuspier/unansweredattempts.h
@@ -1,5 +1,5 @@
-// Remembers which requests were sent to a replica and got no response, for the case that the
-// replica turns out to have crashed.
+// Remembers which requests were sent to a replica and got no complete response, for the case that
+// the replica turns out to have crashed.
 //
 // An attempt may end long before its replica crashes: its caller leaves, or it is given up after a
 // timeout, while the replica still runs it.
@@ -24,6 +24,13 @@
     std::size_t maxAttemptsPerReplica = 1024;
 };
 
+struct UnansweredAttempt
+{
+    Fingerprint fingerprint;
+    /// The replica had begun to respond, so the request is less likely to blame for its crash.
+    bool hasOutput = false;
+};
+
 class UnansweredAttempts
 {
 public:
@@ -32,10 +39,11 @@
     {
     }
 
-    /// An attempt at the replica ended now without a response.
-    void record(const ReplicaIncarnation &incarnation, Fingerprint fingerprint, TimePoint now);
-    /// Requests whose attempts at the replica ended within the window, each once.
-    std::vector<Fingerprint> of(const ReplicaIncarnation &incarnation, TimePoint now) const;
+    /// An attempt at the replica ended now without a complete response.
+    void record(const ReplicaIncarnation &incarnation, UnansweredAttempt attempt, TimePoint now);
+    /// Attempts at the replica that ended within the window, at most one for each request: one
+    /// without output if there is one.
+    std::vector<UnansweredAttempt> of(const ReplicaIncarnation &incarnation, TimePoint now) const;
     /// Replicas with such attempts.
     std::vector<ReplicaIncarnation> incarnations() const;
     /// Forgets attempts that ended before the window.
@@ -43,8 +51,15 @@
 
 private:
     UnansweredAttemptsOptions m_options;
-    /// End of the last attempt of each request. Invariant: no inner map is empty.
-    std::map<ReplicaIncarnation, std::map<Fingerprint, TimePoint>> m_attempts;
+    struct Record
+    {
+        /// When the last attempt ended.
+        TimePoint endedAt{};
+        bool hasOutput = true;
+    };
+
+    /// Invariant: no inner map is empty.
+    std::map<ReplicaIncarnation, std::map<Fingerprint, Record>> m_attempts;
 };
 
 } // namespace arbutuspier
--- a/src/coordination/unansweredattempts.cpp
+++ b/src/coordination/unansweredattempts.cpp
@@ -4,25 +4,28 @@
 
 namespace arbutuspier {
 
-void UnansweredAttempts::record(const ReplicaIncarnation &incarnation, Fingerprint fingerprint,
+void UnansweredAttempts::record(const ReplicaIncarnation &incarnation, UnansweredAttempt attempt,
                                 TimePoint now)
 {
     auto &attempts = m_attempts[incarnation];
     const bool isFull = attempts.size() >= m_options.maxAttemptsPerReplica;
-    if (!isFull || attempts.contains(fingerprint))
-        attempts[fingerprint] = now;
+    if (isFull && !attempts.contains(attempt.fingerprint))
+        return;
+    Record &record = attempts[attempt.fingerprint];
+    record.endedAt = now;
+    record.hasOutput = record.hasOutput && attempt.hasOutput;
 }
 
-std::vector<Fingerprint> UnansweredAttempts::of(const ReplicaIncarnation &incarnation,
-                                                TimePoint now) const
+std::vector<UnansweredAttempt> UnansweredAttempts::of(const ReplicaIncarnation &incarnation,
+                                                      TimePoint now) const
 {
-    std::vector<Fingerprint> result;
+    std::vector<UnansweredAttempt> result;
     const auto found = m_attempts.find(incarnation);
     if (found == m_attempts.end())
         return result;
-    for (const auto &[fingerprint, endedAt] : found->second) {
-        if (now < endedAt + m_options.window)
-            result.push_back(fingerprint);
+    for (const auto &[fingerprint, record] : found->second) {
+        if (now < record.endedAt + m_options.window)
+            result.push_back({fingerprint, record.hasOutput});
     }
     return result;
 }
@@ -38,8 +41,9 @@
 void UnansweredAttempts::tick(TimePoint now)
 {
     for (auto it = m_attempts.begin(); it != m_attempts.end();) {
-        std::erase_if(it->second,
-                      [&](const auto &entry) { return now >= entry.second + m_options.window; });
+        std::erase_if(it->second, [&](const auto &entry) {
+            return now >= entry.second.endedAt + m_options.window;
+        });
         it = it->second.empty() ? m_attempts.erase(it) : std::next(it);
     }
 }
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -140,6 +140,8 @@
     TimePoint m_arrivedAt;
     /// When the current attempt was sent.
     TimePoint m_sentAt{};
+    /// The current attempt has produced stream events.
+    bool m_hasAttemptOutput = false;
     /// When the caller stops waiting, and when the route's timeout expires.
     TimePoint m_callerDeadline;
     TimePoint m_routeDeadline;
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -187,6 +187,7 @@
     const bool isAtMostOnce = m_route->kind == RetryKind::AtMostOnce;
     const UpstreamAttempt::Request request = upstreamRequest(grant, reserved.reservationIds);
     m_sentAt = m_state.clock.now();
+    m_hasAttemptOutput = false;
     const auto sent =
         co_await attempt.send(request, grant.replica.address, isAtMostOnce, kConnectTimeout);
     if (attempt.usedNewConnection())
@@ -308,6 +309,7 @@
             attempt.onExpiry = [this, &grant] { return extendDeadline(grant); };
         }
         isDecoding = true;
+        m_hasAttemptOutput = true;
         if (!co_await forwardEvents(attempt, *events))
             co_return AttemptOutcome::CallerDisconnected;
         attempt.expireAt(nextEventDeadline());
@@ -372,7 +374,7 @@
     ++m_possibleExecutions;
     m_canSplit = m_canSplit && grant.helpers.empty();
     m_state.health.onFailure(grant.replica.incarnation(), now);
-    m_state.suspects.onLost(grant.replica, m_fingerprint, m_sentAt);
+    m_state.suspects.onLost(grant.replica, {m_fingerprint, m_hasAttemptOutput}, m_sentAt);
     if (attempt.hasExpired() && attempt.status() == 0)
         m_state.zones.onUnresponsive(grant.replica.zone, grant.replica.id, now);
 }
--- a/src/gateway/suspecttracker.cpp
+++ b/src/gateway/suspecttracker.cpp
@@ -72,25 +72,26 @@
     return m_quarantine.quarantineState(fingerprint) == Quarantine::QuarantineState::Quarantined;
 }
 
-void SuspectTracker::onLost(const ReplicaEntry &replica, Fingerprint fingerprint, TimePoint sentAt)
+void SuspectTracker::onLost(const ReplicaEntry &replica, UnansweredAttempt attempt,
+                            TimePoint sentAt)
 {
-    recordUnanswered(replica.incarnation(), fingerprint, sentAt);
+    recordUnanswered(replica.incarnation(), attempt, sentAt);
     startCheck(replica);
 }
 
 void SuspectTracker::onAbandoned(const ReplicaEntry &replica, Fingerprint fingerprint,
                                  TimePoint sentAt)
 {
-    recordUnanswered(replica.incarnation(), fingerprint, sentAt);
+    recordUnanswered(replica.incarnation(), {fingerprint}, sentAt);
 }
 
 void SuspectTracker::recordUnanswered(const ReplicaIncarnation &incarnation,
-                                      Fingerprint fingerprint, TimePoint sentAt)
+                                      UnansweredAttempt attempt, TimePoint sentAt)
 {
-    m_unanswered.record(incarnation, fingerprint, m_clock.now());
+    m_unanswered.record(incarnation, attempt, m_clock.now());
     const auto crashedAt = m_crashDetector.crashedAt(incarnation);
     if (crashedAt && sentAt < *crashedAt)
-        countCrash(incarnation, std::span(&fingerprint, 1), CrashState::Unconfirmed);
+        countCrash(incarnation, attempt, CrashState::Unconfirmed);
 }
 
 void SuspectTracker::startCheck(const ReplicaEntry &replica)
@@ -219,15 +220,18 @@
 {
     const TimePoint now = m_clock.now();
     m_crashDetector.recordCrash(incarnation, now);
-    countCrash(incarnation, m_unanswered.of(incarnation, now), state);
+    for (const UnansweredAttempt &attempt : m_unanswered.of(incarnation, now))
+        countCrash(incarnation, attempt, state);
 }
 
-void SuspectTracker::countCrash(const ReplicaIncarnation &incarnation,
-                                std::span<const Fingerprint> inFlight, CrashState state)
+void SuspectTracker::countCrash(const ReplicaIncarnation &incarnation, UnansweredAttempt attempt,
+                                CrashState state)
 {
+    const CrashState counted = attempt.hasOutput ? CrashState::Unconfirmed : state;
     publish(m_quarantine.onUpstreamCrash(upstreamId(incarnation), incarnationOf(incarnation),
-                                         inFlight, m_clock.now(), state),
-            state == CrashState::Confirmed ? "crash" : "unconfirmed-crash", incarnation);
+                                         std::span(&attempt.fingerprint, 1), m_clock.now(),
+                                         counted),
+            counted == CrashState::Confirmed ? "crash" : "unconfirmed-crash", incarnation);
 }
 
 void SuspectTracker::onCompleted(const ReplicaEntry &replica, Fingerprint fingerprint)
--- a/src/gateway/suspecttracker.h
+++ b/src/gateway/suspecttracker.h
@@ -32,7 +32,7 @@
     bool isQuarantined(Fingerprint fingerprint) const;
     /// An attempt that was sent at `sentAt` broke off or expired without a complete response:
     /// checks whether the replica crashed.
-    void onLost(const ReplicaEntry &replica, Fingerprint fingerprint, TimePoint sentAt);
+    void onLost(const ReplicaEntry &replica, UnansweredAttempt attempt, TimePoint sentAt);
     /// Waits until a running check of the replica has its first result, but not for long.
     Task<void> awaitCheck(const ReplicaIncarnation &incarnation);
     /// The caller left before the replica responded. Nothing is checked, but the request is a
@@ -65,11 +65,11 @@
 private:
     /// Remembers an attempt without a response. If the replica is already known to have crashed
     /// after it was sent, the crash is counted at once.
-    void recordUnanswered(const ReplicaIncarnation &incarnation, Fingerprint fingerprint,
+    void recordUnanswered(const ReplicaIncarnation &incarnation, UnansweredAttempt attempt,
                           TimePoint sentAt);
     /// Counts the crash of a replica against all requests with unanswered attempts there.
     void recordCrash(const ReplicaIncarnation &incarnation, CrashState state);
-    void countCrash(const ReplicaIncarnation &incarnation, std::span<const Fingerprint> inFlight,
+    void countCrash(const ReplicaIncarnation &incarnation, UnansweredAttempt attempt,
                     CrashState state);
     /// Starts a check unless one of this replica is running.
     void startCheck(const ReplicaEntry &replica);
--- a/tests/gate/crashingrequesttest.cpp
+++ b/tests/gate/crashingrequesttest.cpp
@@ -17,6 +17,8 @@
   "service":"desk","maxAttempts":2,"public":true},
  {"host":"f.example","prefix":"/fast/","routeKind":"idempotent","timeoutMs":20000,"goalMs":100,
   "service":"desk","maxAttempts":2,"public":true},
+ {"host":"f.example","prefix":"/ask/","routeKind":"streaming","timeoutMs":20000,"goalMs":8000,
+  "service":"desk","maxAttempts":2,"public":true,"resumable":true,"gapTargetMs":8000},
  {"host":"f.example","prefix":"/order/","routeKind":"non_idempotent","timeoutMs":20000,
   "goalMs":8000,"service":"desk","maxAttempts":1,"public":true}],
  "services":[{"name":"desk","maxConnections":100}]})";
@@ -181,6 +183,23 @@
     CHECK(stateOf("/look/1") == State::Suspect);
 }
 
+TEST(ACrashingRequest, isOnlyASuspectIfOneOfTwoReplicasHadBegunToRespond)
+{
+    const std::string begun = "HTTP/1.1 200 OK\r\nX-Arbutuspier-Attempt-Id: %ID\r\n"
+                              "X-Arbutuspier-Response-Signature: s1\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n"
+                              "f\r\nid: 0\ndata: x\n\n\r\n";
+    fixture.addReplica("a", "desk", {{begun, false, true, true}});
+    fixture.addReplica("b", "desk", {crash()});
+    fixture.call(crashingRequest("/ask/1"));
+    fixture.runFor(kCheckTime);
+    CHECK(stateOf("/ask/1") == State::Suspect);
+    LONGS_EQUAL(1,
+                fixture.state.suspects.quarantine()
+                    .crashesOf(requestFingerprint("/ask/1", "", "saw breaks"))
+                    .size());
+}
+
 // Guards against a request that was sent although it was quarantined while it waited for a replica.
 TEST(ACrashingRequest, isRejectedIfItIsQuarantinedWhileItWaits)
 {
