node: Clear a suspicion only after a successful response

Cause: the same fault as in the gateway: the daemon's StreamDone carries the status of a plain service, and an error cleared the suspicion like a success. Evidence: ASuspectCall.staysASuspectAfterAnErrorResponse failed before. Change: only a 2xx clears; the test of the status is shared with the gateway. The daemon's other evidence was read for the same class: it takes a crash back only for a report that names the incarnation and is younger than the crash, keeps crashes in the table, and waits for all VMs before an isolated retry.

--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -3,6 +3,7 @@
 #include "gateway/requesthandler.h"
 
 #include "arbutuspier/forecast.h"
+#include "kernel/httpstatus.h"
 #include "kernel/logline.h"
 
 #include <glog/logging.h>
@@ -38,12 +39,6 @@
 constexpr double kCallTimeoutFactor = 0.8;
 constexpr int kServerError = 500;
 constexpr int kOk = 200;
-constexpr int kMultipleChoices = 300;
-
-bool isSuccess(int status)
-{
-    return status >= kOk && status < kMultipleChoices;
-}
 
 } // namespace
 
@@ -333,7 +328,7 @@
     case AttemptOutcome::Completed:
         m_state.health.onSuccess(grant.replica.incarnation(), 0);
         // An error response doesn't show that the replica executed the request.
-        if (isSuccess(attempt.status()))
+        if (isSuccessStatus(attempt.status()))
             m_state.suspects.onCompleted(grant.replica, m_fingerprint);
         return;
     case AttemptOutcome::CallerDisconnected:
--- /dev/null
+++ b/src/kernel/httpstatus.h
@@ -0,0 +1,14 @@
+// Classes of HTTP status codes.
+#pragma once
+
+namespace arbutuspier {
+
+/// 2xx: the request was received, understood and executed.
+constexpr bool isSuccessStatus(int status)
+{
+    constexpr int kFirstSuccess = 200;
+    constexpr int kFirstRedirection = 300;
+    return status >= kFirstSuccess && status < kFirstRedirection;
+}
+
+} // namespace arbutuspier
--- a/src/node/attempthandler.cpp
+++ b/src/node/attempthandler.cpp
@@ -1,6 +1,8 @@
 // A late or repeated event of an attempt finds no request and is ignored.
 #include "node/attempthandler.h"
 
+#include "kernel/httpstatus.h"
+
 #include <algorithm>
 
 namespace arbutuspier {
@@ -47,12 +49,19 @@
     if (request->isAtMostOnce())
         m_context.service<IdempotencyStore>(service::kIdempotencyStore)
             .onRan(event.attempt, event.status, event.result);
+    // An error response doesn't show that the upstream executed the request.
+    if (isSuccessStatus(event.status))
+        clearSuspicion(request->spec.fingerprint);
+    m_completion.finish(*request, event.tokens);
+}
+
+void AttemptHandler::clearSuspicion(Fingerprint fingerprint)
+{
     auto &quarantine = m_context.service<Quarantine>(service::kQuarantine);
-    for (const SuspectNotice &notice : quarantine.onCompleted(request->spec.fingerprint)) {
+    for (const SuspectNotice &notice : quarantine.onCompleted(fingerprint)) {
         m_context.broadcast(notice);
         m_suspects.markChanged(notice.fingerprint);
     }
-    m_completion.finish(*request, event.tokens);
 }
 
 void AttemptHandler::endAttempt(Request &request, FailureKind kind)
--- a/src/node/attempthandler.h
+++ b/src/node/attempthandler.h
@@ -51,6 +51,8 @@
     /// Counts a presumed crash against each fingerprint that runs on the upstream. Returns the
     /// fingerprints whose record changed.
     std::vector<Fingerprint> recordPresumedCrash(UpstreamId upstream);
+    /// The request was executed to its end: it is no suspect any more.
+    void clearSuspicion(Fingerprint fingerprint);
     /// Releases what the attempt reserved and records whether the request may have run.
     /// `handleFailure` must follow.
     void endAttempt(Request &request, FailureKind kind);
--- a/tests/entrynodetest.cpp
+++ b/tests/entrynodetest.cpp
@@ -173,3 +173,74 @@
     CHECK(retryAfter > Duration::zero());
     checkGuarantees();
 }
+
+TEST_GROUP(ASuspectCall)
+{
+    std::unique_ptr<EntryNode> node = makeNode();
+    const Fingerprint fingerprint{7};
+    TimePoint now{std::chrono::seconds{100}};
+
+    static std::unique_ptr<EntryNode> makeNode()
+    {
+        NodeSettings settings;
+        settings.self = {VmId{1}, "north"};
+        settings.incarnation = Incarnation{1};
+        settings.peers = {{VmId{2}, "south"}};
+        settings.upstreams = {
+            {UpstreamId{1}, "desk-1", RequestKind::ServiceCall, "orders", "north", 0, false}};
+        return EntryNode::make(std::move(settings));
+    }
+    /// Handles an event, answers the table calls that it leads to, and returns the attempt that it
+    /// started, if any.
+    std::optional<AttemptId> handle(const Event &event)
+    {
+        now += kTickInterval;
+        std::optional<AttemptId> started;
+        const Commands commands =
+            node->handle(event, now, WallTime{std::chrono::seconds{1'000'000}});
+        for (const Command &command : commands) {
+            if (const auto *open = std::get_if<OpenStream>(&command))
+                started = open->attempt;
+            if (const auto *call = std::get_if<TableCall>(&command)) {
+                const auto later = handle(TableReply{call->op, TableRows{}});
+                started = later ? later : started;
+            }
+        }
+        return started;
+    }
+    /// A peer reports a crash; then a call with the fingerprint is started and ends with the
+    /// status.
+    void endCallWith(int status)
+    {
+        PeerMessage message;
+        message.from = VmId{2};
+        message.incarnation = Incarnation{1};
+        message.body = SuspectNotice{fingerprint, {99}};
+        handle(PeerReceived{message});
+        RequestSpec spec;
+        spec.kind = RequestKind::ServiceCall;
+        spec.team = "saw";
+        spec.className = "ask";
+        spec.target = "orders";
+        spec.fingerprint = fingerprint;
+        std::optional<AttemptId> attempt = handle(CallerRequest{RequestId{1}, spec});
+        constexpr int kTicks = 400;
+        for (int i = 0; i < kTicks && !attempt; ++i)
+            attempt = handle(Tick{});
+        CHECK(attempt.has_value());
+        handle(StreamDone{*attempt, 0, 0, status, "result"});
+    }
+};
+
+// Guards against a suspicion that ended with a response that shows no execution.
+TEST(ASuspectCall, staysASuspectAfterAnErrorResponse)
+{
+    endCallWith(500);
+    LONGS_EQUAL(1, node->status(now).suspects.size());
+}
+
+TEST(ASuspectCall, isClearedByASuccessfulResponse)
+{
+    endCallWith(200);
+    LONGS_EQUAL(0, node->status(now).suspects.size());
+}
