gateway: Give up a replica that is removed from the list and unreachable

Cause: the directory was checked only once the forecast prefill time was over, 9.7 s here, as a replica may leave the list without notice and still serve. Change: a replica without output is looked up every 0.25 s from the start. If it was removed or replaced, a connection decides: unreachable, it is given up at once, also if no retry is left; reachable, as before.

--- a/include/arbutuspier/crashdetector.h
+++ b/include/arbutuspier/crashdetector.h
@@ -10,6 +10,7 @@
 #include "arbutuspier/upstreamdirectory.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 
@@ -28,6 +29,13 @@
     Duration crashMemory = std::chrono::minutes{10};
 };
 
+enum class CrashEvidence : std::uint8_t {
+    /// The list has no entry of the incarnation any more. It may also have left without notice.
+    Removed,
+    /// It can't be reached.
+    Unreachable,
+};
+
 class CrashDetector
 {
 public:
@@ -44,10 +52,12 @@
     std::size_t unreachableCount() const { return m_unreachable.size(); }
     /// Something responded at the address of the incarnation.
     void onResponse(const ReplicaIncarnation &incarnation) { m_unreachable.erase(incarnation); }
-    /// Records that the caller has counted this incarnation as crashed.
-    void recordCrash(const ReplicaIncarnation &incarnation, TimePoint now);
+    /// Records that the caller has counted this incarnation as crashed, as `evidence` shows.
+    void recordCrash(const ReplicaIncarnation &incarnation, CrashEvidence evidence, TimePoint now);
     /// When the incarnation was first counted as crashed; empty if it wasn't.
     std::optional<TimePoint> crashedAt(const ReplicaIncarnation &incarnation) const;
+    /// When it was first found unreachable by such a count; empty if it wasn't.
+    std::optional<TimePoint> unreachableSince(const ReplicaIncarnation &incarnation) const;
     /// The incarnation wrote a heartbeat at `writtenAfter` or later. Returns true if it had been
     /// recorded as crashed before that, which was a mistake that the caller has to correct.
     bool onHeartbeat(const ReplicaIncarnation &incarnation, TimePoint writtenAfter);
@@ -57,8 +67,13 @@
 
     CrashDetectorOptions m_options;
     std::map<ReplicaIncarnation, TimePoint> m_unreachable;
-    /// When each incarnation was first counted as crashed.
-    std::map<ReplicaIncarnation, TimePoint> m_crashed;
+    struct Crash
+    {
+        TimePoint countedAt{};
+        std::optional<TimePoint> unreachableSince;
+    };
+
+    std::map<ReplicaIncarnation, Crash> m_crashed;
 };
 
 } // namespace arbutuspier
--- a/src/coordination/crashdetector.cpp
+++ b/src/coordination/crashdetector.cpp
@@ -23,24 +23,36 @@
     return others < m_options.maxCrashes;
 }
 
-void CrashDetector::recordCrash(const ReplicaIncarnation &incarnation, TimePoint now)
+void CrashDetector::recordCrash(const ReplicaIncarnation &incarnation, CrashEvidence evidence,
+                                TimePoint now)
 {
-    std::erase_if(m_crashed,
-                  [&](const auto &entry) { return entry.second + m_options.crashMemory < now; });
-    m_crashed.try_emplace(incarnation, now);
+    std::erase_if(m_crashed, [&](const auto &entry) {
+        return entry.second.countedAt + m_options.crashMemory < now;
+    });
+    Crash &crash = m_crashed.try_emplace(incarnation, Crash{now, std::nullopt}).first->second;
+    const bool isFirstContact = evidence == CrashEvidence::Unreachable && !crash.unreachableSince;
+    if (isFirstContact)
+        crash.unreachableSince = now;
 }
 
 std::optional<TimePoint> CrashDetector::crashedAt(const ReplicaIncarnation &incarnation) const
 {
     const auto found = m_crashed.find(incarnation);
-    return found == m_crashed.end() ? std::nullopt : std::optional(found->second);
+    return found == m_crashed.end() ? std::nullopt : std::optional(found->second.countedAt);
+}
+
+std::optional<TimePoint> CrashDetector::unreachableSince(
+    const ReplicaIncarnation &incarnation) const
+{
+    const auto found = m_crashed.find(incarnation);
+    return found == m_crashed.end() ? std::nullopt : found->second.unreachableSince;
 }
 
 bool CrashDetector::onHeartbeat(const ReplicaIncarnation &incarnation, TimePoint writtenAfter)
 {
     const auto found = m_crashed.find(incarnation);
-    const bool isAlive =
-        found != m_crashed.end() && writtenAfter >= found->second + m_options.lateHeartbeatTime;
+    const bool isAlive = found != m_crashed.end()
+        && writtenAfter >= found->second.countedAt + m_options.lateHeartbeatTime;
     if (!isAlive)
         return false;
     m_crashed.erase(found);
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -106,9 +106,12 @@
     /// Later deadline for a replica that must still be busy with prefills according to its known
     /// load; empty if there is no reason to wait longer.
     std::optional<TimePoint> extendDeadline(const DispatchGrant &grant) const;
-    /// Sets the deadline of the first event. From `firstCheck` on, the directory is checked
-    /// too, and the attempt is given up earlier if the replica was removed from it.
-    void setFirstEventDeadline(UpstreamAttempt &attempt, TimePoint firstCheck, TimePoint deadline);
+    /// Sets the deadline of the first event. The directory is checked until then, and the attempt
+    /// is given up earlier if the replica has gone.
+    void setFirstEventDeadline(UpstreamAttempt &attempt, const DispatchGrant &grant);
+    /// Whether the replica was removed from the directory and is unreachable or late. Starts a
+    /// check if it isn't known yet whether it can be reached.
+    bool isReplicaGone(const DispatchGrant &grant) const;
     /// When to check again a replica that hasn't sent its first event yet; empty to give it up now.
     std::optional<TimePoint> nextFirstEventCheck(const DispatchGrant &grant) const;
     /// Whether the route allows another attempt after the current one, even if this one was
@@ -171,6 +174,8 @@
     std::optional<Duration> m_timeToFirstEvent;
     /// Deadline of the first event in the current attempt.
     TimePoint m_firstEventDeadline{};
+    /// When the prefill of the current attempt should be over at the latest, by its forecast.
+    TimePoint m_expectedPrefillEnd{};
     TimePoint m_lastEventAt{};
     Duration m_longestGap{};
     /// Replicas of all attempts for the log, each followed by "+" and the number of its helpers.
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -28,8 +28,7 @@
 constexpr double kPrefillTimeoutFactor = 1.3;
 /// Added to that timeout, and the forecast prefill time up to which it isn't extended.
 constexpr Duration kPrefillTimeoutMargin = std::chrono::milliseconds{150};
-/// Interval at which a replica that is unresponsive beyond its forecast is checked in the
-/// directory.
+/// Interval at which it is checked whether a replica without output is still in the directory.
 constexpr Duration kDirectoryCheckInterval = std::chrono::milliseconds{250};
 /// Timeout of the first event: the sum of the forecast and of the route's objective, each
 /// multiplied by its factor.
@@ -121,18 +120,34 @@
     return std::min(deadline(), now + extension + kPrefillTimeoutMargin);
 }
 
-void RequestHandler::setFirstEventDeadline(UpstreamAttempt &attempt, TimePoint firstCheck,
-                                           TimePoint deadline)
+void RequestHandler::setFirstEventDeadline(UpstreamAttempt &attempt, const DispatchGrant &grant)
 {
-    m_firstEventDeadline = deadline;
-    attempt.expireAt(std::min(firstCheck, deadline));
+    const TimePoint now = m_state.clock.now();
+    const Duration prefillTimeout = fromSeconds(kPrefillTimeoutFactor * toSeconds(grant.forecast));
+    m_expectedPrefillEnd = now + prefillTimeout + kPrefillTimeoutMargin;
+    m_firstEventDeadline = firstEventDeadline(grant);
+    attempt.expireAt(std::min(now + kDirectoryCheckInterval, m_firstEventDeadline));
+}
+
+bool RequestHandler::isReplicaGone(const DispatchGrant &grant) const
+{
+    const ReplicaIncarnation incarnation = grant.replica.incarnation();
+    if (!m_state.directory.wasRemovedOrReplaced(incarnation))
+        return false;
+    if (couldRetry() && m_state.clock.now() >= m_expectedPrefillEnd)
+        return true;
+    // Some replicas leave without notice and still serve for a while; only one that can't be
+    // reached either has ended.
+    const auto unreachableSince = m_state.suspects.unreachableSince(incarnation);
+    if (unreachableSince)
+        return m_sentAt < *unreachableSince;
+    m_state.suspects.startCheck(grant.replica);
+    return false;
 }
 
 std::optional<TimePoint> RequestHandler::nextFirstEventCheck(const DispatchGrant &grant) const
 {
-    const bool wasRemoved =
-        couldRetry() && m_state.directory.wasRemovedOrReplaced(grant.replica.incarnation());
-    if (wasRemoved)
+    if (isReplicaGone(grant))
         return std::nullopt;
     const TimePoint now = m_state.clock.now();
     if (now < m_firstEventDeadline)
@@ -175,9 +190,7 @@
         co_return AttemptOutcome::NotExecuted;
     UpstreamAttempt attempt(m_state.executor, m_state.pool, grant.replica.incarnation());
     m_currentAttempt = &attempt;
-    const Duration prefillTimeout = fromSeconds(kPrefillTimeoutFactor * toSeconds(grant.forecast));
-    setFirstEventDeadline(attempt, m_state.clock.now() + prefillTimeout + kPrefillTimeoutMargin,
-                          firstEventDeadline(grant));
+    setFirstEventDeadline(attempt, grant);
     attempt.onExpiry = [this, &grant] { return nextFirstEventCheck(grant); };
     const bool isAtMostOnce = m_route->kind == RetryKind::AtMostOnce;
     const UpstreamAttempt::Request request = upstreamRequest(grant, reserved.reservationIds);
--- a/src/gateway/suspecttracker.cpp
+++ b/src/gateway/suspecttracker.cpp
@@ -177,13 +177,14 @@
     }
     if (onReplicaDown)
         onReplicaDown(replica);
-    recordCrash(incarnation, CrashState::Unconfirmed);
+    recordCrash(incarnation, CrashEvidence::Unreachable, CrashState::Unconfirmed);
     m_checking.at(incarnation)->expires_after(Duration::zero());
     asio::steady_timer timer(m_executor, kPartitionDetectionTime);
     co_await timer.async_wait(kAwait);
     const bool isConfirmed = m_crashDetector.mayHaveCrashed(incarnation, m_clock.now());
     endCheck(incarnation, isConfirmed ? "confirmed" : "unconfirmed");
-    recordCrash(incarnation, isConfirmed ? CrashState::Confirmed : CrashState::Unconfirmed);
+    recordCrash(incarnation, CrashEvidence::Unreachable,
+                isConfirmed ? CrashState::Confirmed : CrashState::Unconfirmed);
 }
 
 void SuspectTracker::publish(const std::vector<SuspectNotice> &notices, std::string_view cause,
@@ -216,10 +217,11 @@
     return true;
 }
 
-void SuspectTracker::recordCrash(const ReplicaIncarnation &incarnation, CrashState state)
+void SuspectTracker::recordCrash(const ReplicaIncarnation &incarnation, CrashEvidence evidence,
+                                 CrashState state)
 {
     const TimePoint now = m_clock.now();
-    m_crashDetector.recordCrash(incarnation, now);
+    m_crashDetector.recordCrash(incarnation, evidence, now);
     for (const UnansweredAttempt &attempt : m_unanswered.of(incarnation, now))
         countCrash(incarnation, attempt, state);
 }
@@ -252,7 +254,7 @@
 {
     for (const ReplicaIncarnation &incarnation : m_unanswered.incarnations()) {
         if (directory.wasRemovedOrReplaced(incarnation))
-            recordCrash(incarnation, CrashState::Unconfirmed);
+            recordCrash(incarnation, CrashEvidence::Removed, CrashState::Unconfirmed);
     }
 }
 
--- a/src/gateway/suspecttracker.h
+++ b/src/gateway/suspecttracker.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,13 @@
     /// An attempt that was sent at `sentAt` broke off or expired without a complete response:
     /// checks whether the replica crashed.
     void onLost(const ReplicaEntry &replica, UnansweredAttempt attempt, TimePoint sentAt);
+    /// Starts a check of whether the replica crashed, unless one of it is running.
+    void startCheck(const ReplicaEntry &replica);
+    /// When a check first found the replica unreachable; empty if none did.
+    std::optional<TimePoint> unreachableSince(const ReplicaIncarnation &incarnation) const
+    {
+        return m_crashDetector.unreachableSince(incarnation);
+    }
     /// Waits until a running check of the replica has its first result, but not for long.
     Task<void> awaitCheck(const ReplicaIncarnation &incarnation);
     /// The caller left before the replica responded. Nothing is checked, but the request is a
@@ -68,11 +76,10 @@
     void recordUnanswered(const ReplicaIncarnation &incarnation, UnansweredAttempt attempt,
                           TimePoint sentAt);
     /// Counts the crash of a replica against all requests with unanswered attempts there.
-    void recordCrash(const ReplicaIncarnation &incarnation, CrashState state);
+    void recordCrash(const ReplicaIncarnation &incarnation, CrashEvidence evidence,
+                     CrashState state);
     void countCrash(const ReplicaIncarnation &incarnation, UnansweredAttempt attempt,
                     CrashState state);
-    /// Starts a check unless one of this replica is running.
-    void startCheck(const ReplicaEntry &replica);
     /// Checks by a connection whether a replica crashed. If it can't be reached, the crash is
     /// unconfirmed at first, and confirmed unless several others can't be reached either.
     Task<void> checkForCrash(ReplicaEntry replica);
--- a/tests/gate/crashdetectortest.cpp
+++ b/tests/gate/crashdetectortest.cpp
@@ -48,7 +48,7 @@
 
 TEST(ACrashDetector, takesBackTheCrashOfAnIncarnationThatWritesHeartbeats)
 {
-    detector.recordCrash({"a", 1}, kNow);
+    detector.recordCrash({"a", 1}, CrashEvidence::Unreachable, kNow);
     CHECK(!detector.onHeartbeat({"a", 2}, kNow + std::chrono::seconds{5}));
     CHECK(detector.onHeartbeat({"a", 1}, kNow + std::chrono::seconds{5}));
     CHECK(!detector.onHeartbeat({"a", 1}, kNow + std::chrono::seconds{6}));
@@ -56,13 +56,24 @@
 
 TEST(ACrashDetector, ignoresAHeartbeatThatMayHaveBeenWrittenBeforeTheCrash)
 {
-    detector.recordCrash({"a", 1}, kNow);
+    detector.recordCrash({"a", 1}, CrashEvidence::Unreachable, kNow);
     CHECK(!detector.onHeartbeat({"a", 1}, kNow + std::chrono::seconds{3}));
 }
 
 TEST(ACrashDetector, doesNotTakeACrashBackBecauseItsAddressResponds)
 {
-    detector.recordCrash({"a", 1}, kNow);
+    detector.recordCrash({"a", 1}, CrashEvidence::Unreachable, kNow);
     detector.onResponse({"a", 1});
     CHECK(detector.onHeartbeat({"a", 1}, kNow + std::chrono::seconds{5}));
 }
+
+TEST(ACrashDetector, knowsSinceWhenACrashedReplicaWasUnreachable)
+{
+    detector.recordCrash({"a", 1}, CrashEvidence::Removed, kNow);
+    CHECK(detector.crashedAt({"a", 1}) == kNow);
+    CHECK(!detector.unreachableSince({"a", 1}));
+    const TimePoint later = kNow + std::chrono::seconds{1};
+    detector.recordCrash({"a", 1}, CrashEvidence::Unreachable, later);
+    CHECK(detector.crashedAt({"a", 1}) == kNow);
+    CHECK(detector.unreachableSince({"a", 1}) == later);
+}
--- a/tests/gate/requesthandlertest.cpp
+++ b/tests/gate/requesthandlertest.cpp
@@ -371,6 +371,32 @@
     CHECK(contains(response, event(3)));
 }
 
+// Guards against memory that stays reserved at helpers, and a caller that waits, for a replica that
+// lost power: it was given up only after the forecast time of the whole prefill.
+TEST(AStream, isRetriedOnceItsRemovedReplicaIsUnreachable)
+{
+    auto &first = fixture.addReplica("a", "engine", {silentCrash()});
+    asio::co_spawn(
+        fixture.context,
+        [&]() -> Task<void> {
+            asio::steady_timer timer(fixture.context);
+            while (first.requests().empty()) {
+                timer.expires_after(std::chrono::milliseconds{10});
+                co_await timer.async_wait(kAwait);
+            }
+            fixture.state.directory.applyChanges({{"a", std::nullopt}}, fixture.clock.now());
+            fixture.addReplica("b", "engine", {{stream(0, 3)}});
+        },
+        asio::detached);
+    constexpr Duration kPrefillTime = std::chrono::milliseconds{4800};
+    const TimePoint start = fixture.clock.now();
+    const std::string response = fixture.call(GatewayFixture::request(
+        "POST", "/prompt/1", "X-Arbutuspier-Token-Usage: 200000,100\r\n", "prompt"));
+    LONGS_EQUAL(200, statusOf(response));
+    CHECK(contains(response, event(3)));
+    CHECK(fixture.clock.now() - start < kPrefillTime);
+}
+
 TEST(AStream, closesItsUpstreamConnectionWhenTheCallerDisconnects)
 {
     auto &replica = fixture.addReplica("a", "desk", {{streamHead() + chunk(event(0))}});
