gateway: Go on after the store has come back from an old copy

Cause: after a copy was restored, the store's revisions go back and are given out again. The gateway took every read for stale until the numbers had caught up, so it missed new and leaving replicas; a number given out again would have hidden changes; its registration and the suspects it had written were lost. On a new era all tables are read in full, missing entries get the grace of an outage, a departed replica does not come back from the copy, heartbeats in it prove nothing, and the VM writes its registration and suspects again. Peers compare eras too; the status carries the era if it is not zero, which gateways of the build before do not read.

--- a/include/arbutuspier/upstreamdirectory.h
+++ b/include/arbutuspier/upstreamdirectory.h
@@ -80,8 +80,16 @@
     {
     }
 
-    /// Applies a complete list; entries that are not in `rows` count as missing.
-    void replaceAll(const std::vector<ReplicaRow> &rows, TimePoint now);
+    enum class ListAge : std::uint8_t {
+        Current,
+        /// The list was restored from a copy and may be some seconds old.
+        Restored,
+    };
+
+    /// Applies a complete list; entries that are not in `rows` count as missing. A restored list
+    /// doesn't bring an incarnation back that has departed.
+    void replaceAll(const std::vector<ReplicaRow> &rows, TimePoint now,
+                    ListAge age = ListAge::Current);
     /// Applies the rows that changed since the last poll.
     void applyChanges(const std::vector<ReplicaRow> &rows, TimePoint now);
     /// Records that a poll of the list failed.
--- a/src/coordination/upstreamdirectory.cpp
+++ b/src/coordination/upstreamdirectory.cpp
@@ -8,7 +8,7 @@
 
 namespace arbutuspier {
 
-void UpstreamDirectory::replaceAll(const std::vector<ReplicaRow> &rows, TimePoint now)
+void UpstreamDirectory::replaceAll(const std::vector<ReplicaRow> &rows, TimePoint now, ListAge age)
 {
     std::set<std::string, std::less<>> listedIds;
     for (const ReplicaRow &row : rows) {
@@ -22,7 +22,16 @@
     }
     for (const std::string &id : missing)
         onEntryMissing(id, now);
-    applyChanges(rows, now);
+    if (age == ListAge::Current) {
+        applyChanges(rows, now);
+        return;
+    }
+    std::vector<ReplicaRow> present;
+    for (const ReplicaRow &row : rows) {
+        if (row.entry && !hasDeparted(row.entry->incarnation()))
+            present.push_back(row);
+    }
+    applyChanges(present, now);
 }
 
 void UpstreamDirectory::applyChanges(const std::vector<ReplicaRow> &rows, TimePoint now)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -65,6 +65,7 @@
     m_storeWatcher.onVms = [this](const std::vector<VmRegistration> &vms) {
         m_messenger.setVms(vms);
     };
+    m_storeWatcher.onStoreRestored = [this] { m_suspectTable.onStoreRestored(); };
     m_storeWatcher.onConfiguration = [this] { m_messenger.broadcastChanges(); };
     m_storeWatcher.onReplicas = [this] {
         m_messenger.broadcastChanges();
--- a/src/gateway/peerdatagramcodec.cpp
+++ b/src/gateway/peerdatagramcodec.cpp
@@ -101,22 +101,29 @@
     return ActiveRequestUpdate{ActiveRequestUpdate::Kind::Began, id, std::move(activeRequest)};
 }
 
+/// The era of the store is omitted while it is zero.
 Json encodeStatus(const PeerStatus &status)
 {
-    return Json::array({status.vm, status.incarnation, status.configVersion, status.replicaRevision,
-                        status.canReadStore, status.isDraining});
+    Json fields =
+        Json::array({status.vm, status.incarnation, status.configVersion,
+                     status.replicaRevision.number, status.canReadStore, status.isDraining});
+    if (status.replicaRevision.era != 0)
+        fields.push_back(status.replicaRevision.era);
+    return fields;
 }
 
 std::optional<PeerStatus> decodeStatus(const Json &value)
 {
     constexpr std::size_t kFields = 6;
-    const bool isStatus = isArray(value, kFields) && value[0].is_string()
+    const bool hasEra = isArray(value, kFields + 1) && value[kFields].is_number_unsigned();
+    const bool isStatus = (hasEra || isArray(value, kFields)) && value[0].is_string()
         && value[1].is_number_unsigned() && value[2].is_number_unsigned()
         && value[3].is_number_unsigned() && value[4].is_boolean() && value[5].is_boolean();
     if (!isStatus)
         return std::nullopt;
+    const std::uint64_t era = hasEra ? value[kFields].get<std::uint64_t>() : 0;
     return PeerStatus{value[0].get<std::string>(),   value[1].get<std::uint64_t>(),
-                      value[2].get<std::uint64_t>(), value[3].get<std::uint64_t>(),
+                      value[2].get<std::uint64_t>(), {era, value[3].get<std::uint64_t>()},
                       value[4].get<bool>(),          value[5].get<bool>()};
 }
 
--- a/src/gateway/peerdatagramcodec.h
+++ b/src/gateway/peerdatagramcodec.h
@@ -9,6 +9,7 @@
 #include "arbutuspier/peer.h"
 #include "arbutuspier/upstreamdirectory.h"
 #include "gateway/dispatchqueue.h"
+#include "platform/storeclient.h"
 
 #include <cstdint>
 #include <optional>
@@ -26,7 +27,7 @@
     std::uint64_t incarnation = 0;
     std::uint64_t configVersion = 0;
     /// Revision of the store at which the sender last saw the usable replicas change.
-    std::uint64_t replicaRevision = 0;
+    platform::StoreRevision replicaRevision;
     /// The sender can read the metadata store at present.
     bool canReadStore = true;
     /// The sender is draining: it accepts no new requests.
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -103,7 +103,7 @@
     pollReplicasNow();
 }
 
-void StoreWatcher::onReplicasChanged(std::uint64_t revision)
+void StoreWatcher::onReplicasChanged(platform::StoreRevision revision)
 {
     // While the store can't be read, polling it more often has no use.
     const bool isNewer = revision > m_replicaRevision && m_state.directory.isReachable();
@@ -156,6 +156,24 @@
     return jittered(m_state.random, std::min(base, kMaxBackoff));
 }
 
+void StoreWatcher::noteEra(const platform::StoreRead &read)
+{
+    const bool hasResponded =
+        read.outcome == Outcome::Done || read.outcome == Outcome::HistoryTruncated;
+    if (!hasResponded || (m_storeEra && read.revision.era <= *m_storeEra))
+        return;
+    const bool isFirst = !m_storeEra;
+    m_storeEra = read.revision.era;
+    if (isFirst)
+        return;
+    LOG(INFO) << LogLine("store_restored").add("era", read.revision.era).text();
+    pollReplicasNow();
+    m_vmSchedule.scheduleNow(m_state.clock.now());
+    m_vmTimer.cancel();
+    if (onStoreRestored)
+        onStoreRestored();
+}
+
 void StoreWatcher::updateStoreState(bool isUp, std::string_view reader, int status)
 {
     if (isUp == m_isStoreUp)
@@ -164,7 +182,7 @@
     LOG(INFO) << LogLine(isUp ? "store_regained" : "store_lost")
                      .add("reader", reader)
                      .add("status", static_cast<std::uint64_t>(status))
-                     .add("replica_revision", m_replicaRevision)
+                     .add("replica_revision", m_replicaRevision.number)
                      .add("config", m_state.routes() ? m_state.routes()->version() : 0)
                      .text();
 }
@@ -196,7 +214,7 @@
 bool StoreWatcher::needsSnapshot(const PeerStatus &peer)
 {
     const bool lacksReplicas = !m_hasReplicas && !m_state.directory.isReachable();
-    if (lacksReplicas && peer.replicaRevision > 0)
+    if (lacksReplicas && peer.replicaRevision > platform::StoreRevision{})
         return true;
     const std::uint64_t version = m_state.routes() ? m_state.routes()->version() : 0;
     if (peer.configVersion <= version)
@@ -258,6 +276,7 @@
                 platform::kOperatorTable, m_configRevision,
                 m_configInterval.interval(m_state.storeReaderCount()), kCallTimeout);
         }
+        noteEra(read);
         m_isConfigurationReadable = read.outcome == Outcome::Done;
         if (m_isConfigurationReadable) {
             failures = 0;
@@ -278,7 +297,8 @@
 void StoreWatcher::recordHeartbeats(const std::vector<platform::StoreRow> &rows,
                                     const std::vector<ReplicaRow> &decoded)
 {
-    if (!m_replicaRevisionPolledAt)
+    const bool isSameEra = m_storeEra == m_replicaRevision.era;
+    if (!m_replicaRevisionPolledAt || !isSameEra)
         return;
     for (std::size_t i = 0; i < rows.size(); ++i) {
         const bool isNewer = rows[i].version > m_replicaRevision;
@@ -294,12 +314,13 @@
     // A stale response would restore replicas that were removed.
     if (read.revision < m_replicaRevision) {
         LOG(INFO) << LogLine("stale_read")
-                         .add("revision", read.revision)
-                         .add("known", m_replicaRevision)
+                         .add("revision", read.revision.number)
+                         .add("known", m_replicaRevision.number)
                          .text();
         return;
     }
     const TimePoint now = m_state.clock.now();
+    const bool isRestored = m_hasReplicas && read.revision.era > m_replicaRevision.era;
     std::vector<ReplicaRow> rows;
     for (const platform::StoreRow &row : read.rows) {
         ReplicaRow decoded{row.key, std::nullopt};
@@ -310,16 +331,21 @@
     recordHeartbeats(read.rows, rows);
     m_replicaRevision = read.revision;
     m_replicaRevisionPolledAt = polledAt;
+    // Entries that the copy lacks may be written again, as after an outage.
+    if (isRestored)
+        m_state.directory.setUnreachable();
     m_state.directory.setReachable(now);
     const std::uint64_t before = m_state.directory.revision();
     if (isFullRead)
-        m_state.directory.replaceAll(rows, now);
+        m_state.directory.replaceAll(rows, now,
+                                     isRestored ? UpstreamDirectory::ListAge::Restored
+                                                : UpstreamDirectory::ListAge::Current);
     else
         m_state.directory.applyChanges(rows, now);
     if (m_state.directory.revision() != before) {
         m_changeRevision = read.revision;
         LOG(INFO) << LogLine("replicas_changed")
-                         .add("store_revision", read.revision)
+                         .add("store_revision", read.revision.number)
                          .add("directory", m_state.directory.revision())
                          .add("known", m_state.directory.size())
                          .text();
@@ -343,6 +369,7 @@
             read = co_await m_replicaClient.readChanges(platform::kReplicaTable, m_replicaRevision,
                                                         Duration::zero(), kCallTimeout);
         }
+        noteEra(read);
         updateStoreState(read.outcome == Outcome::Done, "replicas", read.status);
         if (read.outcome == Outcome::Done) {
             failures = 0;
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -38,13 +38,13 @@
     void pollReplicasNow();
     /// A peer saw the replicas change at this revision. Polls them soon if this VM has read only an
     /// earlier one.
-    void onReplicasChanged(std::uint64_t revision);
+    void onReplicasChanged(platform::StoreRevision revision);
     /// Records that a datagram of the VM arrived, so that its registration is kept.
     void onPeerMessage(const std::string &vm);
     /// A VM that is missing in the list of VMs sent a datagram. Polls the list soon.
     void onUnlistedVm();
     /// Revision at which this VM last saw the usable replicas change.
-    std::uint64_t changeRevision() const { return m_changeRevision; }
+    platform::StoreRevision changeRevision() const { return m_changeRevision; }
 
     /// The state that a peer needs to serve requests without the store.
     Snapshot snapshot() const;
@@ -62,6 +62,8 @@
     std::uint64_t replicaCalls() const { return m_replicaClient.calls(); }
 
     std::function<void(const std::vector<VmRegistration> &)> onVms;
+    /// Called when the store has come back from a copy and lost what was written after it.
+    std::function<void()> onStoreRestored;
     std::function<void()> onConfiguration;
     std::function<void()> onReplicas;
 
@@ -82,6 +84,9 @@
     void handleReplicaRead(const platform::StoreRead &read, bool isFullRead, TimePoint polledAt);
     void recordHeartbeats(const std::vector<platform::StoreRow> &rows,
                           const std::vector<ReplicaRow> &decoded);
+    /// Notices that the store has come back from a copy, and reads and writes anew what is
+    /// affected.
+    void noteEra(const platform::StoreRead &read);
     void updateStoreState(bool isUp, std::string_view reader, int status);
     Duration backoff(std::uint32_t failures);
 
@@ -99,12 +104,14 @@
     SharedPollInterval m_replicaInterval;
     SharedPollInterval m_vmInterval;
     std::string m_configurationBytes;
-    std::uint64_t m_configRevision = 0;
-    std::uint64_t m_replicaRevision = 0;
+    platform::StoreRevision m_configRevision;
+    platform::StoreRevision m_replicaRevision;
     /// When the poll that returned m_replicaRevision began: rows of later versions were written
     /// after it. Empty until the first poll.
     std::optional<TimePoint> m_replicaRevisionPolledAt;
-    std::uint64_t m_changeRevision = 0;
+    platform::StoreRevision m_changeRevision;
+    /// The highest era that a response stated.
+    std::optional<std::uint64_t> m_storeEra;
     /// Time at which a peer first reported a newer configuration; empty if none has.
     std::optional<TimePoint> m_staleConfigSince;
     bool m_isConfigurationReadable = true;
--- a/src/gateway/suspecttable.cpp
+++ b/src/gateway/suspecttable.cpp
@@ -63,6 +63,16 @@
     m_timer.cancel();
 }
 
+void SuspectTable::onStoreRestored()
+{
+    m_isFullRead = true;
+    m_rows.clear();
+    for (const SuspectNotice &notice : m_state.suspects.quarantine().records())
+        m_changed.insert(notice.fingerprint);
+    m_schedule.scheduleNow(m_state.clock.now());
+    m_timer.cancel();
+}
+
 std::chrono::seconds SuspectTable::wallSeconds() const
 {
     return std::chrono::duration_cast<std::chrono::seconds>(
@@ -201,7 +211,7 @@
 Task<void> SuspectTable::removeExpired()
 {
     const std::chrono::seconds now = wallSeconds();
-    std::vector<std::pair<std::string, std::uint64_t>> expired;
+    std::vector<std::pair<std::string, platform::StoreRevision>> expired;
     for (const auto &[key, row] : m_rows) {
         if (now >= row.writtenAt + kSuspectRetention)
             expired.emplace_back(key, row.version);
--- a/src/gateway/suspecttable.h
+++ b/src/gateway/suspecttable.h
@@ -25,6 +25,8 @@
     void start();
     /// What this VM knows of the request changed: writes its row soon.
     void markChanged(Fingerprint fingerprint);
+    /// The store has come back from a copy: reads the table anew and writes all that this VM knows.
+    void onStoreRestored();
     /// True once the table was read, or could not be read, after the start.
     bool wasRead() const { return m_wasRead; }
     /// Number of calls to the store since the start.
@@ -37,7 +39,7 @@
     struct Row
     {
         /// Revision of the store at which the row was written.
-        std::uint64_t version = 0;
+        platform::StoreRevision version;
         std::chrono::seconds writtenAt{};
     };
 
@@ -69,7 +71,7 @@
     std::set<Fingerprint> m_changed;
     /// All rows of the table that were read, by key.
     std::map<std::string, Row> m_rows;
-    std::uint64_t m_revision = 0;
+    platform::StoreRevision m_revision;
     std::uint32_t m_failures = 0;
     bool m_isFullRead = true;
     bool m_wasRead = false;
--- a/src/net/httpchannel.cpp
+++ b/src/net/httpchannel.cpp
@@ -92,6 +92,7 @@
     reply.body = std::move(parser.get().body());
     if (!parser.get().keep_alive())
         m_stream.reset();
+    reply.headers = std::move(parser.get().base());
     co_return reply;
 }
 
--- a/src/net/httpchannel.h
+++ b/src/net/httpchannel.h
@@ -6,6 +6,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/verb.hpp>
 
 #include <memory>
@@ -30,6 +31,7 @@
     Outcome outcome = Outcome::NotConnected;
     int status = 0;
     std::string body;
+    boost::beast::http::fields headers;
 
     bool isOk() const { return outcome == Outcome::Answered && status / 100 == 2; }
 };
--- a/tests/gate/peertabletest.cpp
+++ b/tests/gate/peertabletest.cpp
@@ -33,7 +33,7 @@
     {
         datagram.incarnationTag = 17;
         datagram.sequence = 3;
-        datagram.status = PeerStatus{"edge-1", 17, 9, 40, true, false};
+        datagram.status = PeerStatus{"edge-1", 17, 9, {2, 40}, true, false};
         datagram.activeRequests = std::vector<ActiveRequest>{makeActiveRequest(5)};
         datagram.updates = {{ActiveRequestUpdate::Kind::Began, 5, makeActiveRequest(5)},
                             {ActiveRequestUpdate::Kind::Decoding, 3, std::nullopt},
@@ -160,7 +160,7 @@
     static PeerDatagram fullStateDatagram(std::uint64_t sequence, std::uint64_t incarnation = 17)
     {
         PeerDatagram datagram = updateDatagram(sequence, incarnation);
-        datagram.status = PeerStatus{"edge-2", incarnation, 1, 1, true, false};
+        datagram.status = PeerStatus{"edge-2", incarnation, 1, {0, 1}, true, false};
         datagram.activeRequests.emplace();
         return datagram;
     }
--- a/tests/gate/suspectexchangetest.cpp
+++ b/tests/gate/suspectexchangetest.cpp
@@ -132,7 +132,7 @@
     PeerDatagram status;
     status.incarnationTag = incarnationTagOf(5);
     status.sequence = 1;
-    status.status = PeerStatus{"edge-2", 5, 0, 0, true, false};
+    status.status = PeerStatus{"edge-2", 5, 0, {}, true, false};
     peer.send_to(asio::buffer(encodePeerDatagram(status)), endpoint);
     CHECK(names(receiveFor(milliseconds{1500}), fingerprint));
 }
--- a/tests/gate/upstreamdirectorytest.cpp
+++ b/tests/gate/upstreamdirectorytest.cpp
@@ -190,3 +190,25 @@
     });
     CHECK(hasPassed);
 }
+
+// Guards against requests to a replica that had gone, and that an old copy of the list still has.
+TEST(ADirectory, doesNotBringBackADepartedReplicaFromARestoredList)
+{
+    directory.replaceAll({row("a", 1), row("b", 1)}, kStart);
+    directory.applyChanges({missingRow("a")}, kStart);
+    directory.replaceAll({row("a", 1), row("b", 1)}, kStart, UpstreamDirectory::ListAge::Restored);
+    LONGS_EQUAL(1, directory.usable("assist").size());
+    directory.applyChanges({row("a", 1)}, kStart);
+    LONGS_EQUAL(2, directory.usable("assist").size());
+}
+
+TEST(ADirectory, keepsAReplicaThatARestoredListLacksForAsLongAsAfterAnOutage)
+{
+    directory.replaceAll({row("a", 1), row("b", 1)}, kStart);
+    directory.setUnreachable();
+    directory.setReachable(kStart);
+    directory.replaceAll({row("a", 1)}, kStart, UpstreamDirectory::ListAge::Restored);
+    LONGS_EQUAL(2, directory.usable("assist").size());
+    directory.tick(kStart + std::chrono::seconds{3});
+    LONGS_EQUAL(1, directory.usable("assist").size());
+}
--- a/tools/standin/storeserver.cpp
+++ b/tools/standin/storeserver.cpp
@@ -14,6 +14,7 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kGone = 410;
 constexpr int kPreconditionFailed = 412;
 
 /// Returns the value of a query parameter, or an empty string if the target doesn't have it.
@@ -117,23 +118,51 @@
     co_return text;
 }
 
+void StoreServer::restoreCopy()
+{
+    m_rows = m_savedRows;
+    m_revision = m_savedRevision;
+    ++m_era;
+    m_changeSignal.cancel();
+}
+
+Task<bool> StoreServer::replyWithEra(beast::tcp_stream &stream, const Request &request,
+                                     int httpStatus, std::string body)
+{
+    std::vector<std::pair<std::string, std::string>> headers;
+    headers.emplace_back("Store-Era", std::to_string(m_era));
+    co_return co_await reply(stream, request, httpStatus, std::move(body), std::move(headers));
+}
+
 Task<bool> StoreServer::handle(beast::tcp_stream &stream, Request request)
 {
     const std::string target(request.target());
     const std::string table = queryParameter(target, "tableName");
+    if (target.starts_with("/save")) {
+        m_savedRows = m_rows;
+        m_savedRevision = m_revision;
+        co_return co_await replyWithEra(stream, request, kOk, "{}");
+    }
+    if (target.starts_with("/restore")) {
+        restoreCopy();
+        co_return co_await replyWithEra(stream, request, kOk, "{}");
+    }
     if (target.starts_with("/rows-tx")) {
         int httpStatus = kBadRequest;
         std::string body = applyTransaction(request.body(), httpStatus);
-        co_return co_await reply(stream, request, httpStatus, std::move(body));
+        co_return co_await replyWithEra(stream, request, httpStatus, std::move(body));
     }
     if (target.starts_with("/rows-get"))
-        co_return co_await reply(stream, request, kOk, readTable(table));
+        co_return co_await replyWithEra(stream, request, kOk, readTable(table));
     if (target.starts_with("/rows-feed")) {
-        std::string body = co_await waitForChanges(table, numberAfter(target, "sinceRevision="),
-                                                   numberAfter(target, "waitMs="));
-        co_return co_await reply(stream, request, kOk, std::move(body));
+        const std::uint64_t sinceRevision = numberAfter(target, "sinceRevision=");
+        if (sinceRevision > m_revision)
+            co_return co_await replyWithEra(stream, request, kGone, "{}");
+        std::string body =
+            co_await waitForChanges(table, sinceRevision, numberAfter(target, "waitMs="));
+        co_return co_await replyWithEra(stream, request, kOk, std::move(body));
     }
-    co_return co_await reply(stream, request, kNotFound, "{}");
+    co_return co_await replyWithEra(stream, request, kNotFound, "{}");
 }
 
 } // namespace arbutuspier::standin
--- a/tools/standin/storeserver.h
+++ b/tools/standin/storeserver.h
@@ -16,6 +16,7 @@
 };
 
 /// Keeps all rows in memory. A removed row stays as a tombstone, so that the feed can report it.
+/// `POST /save` keeps a copy of all rows; `POST /restore` goes back to it, as after a loss of data.
 class StoreServer
 {
 public:
@@ -33,6 +34,9 @@
     using Key = std::pair<std::string, std::string>;
 
     Task<bool> handle(beast::tcp_stream &stream, Request request);
+    Task<bool> replyWithEra(beast::tcp_stream &stream, const Request &request, int httpStatus,
+                            std::string body);
+    void restoreCopy();
     /// Applies a transaction and returns the response body. Nothing is written if the revision of
     /// an expected row differs.
     std::string applyTransaction(const std::string &body, int &httpStatus);
@@ -47,6 +51,10 @@
     StoreServerOptions m_options;
     std::map<Key, Row> m_rows;
     std::uint64_t m_revision = 0;
+    std::map<Key, Row> m_savedRows;
+    std::uint64_t m_savedRevision = 0;
+    /// Rises by one with each restored copy.
+    std::uint64_t m_era = 1;
     /// Cancelled at each change, so that waiting feed requests check for new rows.
     asio::steady_timer m_changeSignal;
 };
