gateway, net: Bound what a response without end may take

Cause: a replica in trouble may send bytes without end. The body of a response that isn't streamed, also of an error to a stream, was read into memory until its deadline, and the head of a chunk without any bound, as the read buffer had none. Evidence: AResponseWithoutEnd on the code before: the head of a chunk ended the test in bad_alloc at 8 GB; the body of an error was read for 20 s (504). Change: responses of more than 8 MB and replies to orders of more than 64 KB are broken off; the read buffers of the gateway, the daemon and their HTTP calls have an upper bound, also towards callers, whose chunk heads had none either.

--- a/src/gateway/callerconnection.h
+++ b/src/gateway/callerconnection.h
@@ -79,7 +79,9 @@
     bool staysOpen() const;
 
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    /// Bounds the head of a request and of each of its chunks.
+    static constexpr std::size_t kMaxBufferBytes = 1024 * 1024;
+    beast::flat_buffer m_buffer{kMaxBufferBytes};
     GatewayState &m_state;
     asio::cancellation_signal m_watchCancel;
     asio::steady_timer m_watchEndedTimer;
--- a/src/gateway/memoryreservation.cpp
+++ b/src/gateway/memoryreservation.cpp
@@ -21,6 +21,7 @@
 constexpr Duration kExtendInterval = std::chrono::milliseconds{1200};
 constexpr Duration kOrderTimeout = std::chrono::milliseconds{400};
 constexpr Duration kConnectTimeout = std::chrono::milliseconds{250};
+constexpr std::size_t kMaxOrderReplyBytes = 64 * 1024;
 /// Maximum number of times that an unanswered release is sent. After that the reservation's time
 /// limit frees the memory.
 constexpr int kReleaseAttempts = 3;
@@ -37,7 +38,7 @@
         co_return 0;
     std::string body;
     UpstreamAttempt::ReadProgress progress = UpstreamAttempt::ReadProgress::More;
-    while (progress == UpstreamAttempt::ReadProgress::More)
+    while (progress == UpstreamAttempt::ReadProgress::More && body.size() <= kMaxOrderReplyBytes)
         progress = co_await attempt.read(body);
     const int status = attempt.status();
     attempt.release(state.clock.now());
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -36,6 +36,8 @@
 constexpr double kForecastTimeoutFactor = 2.0;
 /// Timeout of a response that isn't streamed, as a multiple of the route's objective.
 constexpr double kCallTimeoutFactor = 0.8;
+/// Longest response that isn't streamed. Several have to fit into a VM's memory at once.
+constexpr std::size_t kMaxResponseBytes = 8 * 1024 * 1024;
 constexpr int kServerError = 500;
 constexpr int kOk = 200;
 
@@ -236,13 +238,13 @@
 {
     std::string body;
     UpstreamAttempt::ReadProgress progress = UpstreamAttempt::ReadProgress::More;
-    while (progress == UpstreamAttempt::ReadProgress::More)
+    while (progress == UpstreamAttempt::ReadProgress::More && body.size() <= kMaxResponseBytes)
         progress = co_await attempt.read(body);
     if (m_caller.isDisconnected())
         co_return AttemptOutcome::CallerDisconnected;
     if (attempt.head().isNotExecuted)
         co_return AttemptOutcome::NotExecuted;
-    if (progress == UpstreamAttempt::ReadProgress::Broken || !isValidResponse(attempt))
+    if (progress != UpstreamAttempt::ReadProgress::Complete || !isValidResponse(attempt))
         co_return AttemptOutcome::Lost;
     const bool isFailure = attempt.status() >= kServerError;
     if (isFailure && couldRetry() && !m_hasSentHead)
--- a/src/gateway/upstreampool.h
+++ b/src/gateway/upstreampool.h
@@ -16,6 +16,9 @@
 
 namespace arbutuspier {
 
+/// More than the largest head of a response that is read.
+inline constexpr std::size_t kMaxBufferBytes = 128 * 1024;
+
 struct UpstreamConnection
 {
     explicit UpstreamConnection(asio::any_io_executor executor)
@@ -24,7 +27,8 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    /// Bounded, as a replica in trouble may send a head, or the head of a chunk, without end.
+    beast::flat_buffer buffer{kMaxBufferBytes};
     /// How long the replica keeps the connection open while it is idle; zero if it stated none.
     Duration keepAlive{};
     TimePoint idleSince{};
--- a/src/net/httpchannel.cpp
+++ b/src/net/httpchannel.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr int kHttp11 = 11;
+/// Bounds the head of a reply and of each of its chunks.
+constexpr std::size_t kMaxBufferBytes = 1024 * 1024;
 constexpr std::uint64_t kMaxReplyBytes = 64ULL * 1024 * 1024;
 
 } // namespace
@@ -37,6 +39,7 @@
 HttpChannel::HttpChannel(asio::any_io_executor executor, Address address)
     : m_executor(std::move(executor))
     , m_address(std::move(address))
+    , m_buffer(kMaxBufferBytes)
 {
 }
 
--- a/src/net/httpfrontend.cpp
+++ b/src/net/httpfrontend.cpp
@@ -118,7 +118,9 @@
 {
     ++m_connectionCount;
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    // Bounds the head of a request and of each of its chunks.
+    constexpr std::size_t kMaxBufferBytes = 1024 * 1024;
+    beast::flat_buffer buffer(kMaxBufferBytes);
     bool isKeptAlive = true;
     while (isKeptAlive) {
         RequestParser parser;
--- a/src/net/upstreamstream.h
+++ b/src/net/upstreamstream.h
@@ -37,7 +37,9 @@
     OpenStream m_open;
     Address m_address;
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    /// Bounds the head of a response and of each of its chunks.
+    static constexpr std::size_t kMaxBufferBytes = 128 * 1024;
+    beast::flat_buffer m_buffer{kMaxBufferBytes};
     /// True after cancel(), and once the end of the attempt was posted.
     bool m_isFinished = false;
 };
--- a/tests/gate/gatewayfixture.h
+++ b/tests/gate/gatewayfixture.h
@@ -32,6 +32,8 @@
     bool stopsListening = false;
     /// The next connection is still accepted, and closed at once.
     bool acceptsOneMore = false;
+    /// After the response, this is sent again and again until the gateway closes the connection.
+    std::string endlessBytes;
 };
 
 /// The request crashes the replica: its connection is reset and its address refuses new ones.
@@ -95,6 +97,8 @@
     std::uint16_t port() const { return m_port; }
     const std::vector<Request> &requests() const { return m_requests; }
     int connections() const { return m_connections; }
+    /// Bytes sent without end.
+    std::size_t endlessBytesSent() const { return m_endlessBytesSent; }
     /// Connections that the gateway closed.
     int closedByGateway() const { return m_closedByGateway; }
     void close() { m_acceptor.close(); }
@@ -134,6 +138,15 @@
             for (auto at = response.find("%ID"); at != std::string::npos; at = response.find("%ID"))
                 response.replace(at, 3, id);
             co_await asio::async_write(stream, asio::buffer(response), kAwait);
+            while (!step.endlessBytes.empty()) {
+                const auto [endlessError, sent] =
+                    co_await asio::async_write(stream, asio::buffer(step.endlessBytes), kAwait);
+                if (endlessError) {
+                    ++m_closedByGateway;
+                    co_return;
+                }
+                m_endlessBytesSent += sent;
+            }
             if (step.stopsListening)
                 m_acceptor.close();
             m_acceptsOneMore = step.acceptsOneMore;
@@ -150,6 +163,7 @@
     std::uint16_t m_port;
     std::vector<Request> m_requests;
     bool m_acceptsOneMore = false;
+    std::size_t m_endlessBytesSent = 0;
     int m_connections = 0;
     int m_closedByGateway = 0;
 };
--- a/tests/gate/requesthandlertest.cpp
+++ b/tests/gate/requesthandlertest.cpp
@@ -428,3 +428,81 @@
     LONGS_EQUAL(503, statusOf(callStream()));
     LONGS_EQUAL(1, replica.requests().size());
 }
+
+TEST_GROUP_BASE(AResponseWithoutEnd, TEST_GROUP_CppUTestGroupACall)
+{
+    /// More than any response, and far less than what a VM has memory for.
+    static constexpr std::size_t kMaxBytes = 64 * 1024 * 1024;
+
+    static ReplicaStep endless(std::string begin, const std::string &repeated)
+    {
+        ReplicaStep step{std::move(begin)};
+        while (step.endlessBytes.size() < 64 * 1024)
+            step.endlessBytes += repeated;
+        return step;
+    }
+    /// The gateway closes the connection long before its memory is full, and the caller gets no
+    /// success.
+    void checkIsBrokenOff(const ReplicaStep &step, const std::string &request)
+    {
+        auto &replica = fixture.addReplica("a", "desk", {step});
+        const std::string response = fixture.call(request);
+        LONGS_EQUAL(502, statusOf(response));
+        CHECK(replica.closedByGateway() > 0);
+        CHECK(replica.endlessBytesSent() < kMaxBytes);
+    }
+    static std::string order()
+    {
+        return GatewayFixture::request("POST", "/order/5", "", "stone=3");
+    }
+    static std::string prompt()
+    {
+        return GatewayFixture::request("POST", "/once/5", "", "prompt");
+    }
+};
+
+// Guard against a replica that sends bytes without end, with which the VM would run out of memory.
+TEST(AResponseWithoutEnd, isBrokenOffInItsHead)
+{
+    checkIsBrokenOff(endless("HTTP/1.1 200 OK\r\nX-Own: ", "x"), order());
+}
+
+TEST(AResponseWithoutEnd, isBrokenOffIfItIsNoHttp)
+{
+    checkIsBrokenOff(endless("", "no answer "), order());
+}
+
+TEST(AResponseWithoutEnd, isBrokenOffInABodyThatEndsWithItsConnection)
+{
+    checkIsBrokenOff(endless("HTTP/1.1 200 OK\r\nX-Arbutuspier-Attempt-Id: %ID\r\n"
+                             "X-Arbutuspier-Response-Signature: s1\r\n\r\n",
+                             "x"),
+                     order());
+}
+
+TEST(AResponseWithoutEnd, isBrokenOffInAChunkedBody)
+{
+    checkIsBrokenOff(endless("HTTP/1.1 200 OK\r\nX-Arbutuspier-Attempt-Id: %ID\r\n"
+                             "X-Arbutuspier-Response-Signature: s1\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n",
+                             chunk("xxxx")),
+                     order());
+}
+
+TEST(AResponseWithoutEnd, isBrokenOffInTheHeadOfAChunk)
+{
+    checkIsBrokenOff(endless(streamHead() + "5;", "x"), prompt());
+}
+
+TEST(AResponseWithoutEnd, isBrokenOffInTheBodyOfAnErrorOfAStream)
+{
+    checkIsBrokenOff(endless("HTTP/1.1 500 X\r\nX-Arbutuspier-Attempt-Id: %ID\r\n"
+                             "X-Arbutuspier-Response-Signature: s1\r\n\r\n",
+                             "x"),
+                     prompt());
+}
+
+TEST(AResponseWithoutEnd, isBrokenOffWithinAnEvent)
+{
+    checkIsBrokenOff(endless(streamHead(), chunk(std::string(8192, 'x'))), prompt());
+}
