gateway: Check the reachability of a removed replica once a second

Cause: found in reading the change: each look at the directory, four a second, opened a connection to a replica that had left without notice and still served. Also a VM that had its replicas from a peer took its first read of the store for one after a restored copy. Change: one connection a second; a list counts as restored only after a read.

--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -111,9 +111,9 @@
     void setFirstEventDeadline(UpstreamAttempt &attempt, const DispatchGrant &grant);
     /// Whether the replica was removed from the directory and is unreachable or late. Starts a
     /// check if it isn't known yet whether it can be reached.
-    bool isReplicaGone(const DispatchGrant &grant) const;
+    bool isReplicaGone(const DispatchGrant &grant);
     /// When to check again a replica that hasn't sent its first event yet; empty to give it up now.
-    std::optional<TimePoint> nextFirstEventCheck(const DispatchGrant &grant) const;
+    std::optional<TimePoint> nextFirstEventCheck(const DispatchGrant &grant);
     /// Whether the route allows another attempt after the current one, even if this one was
     /// executed.
     bool couldRetry() const;
@@ -176,6 +176,7 @@
     TimePoint m_firstEventDeadline{};
     /// When the prefill of the current attempt should be over at the latest, by its forecast.
     TimePoint m_expectedPrefillEnd{};
+    TimePoint m_nextReachabilityCheck{};
     TimePoint m_lastEventAt{};
     Duration m_longestGap{};
     /// Replicas of all attempts for the log, each followed by "+" and the number of its helpers.
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -30,6 +30,9 @@
 constexpr Duration kPrefillTimeoutMargin = std::chrono::milliseconds{150};
 /// Interval at which it is checked whether a replica without output is still in the directory.
 constexpr Duration kDirectoryCheckInterval = std::chrono::milliseconds{250};
+/// Interval at which it is checked whether such a replica, once it has left the directory, can
+/// still be reached. Each check costs a connection.
+constexpr Duration kReachabilityCheckInterval = std::chrono::seconds{1};
 /// Timeout of the first event: the sum of the forecast and of the route's objective, each
 /// multiplied by its factor.
 constexpr double kObjectiveTimeoutFactor = 1.2;
@@ -131,7 +134,7 @@
     attempt.expireAt(std::min(now + kDirectoryCheckInterval, m_firstEventDeadline));
 }
 
-bool RequestHandler::isReplicaGone(const DispatchGrant &grant) const
+bool RequestHandler::isReplicaGone(const DispatchGrant &grant)
 {
     const ReplicaIncarnation incarnation = grant.replica.incarnation();
     if (!m_state.directory.wasRemovedOrReplaced(incarnation))
@@ -143,11 +146,15 @@
     const auto unreachableSince = m_state.suspects.unreachableSince(incarnation);
     if (unreachableSince)
         return m_sentAt < *unreachableSince;
-    m_state.suspects.startCheck(grant.replica);
+    const TimePoint now = m_state.clock.now();
+    if (now >= m_nextReachabilityCheck) {
+        m_nextReachabilityCheck = now + kReachabilityCheckInterval;
+        m_state.suspects.startCheck(grant.replica);
+    }
     return false;
 }
 
-std::optional<TimePoint> RequestHandler::nextFirstEventCheck(const DispatchGrant &grant) const
+std::optional<TimePoint> RequestHandler::nextFirstEventCheck(const DispatchGrant &grant)
 {
     if (isReplicaGone(grant))
         return std::nullopt;
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -320,7 +320,7 @@
         return;
     }
     const TimePoint now = m_state.clock.now();
-    const bool isRestored = m_hasReplicas && read.revision.era > m_replicaRevision.era;
+    const bool isRestored = m_replicaRevisionPolledAt && read.revision.era > m_replicaRevision.era;
     std::vector<ReplicaRow> rows;
     for (const platform::StoreRow &row : read.rows) {
         ReplicaRow decoded{row.key, std::nullopt};
