gateway: Suspect no request of a crash that is found after its success

Cause: a harmless request that lost its replica and succeeded elsewhere at once became a suspect when the check of that replica ended 0.25 s later, and stayed one for an hour; a second such crash would have quarantined it. Change: a success also forgets the request's unanswered attempts. The functions that the three gateway process tests had each stand once, in bin/fleet.sh.

--- a/bin/fleet.sh
+++ b/bin/fleet.sh
@@ -172,3 +172,46 @@
     ctl "$1" --json upstreams | tr -d '\n ' |
         grep -oE '"in_flight":1,[^}]*"name":"engine-[0-9]+"' | grep -oE 'engine-[0-9]+' | head -1
 }
+until_true() { # most attempts, 0.1 s apart, command...
+    local attempts=$1
+    shift
+    for _ in $(seq "$attempts"); do
+        "$@" && return 0
+        sleep 0.1
+    done
+    return 1
+}
+# Gateways: number N listens on 127.0.0.N and reads the store at $base_port + 1.
+gateway_url() { # number
+    echo "http://127.0.0.$1:$((base_port + 10))"
+}
+gateway_is_ready() { # number
+    [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.$1:$((base_port + 11))/readyz")" = 200 ]
+}
+gateway_lists_replicas() { # number, number of replicas. Without grep -q, which closes the pipe early.
+    curl -s "http://127.0.0.$1:$((base_port + 13))/metrics" | grep -x "arbutuspier_gate_replicas $2" >/dev/null
+}
+print_gateway_settings() { # number
+    cat <<TOML
+[vm]
+name = "edge-$1"
+zone = "north"
+[listen]
+callers = "127.0.0.$1:$((base_port + 10))"
+readiness = "127.0.0.$1:$((base_port + 11))"
+peers = "127.0.0.$1:$((base_port + 12))"
+metrics = "127.0.0.$1:$((base_port + 13))"
+[peers]
+seeds = ["127.0.0.2:1", "127.0.0.3:1"]
+[platform]
+store = "127.0.0.1:$((base_port + 1))"
+[bounds]
+drain_ms = 2000
+config_ms = 2000
+grace_s = 8
+TOML
+}
+start_gateway() { # number
+    print_gateway_settings "$1" >"$work_dir/gateway-$1.toml"
+    start_process "gateway-$1" build/arbutuspier-gate --config "$work_dir/gateway-$1.toml"
+}
--- a/include/arbutuspier/unansweredattempts.h
+++ b/include/arbutuspier/unansweredattempts.h
@@ -46,11 +46,13 @@
     std::vector<UnansweredAttempt> of(const ReplicaIncarnation &incarnation, TimePoint now) const;
     /// Replicas with such attempts.
     std::vector<ReplicaIncarnation> incarnations() const;
+    /// The request was executed to its end elsewhere: its attempts are not to blame for a crash
+    /// that is found later.
+    void forget(Fingerprint fingerprint);
     /// Forgets attempts that ended before the window.
     void tick(TimePoint now);
 
 private:
-    UnansweredAttemptsOptions m_options;
     struct Record
     {
         /// When the last attempt ended.
@@ -58,6 +60,7 @@
         bool hasOutput = true;
     };
 
+    UnansweredAttemptsOptions m_options;
     /// Invariant: no inner map is empty.
     std::map<ReplicaIncarnation, std::map<Fingerprint, Record>> m_attempts;
 };
--- a/src/coordination/unansweredattempts.cpp
+++ b/src/coordination/unansweredattempts.cpp
@@ -38,6 +38,14 @@
     return result;
 }
 
+void UnansweredAttempts::forget(Fingerprint fingerprint)
+{
+    for (auto it = m_attempts.begin(); it != m_attempts.end();) {
+        it->second.erase(fingerprint);
+        it = it->second.empty() ? m_attempts.erase(it) : std::next(it);
+    }
+}
+
 void UnansweredAttempts::tick(TimePoint now)
 {
     for (auto it = m_attempts.begin(); it != m_attempts.end();) {
--- a/src/gateway/suspecttracker.cpp
+++ b/src/gateway/suspecttracker.cpp
@@ -238,6 +238,7 @@
 
 void SuspectTracker::onCompleted(const ReplicaEntry &replica, Fingerprint fingerprint)
 {
+    m_unanswered.forget(fingerprint);
     publish(m_quarantine.onCompleted(fingerprint), "completed", replica.incarnation());
 }
 
--- a/tests/gate/crashingrequesttest.cpp
+++ b/tests/gate/crashingrequesttest.cpp
@@ -223,3 +223,18 @@
     LONGS_EQUAL(0, fixture.state.dispatchQueue.waiting());
     LONGS_EQUAL(kSlots, replica.requests().size());
 }
+
+TEST_GROUP_BASE(AHarmlessRequest, TEST_GROUP_CppUTestGroupACrashingRequest){};
+
+// Guards against a harmless request that stays a suspect because its replica was found crashed only
+// after another one had answered it.
+TEST(AHarmlessRequest, isNoSuspectOfACrashThatIsFoundAfterItsSuccess)
+{
+    const auto script =
+        std::make_shared<Script>(std::vector<ReplicaStep>{crash(), {fullResponse(200)}});
+    fixture.addReplica("a", "desk", script);
+    fixture.addReplica("b", "desk", script);
+    fixture.call(crashingRequest("/look/1"));
+    fixture.runFor(kCheckTime);
+    CHECK(stateOf("/look/1") == State::Clean);
+}
--- a/tests/process/crash.sh
+++ b/tests/process/crash.sh
@@ -15,26 +15,6 @@
 max_crashes=3
 max_late_sends=3
 
-print_gateway_settings() { # number
-    cat <<TOML
-[vm]
-name = "edge-$1"
-zone = "north"
-[listen]
-callers = "127.0.0.$1:$((base_port + 10))"
-readiness = "127.0.0.$1:$((base_port + 11))"
-peers = "127.0.0.$1:$((base_port + 12))"
-metrics = "127.0.0.$1:$((base_port + 13))"
-[peers]
-seeds = ["127.0.0.2:1", "127.0.0.3:1"]
-[platform]
-store = "127.0.0.1:$((base_port + 1))"
-TOML
-}
-start_gateway() { # number
-    print_gateway_settings "$1" >"$work_dir/gateway-$1.toml"
-    start_process "gateway-$1" build/arbutuspier-gate --config "$work_dir/gateway-$1.toml"
-}
 # Restarts the replica under a new id 0.7 s after each crash, until the file "stop" exists.
 supervise_replica() { # number
     local start=0
@@ -85,21 +65,6 @@
 }
 crash_count() { cat "$work_dir"/supervisor-*.log | grep -c '^crashed by request'; }
 is_at_most() { [ "$1" -le "$2" ]; }
-is_ready() { # gateway number
-    [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.$1:$((base_port + 11))/readyz")" = 200 ]
-}
-lists_all_replicas() { # gateway number
-    curl -s "http://127.0.0.$1:$((base_port + 13))/metrics" | grep -x "arbutuspier_gate_replicas $replica_count" >/dev/null
-}
-until_true() { # most attempts, 0.1 s apart, command...
-    local attempts=$1
-    shift
-    for _ in $(seq "$attempts"); do
-        "$@" && return 0
-        sleep 0.1
-    done
-    return 1
-}
 
 start_process store build/standin --role store --port $((base_port + 1))
 for i in $(seq "$replica_count"); do
@@ -109,8 +74,8 @@
 start_gateway 2
 start_gateway 3
 put_config
-check "both gateways become ready" until_true 60 eval 'is_ready 2 && is_ready 3'
-check "both gateways list all replicas" until_true 60 eval 'lists_all_replicas 2 && lists_all_replicas 3'
+check "both gateways become ready" until_true 60 eval 'gateway_is_ready 2 && gateway_is_ready 3'
+check "both gateways list all replicas" until_true 60 eval 'gateway_lists_replicas 2 "$replica_count" && gateway_lists_replicas 3 "$replica_count"'
 check "a harmless request gets status 200" test "$(send_request 2 /look/1 hello)" = 200
 
 print_line "A request that crashes replicas is sent three times, by one gateway, one after the other."
@@ -133,7 +98,7 @@
 
 print_line "A gateway that starts now gets the request."
 start_gateway 4
-check "it becomes ready" until_true 60 is_ready 4
+check "it becomes ready" until_true 60 gateway_is_ready 4
 sleep 0.5
 send_crashing_requests 4 4
 print_line "   sent $(late_sends) times"
@@ -142,7 +107,7 @@
 print_line "All gateways are killed and start again."
 for i in 2 3 4; do kill_process "gateway-$i"; done
 for i in 2 3 4; do start_gateway "$i"; done
-check "they become ready" until_true 60 eval 'is_ready 2 && is_ready 3 && is_ready 4'
+check "they become ready" until_true 60 eval 'gateway_is_ready 2 && gateway_is_ready 3 && gateway_is_ready 4'
 sleep 0.5
 send_crashing_requests 3 2 3 4
 print_line "   sent $(late_sends) times"
--- a/tests/process/gate.sh
+++ b/tests/process/gate.sh
@@ -10,40 +10,6 @@
 trap stop_fleet EXIT
 
 store_url="http://127.0.0.1:$((base_port + 1))"
-gateway_url() { # number
-    echo "http://127.0.0.$1:$((base_port + 10))"
-}
-is_ready() { # gateway number
-    [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.$1:$((base_port + 11))/readyz")" = 200 ]
-}
-# Without grep -q, which closes the pipe early: curl could then fail to write, and pipefail reports that.
-lists_three_replicas() { # gateway number
-    curl -s "http://127.0.0.$1:$((base_port + 13))/metrics" | grep -x 'arbutuspier_gate_replicas 3' >/dev/null
-}
-print_gateway_settings() { # number
-    cat <<TOML
-[vm]
-name = "edge-$1"
-zone = "north"
-[listen]
-callers = "127.0.0.$1:$((base_port + 10))"
-readiness = "127.0.0.$1:$((base_port + 11))"
-peers = "127.0.0.$1:$((base_port + 12))"
-metrics = "127.0.0.$1:$((base_port + 13))"
-[peers]
-seeds = ["127.0.0.2:1", "127.0.0.3:1"]
-[platform]
-store = "127.0.0.1:$((base_port + 1))"
-[bounds]
-drain_ms = 2000
-config_ms = 2000
-grace_s = 8
-TOML
-}
-start_gateway() { # number
-    print_gateway_settings "$1" >"$work_dir/gateway-$1.toml"
-    start_process "gateway-$1" build/arbutuspier-gate --config "$work_dir/gateway-$1.toml"
-}
 start_replica() { # number
     start_process "replica-$1" build/standin --role replica --port $((base_port + 20 + $1)) --id "i-$1" \
         --store_port $((base_port + 1))
@@ -76,15 +42,6 @@
     [ "$(grep '^id: ' "$1" | cut -d' ' -f2 | tr '\n' ' ')" = "0 1 2 3 4 5 6 7 8 9 " ]
 }
 run_count_of_replica() { curl -s "http://127.0.0.1:$((base_port + 20 + $1))/runs"; }
-until_true() { # most attempts, 0.1 s apart, command...
-    local attempts=$1
-    shift
-    for _ in $(seq "$attempts"); do
-        "$@" && return 0
-        sleep 0.1
-    done
-    return 1
-}
 has_status() { # HTTP status, gateway number, path, curl flags...
     local expected_status=$1
     shift
@@ -98,8 +55,8 @@
 check "a gateway without a configuration is not ready" bash -c "! curl -sf -o /dev/null http://127.0.0.2:$((base_port + 11))/readyz"
 put_config 1 look
 # A gateway with a configuration is ready as soon as it has read the list of replicas, even an empty one.
-check "both gateways become ready" until_true 60 eval 'is_ready 2 && is_ready 3'
-check "both gateways list the three replicas" until_true 60 eval 'lists_three_replicas 2 && lists_three_replicas 3'
+check "both gateways become ready" until_true 60 eval 'gateway_is_ready 2 && gateway_is_ready 3'
+check "both gateways list the three replicas" until_true 60 eval 'gateway_lists_replicas 2 3 && gateway_lists_replicas 3 3'
 
 check "the readiness port does not serve the snapshot" test "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.2:$((base_port + 11))/snapshot")" = 404
 check "the peer port serves the snapshot" test "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.2:$((base_port + 12))/snapshot")" = 200
@@ -151,11 +108,11 @@
 kill_process store
 sleep 1.5
 check "a request gets status 200" has_status 200 2 /watch/1
-check "both gateways stay ready" eval 'is_ready 2 && is_ready 3'
+check "both gateways stay ready" eval 'gateway_is_ready 2 && gateway_is_ready 3'
 
 print_line "A gateway starts while the store is unreachable."
 start_gateway 4
-check "it becomes ready with the snapshot of a peer" until_true 60 is_ready 4
+check "it becomes ready with the snapshot of a peer" until_true 60 gateway_is_ready 4
 check "a request to it gets status 200" has_status 200 4 /watch/1
 check "its log names the peer as the source of the replicas" grep -qE 'event=replicas_changed source=127.0.0.[23]:' "$work_dir/gateway-4.log"
 
@@ -166,7 +123,7 @@
 kill "${pids[gateway-2]}"
 wait "$stream_pid"
 check "the stream is complete" is_complete_event_stream "$work_dir/last.txt"
-check "the stopped gateway is not ready" eval '! is_ready 2'
+check "the stopped gateway is not ready" eval '! gateway_is_ready 2'
 check "its process exits" until_true 90 eval '! kill -0 ${pids[gateway-2]} 2>/dev/null'
 check "a request to the other gateway gets status 200" has_status 200 3 /watch/1
 check "the log of the other gateway has a line for a request with its id" grep -qE 'event=request_ended request=q[0-9]+-[0-9]+ .*outcome=answered.* sends=1 runs=0' "$work_dir/gateway-3.log"
--- a/tests/process/restore.sh
+++ b/tests/process/restore.sh
@@ -9,23 +9,6 @@
 trap stop_fleet EXIT
 
 store_url="http://127.0.0.1:$((base_port + 1))"
-start_gateway() { # number
-    cat >"$work_dir/gateway-$1.toml" <<TOML
-[vm]
-name = "edge-$1"
-zone = "north"
-[listen]
-callers = "127.0.0.$1:$((base_port + 10))"
-readiness = "127.0.0.$1:$((base_port + 11))"
-peers = "127.0.0.$1:$((base_port + 12))"
-metrics = "127.0.0.$1:$((base_port + 13))"
-[peers]
-seeds = ["127.0.0.2:1", "127.0.0.3:1"]
-[platform]
-store = "127.0.0.1:$((base_port + 1))"
-TOML
-    start_process "gateway-$1" build/arbutuspier-gate --config "$work_dir/gateway-$1.toml"
-}
 start_replica() { # number
     start_process "replica-$1" build/standin --role replica --port $((base_port + 20 + $1)) --id "i-$1" \
         --store_port $((base_port + 1)) --crash_on saw-breaks
@@ -43,39 +26,24 @@
     [ "$(curl -s -m 6 -o /dev/null -w '%{http_code}' "http://127.0.0.$2:$((base_port + 10))$3" -H 'Host: f.example' \
         -H "X-Arbutuspier-Attempt-Id: q$request_count-$RANDOM" -H 'X-Arbutuspier-Deadline-Ms: 5000' -d "$4")" = "$1" ]
 }
-lists_replicas() { # gateway number, number of replicas
-    curl -s "http://127.0.0.$1:$((base_port + 13))/metrics" | grep -x "arbutuspier_gate_replicas $2" >/dev/null
-}
-is_ready() { # gateway number
-    [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.$1:$((base_port + 11))/readyz")" = 200 ]
-}
 has_row() { # table, text in the answer
     curl -s "$store_url/rows-get?tableName=$1&part=" | grep -F "\"key\":\"$2" >/dev/null
 }
 has_no_row() { ! has_row "$@"; }
-until_true() { # most attempts, 0.1 s apart, command...
-    local attempts=$1
-    shift
-    for _ in $(seq "$attempts"); do
-        "$@" && return 0
-        sleep 0.1
-    done
-    return 1
-}
 crash_count() { cat "$work_dir"/replica-*.log | grep -c '^crashed by request'; }
 
 start_process store build/standin --role store --port $((base_port + 1))
 for i in 1 2 3 4; do start_replica "$i"; done
 start_gateway 2
 put_config 1 look
-check "the gateway becomes ready" until_true 60 is_ready 2
-check "it lists the four replicas" until_true 60 lists_replicas 2 4
+check "the gateway becomes ready" until_true 60 gateway_is_ready 2
+check "it lists the four replicas" until_true 60 gateway_lists_replicas 2 4
 
 print_line "The store keeps a copy. Later a gateway joins, the configuration changes, and a request crashes replicas."
 curl -s -o /dev/null -d '' "$store_url/save"
 sleep 0.5
 start_gateway 3
-check "the new gateway becomes ready" until_true 60 is_ready 3
+check "the new gateway becomes ready" until_true 60 gateway_is_ready 3
 put_config 2 watch
 check "the new route is active on both gateways" until_true 40 eval 'has_status 200 2 /watch/1 a && has_status 200 3 /watch/1 a'
 has_status 200 2 /watch/7 saw-breaks
@@ -94,7 +62,7 @@
 check "the new gateway registers again" until_true 40 has_row arbutuspier-vms edge-3
 check "the row of the request is written again" until_true 40 has_row arbutuspier-suspects ""
 start_replica 5
-check "a replica that registers now is listed by both gateways" until_true 30 eval 'lists_replicas 2 5 && lists_replicas 3 5'
+check "a replica that registers now is listed by both gateways" until_true 30 eval 'gateway_lists_replicas 2 5 && gateway_lists_replicas 3 5'
 put_config 3 guard
 check "a configuration that is written now is active on both gateways" until_true 40 eval 'has_status 200 2 /guard/1 a && has_status 200 3 /guard/1 a'
 
@@ -102,7 +70,7 @@
 kill_process gateway-2
 kill_process gateway-3
 start_gateway 4
-check "it becomes ready" until_true 60 is_ready 4
+check "it becomes ready" until_true 60 gateway_is_ready 4
 put_config 4 watch
 check "the route of the request is active" until_true 40 has_status 200 4 /watch/1 a
 check "the request is rejected" has_status 503 4 /watch/7 saw-breaks
