--- a/include/arbutuspier/peer.h
+++ b/include/arbutuspier/peer.h
@@ -76,8 +76,8 @@
 /// What is known of an upstream crash for which a request may be to blame. When reports differ, the
 /// later state wins.
 enum class CrashState : std::uint8_t {
-    /// The upstream is unreachable, but so are several others: it may also be behind a network
-    /// partition.
+    /// The upstream may also be behind a network partition, or have left without notice, or the
+    /// request had already begun to produce output there.
     Unconfirmed,
     Confirmed,
     /// The request is not to blame, or the upstream did not crash.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -117,7 +117,8 @@
     metrics.setGauge("replicas", static_cast<double>(m_state.directory.size()));
     metrics.setGauge("vms", static_cast<double>(m_state.vmCount()));
     metrics.setGauge("idle_connections", static_cast<double>(m_state.pool.idleCount()));
-    metrics.setGauge("store_calls", static_cast<double>(m_storeWatcher.calls()));
+    metrics.setGauge("store_calls",
+                     static_cast<double>(m_storeWatcher.calls() + m_suspectTable.calls()));
     metrics.setGauge("config_version",
                      m_state.routes() ? static_cast<double>(m_state.routes()->version()) : 0);
     return metrics.prometheusText();
--- a/src/gateway/suspecttable.h
+++ b/src/gateway/suspecttable.h
@@ -25,7 +25,7 @@
     void start();
     /// What this VM knows of the request changed: writes its row soon.
     void markChanged(Fingerprint fingerprint);
-    /// The store has come back from a copy: reads the table anew and writes all that this VM knows.
+    /// The store has come back from a copy: writes all that this VM knows; the next read is full.
     void onStoreRestored();
     /// True once the table was read, or could not be read, after the start.
     bool wasRead() const { return m_wasRead; }
