tests: Show streams and calls given up because their replica is silent

Callers lost streams whose replica paused for 1.6 s and went on. After 1 s (a call: after 0.8 of its objective) the gateway closes the attempt in order to retry it, and the retry finds no other replica, no free slot, no retry budget, a refusal or a second silence.

--- a/tests/gate/gatewayfixture.h
+++ b/tests/gate/gatewayfixture.h
@@ -34,6 +34,10 @@
     bool acceptsOneMore = false;
     /// After the response, this is sent again and again until the gateway closes the connection.
     std::string endlessBytes;
+    /// Unless this is zero, the replica is silent for this long after the response and then sends
+    /// `afterPause`.
+    Duration pause{};
+    std::string afterPause{};
 };
 
 /// The request crashes the replica: its connection is reset and its address refuses new ones.
@@ -119,6 +123,14 @@
         }
     }
 
+    static std::string withId(std::string response, const Request &request)
+    {
+        const std::string id(request["X-Arbutuspier-Attempt-Id"]);
+        for (auto at = response.find("%ID"); at != std::string::npos; at = response.find("%ID"))
+            response.replace(at, 3, id);
+        return response;
+    }
+
     Task<void> serve(Tcp::socket socket)
     {
         beast::tcp_stream stream(std::move(socket));
@@ -133,11 +145,14 @@
             }
             m_requests.push_back(request);
             const ReplicaStep step = m_script->next();
-            std::string response = step.response;
-            const std::string id(request["X-Arbutuspier-Attempt-Id"]);
-            for (auto at = response.find("%ID"); at != std::string::npos; at = response.find("%ID"))
-                response.replace(at, 3, id);
+            const std::string response = withId(step.response, request);
             co_await asio::async_write(stream, asio::buffer(response), kAwait);
+            if (step.pause > Duration::zero()) {
+                asio::steady_timer timer(m_context, step.pause);
+                co_await timer.async_wait(kAwait);
+                const std::string rest = withId(step.afterPause, request);
+                co_await asio::async_write(stream, asio::buffer(rest), kAwait);
+            }
             while (!step.endlessBytes.empty()) {
                 const auto [endlessError, sent] =
                     co_await asio::async_write(stream, asio::buffer(step.endlessBytes), kAwait);
@@ -248,15 +263,21 @@
     /// Sends a request, disconnects once a replica has received it, and waits until the gateway has
     /// closed the connection to that replica.
     void callAndDisconnect(std::string request, const ScriptedReplica &replica)
+    {
+        startAndDisconnect(std::move(request), [&replica] { return !replica.requests().empty(); });
+        while (replica.closedByGateway() == 0)
+            context.run_one();
+    }
+
+    /// Sends a request and disconnects once `isDue` returns true.
+    void startAndDisconnect(std::string request, const std::function<bool()> &isDue)
     {
         Tcp::socket socket(context);
         socket.connect(m_acceptor.local_endpoint());
         asio::write(socket, asio::buffer(request));
-        while (replica.requests().empty())
+        while (!isDue())
             context.run_one();
         socket.close();
-        while (replica.closedByGateway() == 0)
-            context.run_one();
     }
 
     static std::string request(std::string_view method, std::string_view path,
