standin: Let a prompt part crash replicas that begin to write

The replica simulator knew crashes by a text in the body only, and those at the arrival of the request. A request can also crash the replica that begins to write an answer to one part of its prompt, whatever the body is; by then the response head has been sent, and other streams run at the same replica.

--crash_on_part takes ids of prompt parts. Lines with the request id, the part and the time are printed on arrival and on crash.

--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -6,6 +6,8 @@
 #include "serviceserver.h"
 #include "storeserver.h"
 
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
 #include <gflags/gflags.h>
 
 #include <iostream>
@@ -23,6 +25,11 @@
 DEFINE_string(service, "assist", "replica: name of its service");
 DEFINE_string(zone, "north", "replica: availability zone");
 DEFINE_string(crash_on, "", "replica: text in a request's body that crashes the replica");
+DEFINE_string(
+    crash_on_part, "",
+    "replica: comma-separated ids of prompt parts; a prompt that holds one of them before "
+    "its last part crashes the replica when its stream would begin");
+DEFINE_uint32(prefill_ms, 0, "replica: time before the first event of a stream in milliseconds");
 DEFINE_uint32(events, 10, "replica: number of events in a stream");
 DEFINE_uint32(work_ms, 20, "service: execution time of a call in milliseconds");
 DEFINE_double(writes_per_second, 300, "platform: table writes accepted per second");
@@ -84,6 +91,8 @@
         options.zone = FLAGS_zone;
         options.eventsPerStream = FLAGS_events;
         options.crashText = FLAGS_crash_on;
+        options.prefill = std::chrono::milliseconds{FLAGS_prefill_ms};
+        boost::split(options.crashParts, FLAGS_crash_on_part, boost::is_any_of(","));
         return runServer<ReplicaServer>(std::move(options));
     }
     std::cerr << "standin: --role must be engine, service, platform, store or replica\n";
--- a/tools/standin/replicaserver.cpp
+++ b/tools/standin/replicaserver.cpp
@@ -11,6 +11,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
 
@@ -23,8 +24,35 @@
 constexpr int kOk = 200;
 constexpr int kMisdirectedRequest = 421;
 constexpr std::uint32_t kSlots = 16;
+constexpr int kCrashExitCode = 1;
 constexpr Duration kStoreTimeout = std::chrono::milliseconds{500};
 
+std::uint64_t millisecondsSinceEpoch()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+/// Returns the ids of all parts of a prompt but the last. `prefix` lists ID:TOKENS entries.
+std::vector<std::string> sharedPartIds(std::string_view prefix)
+{
+    std::vector<std::string> ids;
+    for (auto comma = prefix.find(','); comma != std::string_view::npos; comma = prefix.find(',')) {
+        const std::string_view entry = prefix.substr(0, comma);
+        ids.emplace_back(entry.substr(0, entry.find(':')));
+        prefix.remove_prefix(comma + 1);
+    }
+    return ids;
+}
+
+/// Prints what happened to a request whose prompt holds the part.
+void printPartEvent(const char *event, const std::string &part, const Request &request)
+{
+    std::cout << event << " part=" << part << " request=" << request["X-Arbutuspier-Attempt-Id"]
+              << " at_ms=" << millisecondsSinceEpoch() << std::endl;
+}
+
 } // namespace
 
 ReplicaServer::ReplicaServer(asio::io_context &context, ReplicaServerOptions options)
@@ -32,10 +60,7 @@
     , m_options(std::move(options))
     , m_store(context.get_executor(), m_options.store)
     , m_signals(context, SIGTERM)
-    , m_startedAtMs(
-          static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                         std::chrono::system_clock::now().time_since_epoch())
-                                         .count()))
+    , m_startedAtMs(millisecondsSinceEpoch())
 {
 }
 
@@ -101,7 +126,18 @@
     if (!crashes)
         return;
     std::cout << "crashed by request " << request["X-Arbutuspier-Attempt-Id"] << std::endl;
-    std::_Exit(1);
+    std::_Exit(kCrashExitCode);
+}
+
+std::string ReplicaServer::crashingPart(const Request &request) const
+{
+    const std::string prefix(request["X-Arbutuspier-Prompt-Prefix"]);
+    for (const std::string &id : sharedPartIds(prefix)) {
+        const auto found = std::find(m_options.crashParts.begin(), m_options.crashParts.end(), id);
+        if (found != m_options.crashParts.end())
+            return id;
+    }
+    return {};
 }
 
 Task<bool> ReplicaServer::streamEvents(beast::tcp_stream &stream, const Request &request)
@@ -117,7 +153,15 @@
         co_return false;
     const bool isResumed = request.count("Last-Event-Id") != 0;
     const std::string lastEventId(request["Last-Event-Id"]);
-    asio::steady_timer timer(m_context);
+    const std::string part = crashingPart(request);
+    if (!part.empty())
+        printPartEvent("arrived", part, request);
+    asio::steady_timer timer(m_context, m_options.prefill);
+    co_await timer.async_wait(kAwait);
+    if (!part.empty()) {
+        printPartEvent("crashed", part, request);
+        std::_Exit(kCrashExitCode);
+    }
     for (std::uint64_t event = isResumed ? std::stoull(lastEventId) + 1 : 0;
          event < m_options.eventsPerStream; ++event) {
         timer.expires_after(m_options.eventGap);
--- a/tools/standin/replicaserver.h
+++ b/tools/standin/replicaserver.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace arbutuspier::standin {
 
@@ -25,6 +26,11 @@
     Duration eventGap = std::chrono::milliseconds{50};
     /// A request whose body contains this text crashes the replica; empty for none.
     std::string crashText;
+    /// Time before the first event of a stream.
+    Duration prefill = Duration::zero();
+    /// Ids of prompt parts; a prompt that holds one of them before its last part crashes the
+    /// replica when its stream would begin.
+    std::vector<std::string> crashParts;
 };
 
 /// `GET /runs` returns how many requests this replica executed. After SIGTERM it reports the state
@@ -42,6 +48,9 @@
     Task<bool> streamEvents(beast::tcp_stream &stream, const Request &request);
     /// Prints a line and ends the process at once if the request is one that crashes the replica.
     void crashIfAskedTo(const Request &request) const;
+    /// Returns the first of the crashing parts that the prompt holds before its last part; empty if
+    /// it holds none.
+    std::string crashingPart(const Request &request) const;
 
     asio::io_context &m_context;
     ReplicaServerOptions m_options;
