--- a/tests/gate/gatewayfixture.h
+++ b/tests/gate/gatewayfixture.h
@@ -32,6 +32,8 @@
     bool stopsListening = false;
     /// The next connection is still accepted, and closed at once.
     bool acceptsOneMore = false;
+    /// Sent some time after the response, before the connection is closed or reset.
+    std::string laterBytes;
     /// After the response, this is sent again and again until the gateway closes the connection.
     std::string endlessBytes;
     /// Unless this is zero, the replica is silent for this long after the response and then sends
@@ -162,6 +164,11 @@
                 }
                 m_endlessBytesSent += sent;
             }
+            if (!step.laterBytes.empty()) {
+                asio::steady_timer timer(m_context, kLaterBytesDelay);
+                co_await timer.async_wait(kAwait);
+                co_await asio::async_write(stream, asio::buffer(step.laterBytes), kAwait);
+            }
             if (step.stopsListening)
                 m_acceptor.close();
             m_acceptsOneMore = step.acceptsOneMore;
@@ -172,6 +179,8 @@
         }
     }
 
+    static constexpr Duration kLaterBytesDelay = std::chrono::milliseconds{20};
+
     asio::io_context &m_context;
     Tcp::acceptor m_acceptor;
     std::shared_ptr<Script> m_script;
