--- a/tests/gate/gatewayfixture.h
+++ b/tests/gate/gatewayfixture.h
@@ -60,6 +60,8 @@
     return {"", false, false, true};
 }
 
+using ReplicaRequest = boost::beast::http::request<boost::beast::http::string_body>;
+
 /// The steps for successive requests, counted over all replicas that share the script. The last
 /// step is repeated.
 class Script
@@ -69,9 +71,16 @@
         : m_steps(steps.begin(), steps.end())
     {
     }
+    /// The step depends on the request.
+    explicit Script(std::function<ReplicaStep(const ReplicaRequest &)> choose)
+        : m_choose(std::move(choose))
+    {
+    }
 
-    ReplicaStep next()
+    ReplicaStep next(const ReplicaRequest &request)
     {
+        if (m_choose)
+            return m_choose(request);
         const ReplicaStep step = m_steps.front();
         if (m_steps.size() > 1)
             m_steps.pop_front();
@@ -80,13 +89,14 @@
 
 private:
     std::deque<ReplicaStep> m_steps;
+    std::function<ReplicaStep(const ReplicaRequest &)> m_choose;
 };
 
 /// A replica that responds to requests according to a script.
 class ScriptedReplica
 {
 public:
-    using Request = boost::beast::http::request<boost::beast::http::string_body>;
+    using Request = ReplicaRequest;
 
     /// Listens on a free port if `port` is zero.
     ScriptedReplica(asio::io_context &context, std::shared_ptr<Script> script,
@@ -146,7 +156,7 @@
                 co_return;
             }
             m_requests.push_back(request);
-            const ReplicaStep step = m_script->next();
+            const ReplicaStep step = m_script->next(request);
             const std::string response = withId(step.response, request);
             co_await asio::async_write(stream, asio::buffer(response), kAwait);
             if (step.pause > Duration::zero()) {
