gateway: Reset the connection of an attempt that was given up

Callers saw nothing; a replica got a request four seconds after its deadline, three seconds after it had begun to leave (DRAIN).

Cause: an attempt that expired, was cancelled or was abandoned closed its socket. The kernel then goes on sending what it holds, for minutes, and delivers it when a partition ends.

Such an attempt now resets its connection (SO_LINGER with no time), and the kernel discards what it has not sent. A connection whose response was read completely is returned to the pool or closed as before.

--- a/src/gateway/upstreamattempt.cpp
+++ b/src/gateway/upstreamattempt.cpp
@@ -1,5 +1,7 @@
 // An attempt is stopped only by closing its socket: every pending operation then ends with an
-// error, and the replica learns at once that the response is no longer wanted.
+// error, and the replica learns at once that the response is no longer wanted. Unless the response
+// was read completely, the connection is reset, so that the replica doesn't get the rest of the
+// request later.
 #include "gateway/upstreamattempt.h"
 
 #include "net/httpchannel.h"
@@ -33,14 +35,24 @@
 UpstreamAttempt::~UpstreamAttempt()
 {
     m_timer->cancel();
+    const bool hasEnded = m_isComplete && m_wasWritten;
+    if (!hasEnded)
+        resetConnection();
+}
+
+void UpstreamAttempt::resetConnection()
+{
+    if (!m_connection)
+        return;
+    setResetOnClose(m_connection->stream.socket(), true);
+    m_connection->stream.close();
 }
 
 void UpstreamAttempt::cancel()
 {
     m_isCancelled = true;
     m_timer->cancel();
-    if (m_connection)
-        m_connection->stream.close();
+    resetConnection();
 }
 
 void UpstreamAttempt::expireAt(TimePoint at)
@@ -57,8 +69,7 @@
             return;
         }
         m_hasExpired = true;
-        if (m_connection)
-            m_connection->stream.close();
+        resetConnection();
     });
 }
 
--- a/src/gateway/upstreamattempt.h
+++ b/src/gateway/upstreamattempt.h
@@ -45,10 +45,10 @@
     /// Reads the next bytes of the response body and appends them to `bytes`.
     Task<ReadProgress> read(std::string &bytes);
 
-    /// Closes the connection, which ends a pending send or read with an error.
+    /// Resets the connection, which ends a pending send or read with an error.
     void cancel();
     /// Sets the deadline, and replaces an earlier one. When it has passed, `onExpiry` may extend
-    /// it; otherwise the connection is closed and `hasExpired` is true.
+    /// it; otherwise the connection is reset and `hasExpired` is true.
     void expireAt(TimePoint at);
     /// Called at the deadline. Returns a later deadline, or nothing to give the attempt up.
     std::function<std::optional<TimePoint>()> onExpiry;
@@ -67,6 +67,7 @@
 
 private:
     Task<bool> connect(const std::string &address, Duration timeout);
+    void resetConnection();
 
     asio::any_io_executor m_executor;
     UpstreamPool &m_pool;
--- a/src/net/httpchannel.cpp
+++ b/src/net/httpchannel.cpp
@@ -30,6 +30,12 @@
     return error != asio::error::would_block;
 }
 
+void setResetOnClose(Tcp::socket &socket, bool resets)
+{
+    ErrorCode ignored;
+    socket.set_option(asio::socket_base::linger(resets, 0), ignored);
+}
+
 Tcp::endpoint endpointOf(const Address &address)
 {
     ErrorCode error;
--- a/src/net/httpchannel.h
+++ b/src/net/httpchannel.h
@@ -70,6 +70,10 @@
 /// True if the other side closed a kept connection, or sent bytes that no request asked for.
 bool isStale(beast::tcp_stream &stream);
 
+/// Determines whether closing the socket resets its connection. The kernel then discards what it
+/// has not sent yet; otherwise it goes on sending it for minutes.
+void setResetOnClose(Tcp::socket &socket, bool resets);
+
 /// Converts an address. Its host must be a valid IP address, as the settings ensure.
 Tcp::endpoint endpointOf(const Address &address);
 
