net, policy: Take an empty line of CR and LF for the end of an event

What callers saw: a stream whose lines end with CR and LF, as server-sent events allow, got 502 from the gateway, and no event in the daemon, though the replica had sent it whole.

Cause: EventStreamJoiner and SseParser knew only two LF in a row as the end of an event, so that no event ever ended.

Change: both find the end with endOfEvent, for which an empty line is LF, or CR and LF. Events are forwarded byte for byte as before.

Failed before: AnEventStreamJoiner.forwardsEventsWhoseLinesEndWithCarriageReturns (nothing forwarded), AnEventStream.mayEndItsLinesWithCarriageReturns. With the change these two, AStreamWithoutChunks.mayEndItsLinesWithCarriageReturns and the other 27 tests of the four groups hold.

--- a/src/net/sseparser.cpp
+++ b/src/net/sseparser.cpp
@@ -1,6 +1,8 @@
 // Reads the fields `id` and `data`; other fields and comments are ignored.
 #include "net/sseparser.h"
 
+#include "kernel/eventend.h"
+
 #include <charconv>
 
 namespace arbutuspier {
@@ -28,7 +30,7 @@
 std::optional<SseEvent> SseParser::next()
 {
     const std::string_view rest = std::string_view(m_buffer).substr(m_unparsedStart);
-    const std::size_t end = rest.find("\n\n");
+    const std::size_t end = endOfEvent(rest, 0);
     if (end == std::string_view::npos)
         return std::nullopt;
     SseEvent event;
@@ -48,7 +50,7 @@
             event.data += fieldValue(line, "data");
         }
     }
-    m_unparsedStart += end + 2;
+    m_unparsedStart += end;
     if (m_unparsedStart >= kCompactionBytes) {
         m_buffer.erase(0, m_unparsedStart);
         m_unparsedStart = 0;
--- a/src/policy/eventstreamjoiner.cpp
+++ b/src/policy/eventstreamjoiner.cpp
@@ -1,6 +1,8 @@
 // Forwards events byte for byte and parses only their ids.
 #include "arbutuspier/eventstreamjoiner.h"
 
+#include "kernel/eventend.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -8,7 +10,6 @@
 
 namespace {
 
-constexpr std::string_view kEventTerminator = "\n\n";
 constexpr std::string_view kIdField = "id:";
 
 /// The number in the event's `id` field; empty if the field is missing or not a number.
@@ -39,10 +40,9 @@
     std::string completeEvents;
     std::size_t start = 0;
     while (true) {
-        const std::size_t end = m_pending.find(kEventTerminator, start);
-        if (end == std::string::npos)
+        const std::size_t next = endOfEvent(m_pending, start);
+        if (next == std::string_view::npos)
             break;
-        const std::size_t next = end + kEventTerminator.size();
         const std::string_view event(m_pending.data() + start, next - start);
         start = next;
         const std::optional<std::uint64_t> id = eventId(event);
--- a/tests/gate/answerwithoutlengthtest.cpp
+++ b/tests/gate/answerwithoutlengthtest.cpp
@@ -256,6 +256,17 @@
     CHECK(contains(response, kLastChunk));
 }
 
+// Guards against a stream that is never forwarded because its lines end with CR and LF.
+TEST(AStreamWithoutChunks, mayEndItsLinesWithCarriageReturns)
+{
+    const std::string text = "id: 0\r\ndata: x\r\n\r\nid: 1\r\ndata: y\r\n\r\n";
+    fixture.addReplica("a", "desk", {closing(head(200) + text)});
+    const std::string response = callStreamOnce();
+    LONGS_EQUAL(200, statusOf(response));
+    STRCMP_EQUAL(text.c_str(), chunkContents(response).c_str());
+    CHECK(contains(response, kLastChunk));
+}
+
 // Guards against a stream that looks complete though its connection ended inside an event.
 TEST(AStreamWithoutChunks, isBrokenOffIfItsConnectionEndsWithinAnEvent)
 {
--- a/tests/gate/eventstreamjoinertest.cpp
+++ b/tests/gate/eventstreamjoinertest.cpp
@@ -36,6 +36,17 @@
     CHECK(joiner.isAtEventBoundary());
 }
 
+// Guards against events that are never forwarded because their lines end with CR and LF.
+TEST(AnEventStreamJoiner, forwardsEventsWhoseLinesEndWithCarriageReturns)
+{
+    const std::string first = "id: 0\r\ndata: x\r\n\r\n";
+    STRCMP_EQUAL(first.c_str(), joiner.feed(first + "id: 1\r\ndata: x\r\n\r")->c_str());
+    CHECK(!joiner.isAtEventBoundary());
+    STRCMP_EQUAL("id: 1\r\ndata: x\r\n\r\n", joiner.feed("\n")->c_str());
+    CHECK(joiner.isAtEventBoundary());
+    LONGS_EQUAL(1, *joiner.lastId());
+}
+
 TEST(AnEventStreamJoiner, dropsTheIncompleteEventOfABrokenAttempt)
 {
     joiner.feed(event(0) + "id: 1\ndata: ha");
--- a/tests/nettest.cpp
+++ b/tests/nettest.cpp
@@ -160,6 +160,23 @@
     CHECK(isGood);
 }
 
+// Guards against events that are never passed on because their lines end with CR and LF.
+TEST(AnEventStream, mayEndItsLinesWithCarriageReturns)
+{
+    SseParser parser;
+    parser.feed("id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r");
+    const auto first = parser.next();
+    CHECK(first.has_value());
+    LONGS_EQUAL(1, first->id);
+    STRCMP_EQUAL("a", first->data.c_str());
+    CHECK(!parser.next().has_value());
+    parser.feed("\n");
+    const auto second = parser.next();
+    CHECK(second.has_value());
+    LONGS_EQUAL(2, second->id);
+    STRCMP_EQUAL("b", second->data.c_str());
+}
+
 TEST_GROUP(ATableCall){};
 
 TEST(ATableCall, isUnchangedByEncodingAndDecoding)
