standin: Remove the entries of replicas that are silent

The store simulator kept the entry of a crashed replica for good, unlike the platform, which removes it after three heartbeats of silence. When the replica starts again at its address under a new id, the old entry names an address that answers 421, so that gateways refuse requests long after a crash.

--replica_silence_ms removes such entries; zero, the default, keeps them.

--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -30,6 +30,10 @@
     "replica: comma-separated ids of prompt parts; a prompt that holds one of them before "
     "its last part crashes the replica when its stream would begin");
 DEFINE_uint32(prefill_ms, 0, "replica: time before the first event of a stream in milliseconds");
+DEFINE_uint32(
+    replica_silence_ms, 0,
+    "store: remove the entry of a replica that was silent for this long, in milliseconds; "
+    "0 for never");
 DEFINE_uint32(events, 10, "replica: number of events in a stream");
 DEFINE_uint32(work_ms, 20, "service: execution time of a call in milliseconds");
 DEFINE_double(writes_per_second, 300, "platform: table writes accepted per second");
@@ -80,8 +84,12 @@
         options.vmListDelay = std::chrono::milliseconds{FLAGS_list_lag_ms};
         return runServer<PlatformServer>(std::move(options));
     }
-    if (FLAGS_role == "store")
-        return runServer<StoreServer>(StoreServerOptions{listen});
+    if (FLAGS_role == "store") {
+        StoreServerOptions options;
+        options.listen = listen;
+        options.replicaSilence = std::chrono::milliseconds{FLAGS_replica_silence_ms};
+        return runServer<StoreServer>(std::move(options));
+    }
     if (FLAGS_role == "replica") {
         ReplicaServerOptions options;
         options.listen = listen;
--- a/tools/standin/storeserver.cpp
+++ b/tools/standin/storeserver.cpp
@@ -1,6 +1,10 @@
 // Implements those calls of the metadata store that the gateway uses.
 #include "storeserver.h"
 
+#include "platform/tablenames.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -16,6 +20,7 @@
 constexpr int kNotFound = 404;
 constexpr int kGone = 410;
 constexpr int kPreconditionFailed = 412;
+constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds{100};
 
 /// Returns the value of a query parameter, or an empty string if the target doesn't have it.
 std::string queryParameter(std::string_view target, std::string_view name)
@@ -50,6 +55,8 @@
 
 bool StoreServer::start()
 {
+    if (m_options.replicaSilence > Duration::zero())
+        asio::co_spawn(m_context, removeSilentReplicas(), asio::detached);
     return serve(m_context, m_options.listen, [this](beast::tcp_stream &stream, Request request) {
         return handle(stream, std::move(request));
     });
@@ -72,10 +79,11 @@
         }
     }
     ++m_revision;
+    const TimePoint now = std::chrono::steady_clock::now();
     for (const Json &item : document["write"])
-        m_rows[{item.at("tableName"), item.at("key")}] = {item.at("data"), m_revision, false};
+        m_rows[{item.at("tableName"), item.at("key")}] = {item.at("data"), m_revision, false, now};
     for (const Json &item : document.value("remove", emptyArray))
-        m_rows[{item.at("tableName"), item.at("key")}] = {{}, m_revision, true};
+        m_rows[{item.at("tableName"), item.at("key")}] = {{}, m_revision, true, now};
     m_changeSignal.cancel();
     httpStatus = kOk;
     return Json{{"schemaVersion", m_revision}, {"nowMs", 0}}.dump();
@@ -118,6 +126,24 @@
     co_return text;
 }
 
+Task<void> StoreServer::removeSilentReplicas()
+{
+    asio::steady_timer timer(m_context);
+    while (true) {
+        timer.expires_after(kSilenceCheckInterval);
+        co_await timer.async_wait(kAwait);
+        const TimePoint silentSince = std::chrono::steady_clock::now() - m_options.replicaSilence;
+        for (auto &[key, row] : m_rows) {
+            const bool isSilent = key.first == platform::kReplicaTable && !row.isDeleted
+                && row.writtenAt < silentSince;
+            if (!isSilent)
+                continue;
+            row = {{}, ++m_revision, true, row.writtenAt};
+            m_changeSignal.cancel();
+        }
+    }
+}
+
 void StoreServer::restoreCopy()
 {
     m_rows = m_savedRows;
--- a/tools/standin/storeserver.h
+++ b/tools/standin/storeserver.h
@@ -13,6 +13,8 @@
 struct StoreServerOptions
 {
     Address listen;
+    /// A replica's row is removed when it wasn't written for this long; zero for never.
+    Duration replicaSilence = Duration::zero();
 };
 
 /// Keeps all rows in memory. A removed row stays as a tombstone, so that the feed can report it.
@@ -29,6 +31,7 @@
         std::string data;
         std::uint64_t revision = 0;
         bool isDeleted = false;
+        TimePoint writtenAt{};
     };
     /// Name of the table and key of the row.
     using Key = std::pair<std::string, std::string>;
@@ -37,6 +40,7 @@
     Task<bool> replyWithEra(beast::tcp_stream &stream, const Request &request, int httpStatus,
                             std::string body);
     void restoreCopy();
+    Task<void> removeSilentReplicas();
     /// Applies a transaction and returns the response body. Nothing is written if the revision of
     /// an expected row differs.
     std::string applyTransaction(const std::string &body, int &httpStatus);
