tests: Cover the daemon's responses that end with their connection

A response may come with neither a length nor chunks. The tests run the daemon's attempts (UpstreamStream) and its calls to the store and of orders (HttpChannel) at upstreams whose connections end in good order, or are reset, at each place: in the head, after it, in the body, within an event, within the end marker, after an event, and never.

--- /dev/null
+++ b/tests/upstreamstreamtest.cpp
@@ -0,0 +1,269 @@
+// Attempts of the daemon and calls over an HttpChannel, at upstreams whose responses have neither a
+// length nor chunks and end with their connection, or have more bytes than belong to them.
+#include "gate/gatewayfixture.h"
+#include "net/callersession.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace arbutuspier;
+using gatetest::ReplicaStep;
+using gatetest::Script;
+using gatetest::ScriptedReplica;
+
+namespace {
+
+constexpr const char *kHead = "HTTP/1.1 200 OK\r\n\r\n";
+constexpr const char *kDone = "data: [DONE]\n\n";
+constexpr std::size_t kEndlessStepBytes = 64 * 1024;
+/// More than any response, and far less than what a VM has memory for.
+constexpr std::size_t kMaxBytes = 64 * 1024 * 1024;
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+ReplicaStep closing(std::string response, std::string laterBytes = "")
+{
+    ReplicaStep step;
+    step.response = std::move(response);
+    step.laterBytes = std::move(laterBytes);
+    step.closesConnection = true;
+    return step;
+}
+
+ReplicaStep resetting(std::string response, std::string laterBytes = "")
+{
+    ReplicaStep step;
+    step.response = std::move(response);
+    step.laterBytes = std::move(laterBytes);
+    step.resetsConnection = true;
+    return step;
+}
+
+ReplicaStep endless(std::string response)
+{
+    ReplicaStep step;
+    step.response = std::move(response);
+    step.endlessBytes.assign(kEndlessStepBytes, 'x');
+    return step;
+}
+
+Address addressOf(const ScriptedReplica &upstream)
+{
+    return {"127.0.0.1", upstream.port()};
+}
+
+/// Keeps the event that ends an attempt.
+class AttemptEndRecorder : public EventSink
+{
+public:
+    void post(Event event) override
+    {
+        const bool isEnd = std::holds_alternative<StreamDone>(event)
+            || std::holds_alternative<StreamFailed>(event);
+        if (isEnd)
+            m_end = std::move(event);
+    }
+
+    bool hasEnd() const { return m_end.has_value(); }
+    /// Empty if the attempt failed.
+    const StreamDone *done() const { return std::get_if<StreamDone>(&*m_end); }
+    /// Empty if the attempt succeeded.
+    const StreamFailed *failed() const { return std::get_if<StreamFailed>(&*m_end); }
+
+private:
+    std::optional<Event> m_end;
+};
+
+} // namespace
+
+TEST_GROUP(AnAttemptWithoutLength)
+{
+    asio::io_context context{1};
+    AttemptEndRecorder recorder;
+    std::unique_ptr<ScriptedReplica> upstream;
+
+    void run(ResponseForm form, ReplicaStep step)
+    {
+        upstream = std::make_unique<ScriptedReplica>(
+            context, std::make_shared<Script>(std::vector<ReplicaStep>{std::move(step)}));
+        OutgoingRequest outgoing;
+        outgoing.method = "POST";
+        outgoing.target = "/orders";
+        outgoing.body = std::make_shared<const std::string>("stone=3");
+        const auto session = std::make_shared<CallerSession>(context.get_executor(), RequestId{1},
+                                                             form, std::move(outgoing), recorder);
+        OpenStream open;
+        open.attempt = AttemptId{1};
+        session->startAttempt(std::move(open), addressOf(*upstream));
+        while (!recorder.hasEnd())
+            context.run_one();
+    }
+    void checkIsDone(ReplicaStep step, const std::string &body)
+    {
+        run(ResponseForm::PlainService, std::move(step));
+        CHECK(recorder.done() != nullptr);
+        CHECK(body == recorder.done()->result);
+    }
+    void checkFails(ResponseForm form, ReplicaStep step, FailureKind kind)
+    {
+        run(form, std::move(step));
+        CHECK(recorder.failed() != nullptr);
+        CHECK(recorder.failed()->kind == kind);
+    }
+    void checkStreamIsLost(ReplicaStep step, std::uint64_t deliveredTokens)
+    {
+        checkFails(ResponseForm::Events, std::move(step), FailureKind::ConnectionLost);
+        LONGS_EQUAL(deliveredTokens, recorder.failed()->deliveredTokens);
+    }
+};
+
+// Each of these guards against a response that is taken for complete too early, or never.
+TEST(AnAttemptWithoutLength, isCompleteAtTheEndOfItsConnection)
+{
+    checkIsDone(closing(std::string(kHead) + "done"), "done");
+}
+
+TEST(AnAttemptWithoutLength, isCompleteIfItsBodyComesLaterThanItsHead)
+{
+    checkIsDone(closing(kHead, "done"), "done");
+}
+
+TEST(AnAttemptWithoutLength, hasAnEmptyBodyIfItsConnectionEndsAfterItsHead)
+{
+    checkIsDone(closing(kHead), "");
+}
+
+TEST(AnAttemptWithoutLength, isReadWholeIfItIsLongerThanTheBuffers)
+{
+    const std::string body(500'000, 'x');
+    checkIsDone(closing(kHead + body), body);
+}
+
+TEST(AnAttemptWithoutLength, isLostIfItsConnectionIsReset)
+{
+    checkFails(ResponseForm::PlainService, resetting(kHead, "done"), FailureKind::ConnectionLost);
+}
+
+TEST(AnAttemptWithoutLength, isLostWithinItsHead)
+{
+    checkFails(ResponseForm::PlainService, closing("HTTP/1.1 200 OK\r\nX-Own: v"),
+               FailureKind::ConnectionLost);
+}
+
+TEST(AnAttemptWithoutLength, isBrokenOffIfItNeverEnds)
+{
+    checkFails(ResponseForm::PlainService, endless(kHead), FailureKind::Broken);
+    CHECK(upstream->endlessBytesSent() < kMaxBytes);
+}
+
+TEST_GROUP_BASE(AStreamedAttemptWithoutChunks, TEST_GROUP_CppUTestGroupAnAttemptWithoutLength){};
+
+TEST(AStreamedAttemptWithoutChunks, isCompleteAfterItsEndMarker)
+{
+    run(ResponseForm::Events, closing(kHead + event(1) + event(2) + kDone));
+    CHECK(recorder.done() != nullptr);
+    LONGS_EQUAL(2, recorder.done()->tokens);
+}
+
+TEST(AStreamedAttemptWithoutChunks, mayEndItsLinesWithCarriageReturns)
+{
+    run(ResponseForm::Events, closing(kHead, "id: 1\r\ndata: x\r\n\r\ndata: [DONE]\r\n\r\n"));
+    CHECK(recorder.done() != nullptr);
+    LONGS_EQUAL(1, recorder.done()->tokens);
+}
+
+TEST(AStreamedAttemptWithoutChunks, isLostIfItsConnectionEndsWithinAnEvent)
+{
+    checkStreamIsLost(closing(kHead + event(1) + "id: 2\nda"), 1);
+}
+
+TEST(AStreamedAttemptWithoutChunks, isLostIfItsConnectionEndsWithinItsEndMarker)
+{
+    checkStreamIsLost(closing(kHead + event(1) + "data: [DONE]\n"), 1);
+}
+
+TEST(AStreamedAttemptWithoutChunks, isLostIfItsConnectionEndsWithoutAnEndMarker)
+{
+    checkStreamIsLost(closing(kHead + event(1)), 1);
+}
+
+TEST(AStreamedAttemptWithoutChunks, isLostIfItsConnectionIsResetAfterAnEvent)
+{
+    checkStreamIsLost(resetting(kHead + event(1), event(2)), 2);
+}
+
+TEST(AStreamedAttemptWithoutChunks, isLostIfItsConnectionEndsAfterItsHead)
+{
+    checkStreamIsLost(closing(kHead), 0);
+}
+
+TEST(AStreamedAttemptWithoutChunks, isBrokenOffWithinAnEventWithoutEnd)
+{
+    checkFails(ResponseForm::Events, endless(kHead), FailureKind::Broken);
+    CHECK(upstream->endlessBytesSent() < kMaxBytes);
+}
+
+TEST_GROUP(AReplyWithoutLength)
+{
+    asio::io_context context{1};
+    std::unique_ptr<ScriptedReplica> server;
+    std::unique_ptr<HttpChannel> channel;
+
+    void listen(std::vector<ReplicaStep> steps)
+    {
+        server =
+            std::make_unique<ScriptedReplica>(context, std::make_shared<Script>(std::move(steps)));
+        channel = std::make_unique<HttpChannel>(context.get_executor(), addressOf(*server));
+    }
+    HttpReply call()
+    {
+        HttpReply reply;
+        bool isDone = false;
+        asio::co_spawn(
+            context,
+            [&]() -> Task<void> {
+                HttpRequest request;
+                request.target = "/";
+                reply = co_await channel->call(std::move(request));
+                isDone = true;
+            },
+            asio::detached);
+        while (!isDone)
+            context.run_one();
+        return reply;
+    }
+    void checkIsAnswered(const std::string &body)
+    {
+        const HttpReply reply = call();
+        CHECK(reply.outcome == HttpReply::Outcome::Answered);
+        STRCMP_EQUAL(body.c_str(), reply.body.c_str());
+    }
+};
+
+TEST(AReplyWithoutLength, isCompleteAtTheEndOfItsConnection)
+{
+    listen({closing(kHead, "done")});
+    checkIsAnswered("done");
+}
+
+TEST(AReplyWithoutLength, isLostIfItsConnectionIsReset)
+{
+    listen({resetting(kHead, "done")});
+    CHECK(call().outcome == HttpReply::Outcome::Lost);
+}
+
+TEST(AReplyWithoutLength, isLostWithinItsHead)
+{
+    listen({closing("HTTP/1.1 200 OK\r\nX-Own: v")});
+    CHECK(call().outcome == HttpReply::Outcome::Lost);
+}
+
+TEST(AReplyWithoutLength, leavesNoConnectionForTheNextCall)
+{
+    listen({closing("HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\ndone")});
+    checkIsAnswered("done");
+    checkIsAnswered("done");
+    LONGS_EQUAL(2, server->connections());
+}
