net: Drop a connection that has bytes after its reply

What callers saw: a call of the daemon or the gateway (polls of load, store calls) could take bytes that an upstream had sent after an earlier reply for its own reply. A faulty upstream may send such bytes, and an extra response may arrive late, at the point where the next one is expected.

Cause: HttpChannel keeps its connection if the reply allows it, and its read buffer with it. isStale() looks for unexpected bytes in the socket only, not for those that were read along with the reply.

Change: the connection is closed if its buffer isn't empty after a reply, as UpstreamAttempt::release does it.

Failed before: AReplyWithoutLength.isNotTakenFromTheBytesAfterAnEarlierReply: expected <other>, but was <extra>. Holds with the change, 5 of 5 tests of the group.

--- a/src/net/httpchannel.cpp
+++ b/src/net/httpchannel.cpp
@@ -99,7 +99,8 @@
     reply.outcome = HttpReply::Outcome::Answered;
     reply.status = parser.get().result_int();
     reply.body = std::move(parser.get().body());
-    if (!parser.get().keep_alive())
+    // Bytes after the reply belong to no call; the next one would take them for its own reply.
+    if (!parser.get().keep_alive() || m_buffer.size() > 0)
         m_stream.reset();
     reply.headers = std::move(parser.get().base());
     co_return reply;
--- a/tests/upstreamstreamtest.cpp
+++ b/tests/upstreamstreamtest.cpp
@@ -267,3 +267,16 @@
     checkIsAnswered("done");
     LONGS_EQUAL(2, server->connections());
 }
+
+// Guards against a call that gets bytes of an earlier response for its own.
+TEST(AReplyWithoutLength, isNotTakenFromTheBytesAfterAnEarlierReply)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+    ReplicaStep first;
+    first.response = whole + "first" + whole + "extra";
+    ReplicaStep second;
+    second.response = whole + "other";
+    listen({first, second});
+    checkIsAnswered("first");
+    checkIsAnswered("other");
+}
