gateway: Serve a request that arrives as idle connections are closed

Cause: closeIfIdle closed the socket when no request was being read. If the read had ended and its handler had not run yet, the request was then served on a closed connection: it was sent to a replica, and the failing read that watches for a disconnect ended it as if its caller had left (request_ended outcome=caller-gone total=0.000174).

Now the pending read is cancelled. A read that has ended keeps its result, bytes that have arrived are read, and the connection closes only if there are none. ACall.isAnsweredIfItArrivesAsIdleConnectionsAreClosed failed before.

--- a/src/gateway/callerconnection.cpp
+++ b/src/gateway/callerconnection.cpp
@@ -65,23 +65,37 @@
 
 void CallerConnection::closeIfIdle()
 {
-    if (!m_isBusy && m_buffer.size() == 0)
-        m_stream.close();
+    if (m_isBusy || m_buffer.size() > 0)
+        return;
+    m_isClosing = true;
+    // A read that has ended already keeps its result: its bytes belong to a request to be served.
+    m_stream.cancel();
 }
 
-Task<bool> CallerConnection::readRequest(Parser &parser)
+Task<bool> CallerConnection::awaitRequest(Duration idleTimeout)
 {
-    const CallerLimits limits = m_state.routes() ? m_state.routes()->limits() : CallerLimits{};
-    parser.header_limit(limits.maxHeaderBytes);
-    parser.body_limit(limits.maxBodyBytes);
-    if (m_buffer.size() == 0) {
-        m_stream.expires_after(limits.idleTimeout);
+    while (m_buffer.size() == 0) {
+        ErrorCode ignored;
+        if (m_isClosing && m_stream.socket().available(ignored) == 0)
+            co_return false;
+        m_stream.expires_after(idleTimeout);
         const auto [error, size] =
             co_await m_stream.async_read_some(m_buffer.prepare(kReadAheadStep), kAwait);
-        if (error)
-            co_return false;
         m_buffer.commit(size);
+        const bool isCancelled = m_isClosing && error == asio::error::operation_aborted;
+        if (error && !isCancelled)
+            co_return false;
     }
+    co_return true;
+}
+
+Task<bool> CallerConnection::readRequest(Parser &parser)
+{
+    const CallerLimits limits = m_state.routes() ? m_state.routes()->limits() : CallerLimits{};
+    parser.header_limit(limits.maxHeaderBytes);
+    parser.body_limit(limits.maxBodyBytes);
+    if (!co_await awaitRequest(limits.idleTimeout))
+        co_return false;
     m_isBusy = true;
     m_stream.expires_after(limits.headerTimeout);
     const auto [headError, headSize] =
--- a/src/gateway/callerconnection.h
+++ b/src/gateway/callerconnection.h
@@ -29,7 +29,7 @@
     /// Serves requests until the caller or the gateway closes the connection. `self` keeps this
     /// object alive meanwhile.
     Task<void> run(std::shared_ptr<CallerConnection> self);
-    /// Closes the connection unless a request is being read or served on it.
+    /// Closes the connection unless a request is being read or served on it, or has arrived.
     void closeIfIdle();
 
     // For the RequestHandler of the current request.
@@ -57,6 +57,9 @@
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    /// Waits for the first bytes of a request. False if none come and the connection must be
+    /// closed.
+    Task<bool> awaitRequest(Duration idleTimeout);
     /// Reads one request. On an error it sends the error status that fits, if any, and returns
     /// false; the connection must then be closed.
     Task<bool> readRequest(Parser &parser);
--- a/tests/gate/gatewayfixture.h
+++ b/tests/gate/gatewayfixture.h
@@ -299,6 +299,34 @@
         socket.close();
     }
 
+    /// Sends a request at the moment at which the gateway closes its idle connections: its bytes
+    /// have arrived by then, and are read in the same turn. Returns the response.
+    std::string callAsIdleConnectionsAreClosed(const std::string &request)
+    {
+        Tcp::socket socket(context);
+        socket.connect(m_acceptor.local_endpoint());
+        runFor(std::chrono::milliseconds{20});
+        asio::post(context, [&] {
+            asio::write(socket, asio::buffer(request));
+            asio::post(context, [this] { closeIdleCallers(); });
+        });
+        std::string response;
+        bool isDone = false;
+        asio::co_spawn(context, receive(socket, response, isDone), asio::detached);
+        while (!isDone)
+            context.run_one();
+        return response;
+    }
+
+    /// Closes the connections of callers on which no request is served, as a draining VM does.
+    void closeIdleCallers()
+    {
+        for (const std::weak_ptr<CallerConnection> &weak : m_callers) {
+            if (const auto connection = weak.lock())
+                connection->closeIfIdle();
+        }
+    }
+
     static std::string request(std::string_view method, std::string_view path,
                                std::string_view extra = "", std::string_view body = "")
     {
@@ -324,6 +352,7 @@
             if (error)
                 co_return;
             auto connection = std::make_shared<CallerConnection>(std::move(socket), state);
+            m_callers.push_back(connection);
             asio::co_spawn(context, connection->run(connection), asio::detached);
         }
     }
@@ -333,6 +362,12 @@
         Tcp::socket socket(context);
         co_await socket.async_connect(m_acceptor.local_endpoint(), kAwait);
         co_await asio::async_write(socket, asio::buffer(request), kAwait);
+        co_await receive(socket, response, isDone);
+    }
+
+    /// Reads until the gateway closes the connection.
+    Task<void> receive(Tcp::socket &socket, std::string &response, bool &isDone)
+    {
         std::array<char, 4096> bytes{};
         while (true) {
             const auto [error, size] = co_await socket.async_read_some(asio::buffer(bytes), kAwait);
@@ -350,6 +385,7 @@
     };
 
     Tcp::acceptor m_acceptor;
+    std::vector<std::weak_ptr<CallerConnection>> m_callers;
     std::vector<std::unique_ptr<ScriptedReplica>> m_replicas;
     std::vector<std::unique_ptr<StartedCall>> m_started;
 };
--- a/tests/gate/requesthandlertest.cpp
+++ b/tests/gate/requesthandlertest.cpp
@@ -190,6 +190,18 @@
 
 TEST_GROUP_BASE(AnAtMostOnceCall, TEST_GROUP_CppUTestGroupACall){};
 
+// Guards against a request that was read and sent, and whose connection was closed as an idle one
+// before its handler ran.
+TEST(ACall, isAnsweredIfItArrivesAsIdleConnectionsAreClosed)
+{
+    auto &replica = fixture.addReplica("a", "desk", {{fullResponse(200, "done")}});
+    const std::string response = fixture.callAsIdleConnectionsAreClosed(
+        GatewayFixture::request("POST", "/order/5", "", "stone=3"));
+    LONGS_EQUAL(1, replica.requests().size());
+    LONGS_EQUAL(200, statusOf(response));
+    CHECK(response.ends_with("done"));
+}
+
 TEST(AnAtMostOnceCall, isNotRetriedAfterItsConnectionBroke)
 {
     auto &first = fixture.addReplica("a", "desk", {{"", true}});
