gateway: Keep a silent attempt open while a backup is tried elsewhere

Callers lost streams in the middle, and got 502 or 503 to calls, whose replica was only silent for a while.

Cause: a late event (after 1 s or twice the gap objective), first event or response closed the attempt before it was known whether another replica would take the request. Without a free slot, retry budget or attempt, or with a refusal or a second silence, nothing was left to answer from.

Evidence: tests/process/silence.sh, log of request s10: attempt_failed replica=i-1 status=200 expired=yes since_arrival=1.703, then 2.6 s in the queue for the other replica and outcome=broken-off at the deadline; s1: attempt_failed expired=yes and at once outcome=broken-off without retry budget. The replica went on 0.6 s later.

Change: the late attempt stays open. A backup attempt waits in the queue for another replica (never the same), and is sent if the attempts of the route and the retry budget allow it. Whichever has the next new event (a call: the complete response) goes on; the other is closed and its active request ended. A backup reads into a joiner of its own, so that no piece of the loser reaches the caller. If it fails, the first one is awaited and another backup is tried 250 ms later at the earliest. An attempt is given up without a backup only at the deadline, or if the caller has got nothing yet and the replica can't be reached. Health and suspects are updated when an attempt becomes late, as before. The time that the caller takes to read an event no longer counts as its replica's silence. Requests that may be executed only once are still sent once.

--- a/include/arbutuspier/fleetretrybudget.h
+++ b/include/arbutuspier/fleetretrybudget.h
@@ -32,6 +32,8 @@
     /// Retries spent under the previous options stay counted.
     void setOptions(FleetRetryBudgetOptions options) { m_options = options; }
     void onRequest(TimePoint now);
+    /// Whether this VM's part of a budget shared by `vmCount` VMs allows one retry now.
+    bool allows(TimePoint now, std::size_t vmCount);
     /// Spends one retry if this VM's part of a budget shared by `vmCount` VMs allows it.
     bool trySpend(TimePoint now, std::size_t vmCount);
 
--- a/src/gateway/dispatchqueue.cpp
+++ b/src/gateway/dispatchqueue.cpp
@@ -103,7 +103,9 @@
     const TimePoint now = m_clock.now();
     std::vector<PlacementCandidate> result;
     for (const ReplicaEntry *entry : usable(requirements.service)) {
-        if (requirements.excluded.count(entry->id) != 0)
+        const bool isUnwanted =
+            requirements.excluded.contains(entry->id) || requirements.forbidden.contains(entry->id);
+        if (isUnwanted)
             continue;
         const ReplicaIncarnation incarnation = entry->incarnation();
         PlacementCandidate candidate;
--- a/src/gateway/dispatchqueue.h
+++ b/src/gateway/dispatchqueue.h
@@ -36,6 +36,8 @@
     /// Ids of replicas that this request was already sent to. They are used only if no other is
     /// left.
     std::set<std::string> excluded;
+    /// Ids of replicas that must not be used even if no other is left.
+    std::set<std::string> forbidden;
 };
 
 /// A replica that prefills a part of the prompt for the primary replica.
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -26,8 +26,6 @@
 constexpr std::uint32_t kMaxUnreachableAttempts = 6;
 /// Most attempts of a request to reserve memory at several replicas.
 constexpr std::uint32_t kMaxFailedReservations = 4;
-/// Attempts beyond the route's limit, to make up for replicas that refused to execute the request.
-constexpr std::uint32_t kExtraAttempts = 2;
 constexpr Duration kRetryWhenNotReady = std::chrono::seconds{1};
 /// Sent while this VM drains. It is short, as another VM can take the request at once.
 constexpr Duration kRetryWhenDraining = std::chrono::milliseconds{20};
@@ -87,12 +85,14 @@
     , m_head(platform::readCallerHead(request.base()))
     , m_table(state.routes())
     , m_arrivedAt(state.clock.now())
+    , m_backups(state.executor, state.dispatchQueue)
 {
     m_caller.onDisconnect = [this] {
         if (m_ticket)
             m_state.dispatchQueue.cancel(*m_ticket);
         if (m_currentAttempt)
             m_currentAttempt->cancel();
+        m_backups.cancelAll();
     };
 }
 
@@ -147,6 +147,7 @@
     if (m_route->kind == RetryKind::Stream)
         m_joiner.emplace(m_head.lastEventId);
     co_await attemptUntilDone();
+    co_await stopBackups();
 }
 
 bool RequestHandler::authenticate()
@@ -239,19 +240,32 @@
             co_await reject(kUnavailable, reasonOf(result.rejection), retryAfter(result.rejection));
             co_return;
         }
-        const AttemptOutcome outcome = co_await attempt(*result.grant);
+        AttemptOutcome outcome = co_await attempt(*result.grant);
         m_state.dispatchQueue.end(result.grant->activeRequestId);
-        if (outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::CallerDisconnected)
+        ReplicaIncarnation failed = result.grant->replica.incarnation();
+        while (!isFinal(outcome)) {
+            const BackupAttempts::Pointer backup = co_await awaitBackup(failed);
+            if (!backup)
+                break;
+            outcome = co_await continueBackup(*backup);
+            failed = backup->grant->replica.incarnation();
+        }
+        if (isFinal(outcome))
             co_return;
         // A retry of a request that crashed its replica would crash the next one too.
         if (outcome == AttemptOutcome::Lost)
-            co_await m_state.suspects.awaitCheck(result.grant->replica.incarnation());
+            co_await m_state.suspects.awaitCheck(failed);
         if (!mayRetry(outcome))
             break;
     }
     co_await respondWithFailure();
 }
 
+bool RequestHandler::isFinal(AttemptOutcome outcome)
+{
+    return outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::CallerDisconnected;
+}
+
 bool RequestHandler::mayRetry(AttemptOutcome outcome)
 {
     if (m_caller.isDisconnected() || m_state.clock.now() >= deadline())
@@ -267,12 +281,19 @@
     const bool mayHaveExecuted = m_possibleExecutions > 0;
     if (mayHaveExecuted && !m_route->isRetryable())
         return false;
-    if (m_possibleExecutions >= m_route->maxAttempts
-        || m_reachedAttempts >= m_route->maxAttempts + kExtraAttempts)
+    if (!isBelowAttemptLimit())
         return false;
     return m_state.retryBudget(m_service).trySpend(m_state.clock.now(), m_state.vmCount());
 }
 
+bool RequestHandler::isBelowAttemptLimit() const
+{
+    // Makes up for replicas that refused to execute the request.
+    constexpr std::uint32_t kExtraAttempts = 2;
+    return m_possibleExecutions + runningAttempts() < m_route->maxAttempts
+        && m_reachedAttempts < m_route->maxAttempts + kExtraAttempts;
+}
+
 Task<void> RequestHandler::respondWithFailure()
 {
     if (m_caller.isDisconnected()) {
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -4,6 +4,7 @@
 
 #include "arbutuspier/eventstreamjoiner.h"
 #include "arbutuspier/ids.h"
+#include "gateway/backupattempt.h"
 #include "gateway/callerconnection.h"
 #include "gateway/dispatchqueue.h"
 #include "gateway/gatewaystate.h"
@@ -47,6 +48,8 @@
         Lost,
         /// The caller disconnected.
         CallerDisconnected,
+        /// Another attempt of the request had output first.
+        Superseded,
     };
 
     /// Sets team and priority from the API key. False if the route needs a known key and has none.
@@ -57,9 +60,14 @@
     PromptShape promptShape() const;
     /// Time after which a rejected request is likely to be accepted.
     Duration retryAfter(DispatchRejection rejection) const;
+    /// Whether no attempt can follow this outcome.
+    static bool isFinal(AttemptOutcome outcome);
     /// Makes attempts until one is completed, no retry is allowed, or the caller disconnects.
     Task<void> attemptUntilDone();
     Task<AttemptOutcome> attempt(const DispatchGrant &grant);
+    /// Sends the request and counts the attempt.
+    Task<UpstreamAttempt::SendResult> send(UpstreamAttempt &attempt, const DispatchGrant &grant,
+                                           const std::vector<std::string> &reservationIds);
     Task<AttemptOutcome> readFullResponse(UpstreamAttempt &attempt);
     Task<AttemptOutcome> readStream(UpstreamAttempt &attempt, const DispatchGrant &grant);
     /// Forwards events to the caller, after the response head before the first ones. False if the
@@ -67,6 +75,9 @@
     Task<bool> forwardEvents(UpstreamAttempt &attempt, const std::string &events);
     /// Whether the response is signed, has no content encoding and carries the id of this request.
     bool isValidResponse(const UpstreamAttempt &attempt) const;
+    bool isEventStream(const UpstreamAttempt &attempt) const;
+    /// Longest response that isn't streamed. Several have to fit into a VM's memory at once.
+    static constexpr std::size_t kMaxResponseBytes = 8UL * 1024 * 1024;
     /// Memory reserved at helpers; the destructor releases it.
     struct ReservedMemory
     {
@@ -80,9 +91,46 @@
     Task<AttemptOutcome> readResponse(UpstreamAttempt::SendResult sent, UpstreamAttempt &attempt,
                                       const DispatchGrant &grant);
     /// Updates the replica's load and slowdown factor when the first event of an attempt came.
-    void onFirstEvent(const DispatchGrant &grant);
-    /// Deadline of the next event; the attempt is given up if the event hasn't come by then.
+    void onFirstEvent(const UpstreamAttempt &attempt, const DispatchGrant &grant);
+    /// Time from which the attempt is late unless its next event has come; the request's deadline
+    /// if no retry is allowed.
     TimePoint nextEventDeadline() const;
+    /// When to check again a replica whose stream has begun; empty to give it up now.
+    std::optional<TimePoint> nextEventCheck(UpstreamAttempt &attempt, const DispatchGrant &grant);
+    /// Called while the attempt is late. It stays open, and a backup attempt is started if one may
+    /// be. Returns when to call it again; empty to give the attempt up.
+    std::optional<TimePoint> onLate(UpstreamAttempt &attempt, const DispatchGrant &grant);
+    /// Updates the health of the replica when an attempt becomes late.
+    void recordLateness(const UpstreamAttempt &attempt, const DispatchGrant &grant);
+
+    // Backup attempts. They never split a prompt.
+
+    /// Interval at which it is checked whether another backup attempt may be started.
+    static constexpr Duration kBackupInterval = std::chrono::milliseconds{250};
+
+    bool mayStartBackup() const;
+    /// Starts a backup attempt, if one may be, for an attempt at `late`.
+    void startBackup(const ReplicaIncarnation &late);
+    Task<void> runBackup(BackupAttempts::Pointer backup, ReplicaIncarnation late);
+    /// Waits for a replica and takes a retry from the budget. False if there is none.
+    Task<bool> placeBackup(BackupAttempt &backup);
+    /// Sends the request and reads the response until there is new output.
+    Task<AttemptOutcome> readBackup(BackupAttempt &backup);
+    Task<AttemptOutcome> readBackupStream(BackupAttempt &backup);
+    Task<AttemptOutcome> readBackupResponse(BackupAttempt &backup);
+    /// Outcome of an attempt that was cancelled.
+    AttemptOutcome cancelledOutcome() const;
+    /// Waits until a backup attempt has output, or all have ended. Null in that case.
+    Task<BackupAttempts::Pointer> awaitBackup(const ReplicaIncarnation &failed);
+    /// Makes a backup attempt with output the current attempt.
+    Task<AttemptOutcome> continueBackup(BackupAttempt &backup);
+    /// Updates counters and health by the outcome, and ends the active request.
+    void endBackup(BackupAttempt &backup, AttemptOutcome outcome);
+    /// Cancels all backup attempts and waits until they have ended.
+    Task<void> stopBackups();
+    /// Attempts that were sent to a replica and haven't ended.
+    std::uint32_t runningAttempts() const;
+
     void onNotExecuted(const UpstreamAttempt &attempt, const DispatchGrant &grant);
     void onLost(const UpstreamAttempt &attempt, const DispatchGrant &grant);
     void logAttempt(AttemptOutcome outcome, const UpstreamAttempt &attempt,
@@ -95,26 +143,33 @@
     /// Whether another attempt is allowed after this outcome. Takes a retry from the budget for it,
     /// except while no attempt has reached a replica.
     bool mayRetry(AttemptOutcome outcome);
+    /// Whether the route's limit on attempts allows another one.
+    bool isBelowAttemptLimit() const;
     /// Sets the expected time to first event and adds the replica to the ones that the log names.
     void recordAttempt(const DispatchGrant &grant);
     /// Updates the counters of this request and the health of the replica after an attempt.
     void onAttemptEnded(AttemptOutcome outcome, const UpstreamAttempt &attempt,
                         const DispatchGrant &grant);
-    /// Time at which the attempt is given up for a retry unless its first event has come; the
-    /// request's deadline if no retry is allowed.
+    /// Time from which the attempt is late unless its first event has come; the request's deadline
+    /// if no retry is allowed.
     TimePoint firstEventDeadline(const DispatchGrant &grant) const;
     /// Later deadline for a replica that must still be busy with prefills according to its known
     /// load; empty if there is no reason to wait longer.
     std::optional<TimePoint> extendDeadline(const DispatchGrant &grant) const;
     /// Sets the deadline of the first event. The directory is checked until then, and the attempt
-    /// is given up earlier if the replica has gone.
+    /// is given up if the replica has gone.
     void setFirstEventDeadline(UpstreamAttempt &attempt, const DispatchGrant &grant);
-    /// Whether the replica was removed from the directory and is unreachable or late. Starts a
-    /// check if it isn't known yet whether it can be reached.
-    bool isReplicaGone(const DispatchGrant &grant);
+    /// Whether a check found the replica unreachable after the attempt was sent.
+    bool isUnreachable(const UpstreamAttempt &attempt, const DispatchGrant &grant) const;
+    /// Whether the replica was removed from the directory and is unreachable. Starts a check if it
+    /// isn't known yet whether it can be reached.
+    bool isReplicaGone(const UpstreamAttempt &attempt, const DispatchGrant &grant);
+    /// Whether the replica was removed from the directory and should have finished its prefill.
+    bool isLateAndRemoved(const DispatchGrant &grant) const;
     /// When to check again a replica that hasn't sent its first event yet; empty to give it up now.
-    std::optional<TimePoint> nextFirstEventCheck(const DispatchGrant &grant);
-    /// Whether the route allows another attempt after the current one, even if this one was
+    std::optional<TimePoint> nextFirstEventCheck(UpstreamAttempt &attempt,
+                                                 const DispatchGrant &grant);
+    /// Whether the route allows another attempt after the running ones, even if these were
     /// executed.
     bool couldRetry() const;
 
@@ -141,10 +196,6 @@
     std::string m_service;
     Fingerprint m_fingerprint;
     TimePoint m_arrivedAt;
-    /// When the current attempt was sent.
-    TimePoint m_sentAt{};
-    /// The current attempt has produced stream events.
-    bool m_hasAttemptOutput = false;
     /// When the caller stops waiting, and when the route's timeout expires.
     TimePoint m_callerDeadline;
     TimePoint m_routeDeadline;
@@ -153,6 +204,9 @@
     std::shared_ptr<DispatchQueue::Ticket> m_ticket;
     /// Set while an attempt runs.
     UpstreamAttempt *m_currentAttempt = nullptr;
+    /// Id of the replica of the current attempt.
+    std::string m_currentReplica;
+    BackupAttempts m_backups;
     std::optional<EventStreamJoiner> m_joiner;
     std::set<std::string> m_triedReplicas;
     /// Attempts that reached a replica.
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -17,31 +17,6 @@
 namespace {
 
 constexpr Duration kConnectTimeout = std::chrono::milliseconds{150};
-/// Shortest timeout of the first event after which an attempt is given up for a retry.
-constexpr Duration kMinFirstEventTimeout = std::chrono::milliseconds{60};
-/// Shortest timeout of each further event.
-constexpr Duration kMinEventGapTimeout = std::chrono::seconds{1};
-/// Timeout of each further event, as a multiple of the route's objective for the inter-event gap.
-constexpr double kEventGapTimeoutFactor = 2.0;
-/// Timeout of a replica that is known to prefill, as a multiple of the forecast time of its
-/// prefills.
-constexpr double kPrefillTimeoutFactor = 1.3;
-/// Added to that timeout, and the forecast prefill time up to which it isn't extended.
-constexpr Duration kPrefillTimeoutMargin = std::chrono::milliseconds{150};
-/// Interval at which it is checked whether a replica without output is still in the directory.
-constexpr Duration kDirectoryCheckInterval = std::chrono::milliseconds{250};
-/// Interval at which it is checked whether such a replica, once it has left the directory, can
-/// still be reached. Each check costs a connection.
-constexpr Duration kReachabilityCheckInterval = std::chrono::seconds{1};
-/// Timeout of the first event: the sum of the forecast and of the route's objective, each
-/// multiplied by its factor.
-constexpr double kObjectiveTimeoutFactor = 1.2;
-constexpr double kForecastTimeoutFactor = 2.0;
-/// Timeout of a response that isn't streamed, as a multiple of the route's objective.
-constexpr double kCallTimeoutFactor = 0.8;
-/// Longest response that isn't streamed. Several have to fit into a VM's memory at once.
-constexpr std::size_t kMaxResponseBytes = 8 * 1024 * 1024;
-constexpr int kServerError = 500;
 constexpr int kOk = 200;
 
 } // namespace
@@ -82,23 +57,6 @@
     return request;
 }
 
-bool RequestHandler::couldRetry() const
-{
-    return m_route->isRetryable() && m_possibleExecutions + 1 < m_route->maxAttempts;
-}
-
-TimePoint RequestHandler::firstEventDeadline(const DispatchGrant &grant) const
-{
-    if (!couldRetry())
-        return deadline();
-    const double objective = toSeconds(m_route->objective);
-    const double seconds = m_route->kind == RetryKind::Stream
-        ? kForecastTimeoutFactor * toSeconds(grant.forecast) + kObjectiveTimeoutFactor * objective
-        : kCallTimeoutFactor * objective;
-    const Duration firstEventTimeout = std::max(kMinFirstEventTimeout, fromSeconds(seconds));
-    return std::min(deadline(), m_state.clock.now() + firstEventTimeout);
-}
-
 void RequestHandler::recordAttempt(const DispatchGrant &grant)
 {
     m_expectedFirstEvent = m_state.clock.now() - m_arrivedAt + grant.forecast;
@@ -109,61 +67,6 @@
         m_attemptedReplicas += '+' + std::to_string(grant.helpers.size());
 }
 
-std::optional<TimePoint> RequestHandler::extendDeadline(const DispatchGrant &grant) const
-{
-    const TimePoint now = m_state.clock.now();
-    const ServiceSpec *service = m_table->service(m_service);
-    if (!service || !service->engine || now >= deadline())
-        return std::nullopt;
-    const double slowdown = m_state.health.slowdown(grant.replica.incarnation());
-    const PassState pass =
-        passState(*service->engine, m_state.load.of(grant.replica.id), slowdown, now);
-    const double prefillsMs = pass.currentPassRemainderMs + pass.waitingPrefillMs;
-    if (prefillsMs <= toMilliseconds(kPrefillTimeoutMargin))
-        return std::nullopt;
-    const Duration extension = fromMilliseconds(kPrefillTimeoutFactor * prefillsMs);
-    return std::min(deadline(), now + extension + kPrefillTimeoutMargin);
-}
-
-void RequestHandler::setFirstEventDeadline(UpstreamAttempt &attempt, const DispatchGrant &grant)
-{
-    const TimePoint now = m_state.clock.now();
-    const Duration prefillTimeout = fromSeconds(kPrefillTimeoutFactor * toSeconds(grant.forecast));
-    m_expectedPrefillEnd = now + prefillTimeout + kPrefillTimeoutMargin;
-    m_firstEventDeadline = firstEventDeadline(grant);
-    attempt.expireAt(std::min(now + kDirectoryCheckInterval, m_firstEventDeadline));
-}
-
-bool RequestHandler::isReplicaGone(const DispatchGrant &grant)
-{
-    const ReplicaIncarnation incarnation = grant.replica.incarnation();
-    if (!m_state.directory.wasRemovedOrReplaced(incarnation))
-        return false;
-    if (couldRetry() && m_state.clock.now() >= m_expectedPrefillEnd)
-        return true;
-    // Some replicas leave without notice and still serve for a while; only one that can't be
-    // reached either has ended.
-    const auto unreachableSince = m_state.suspects.unreachableSince(incarnation);
-    if (unreachableSince)
-        return m_sentAt < *unreachableSince;
-    const TimePoint now = m_state.clock.now();
-    if (now >= m_nextReachabilityCheck) {
-        m_nextReachabilityCheck = now + kReachabilityCheckInterval;
-        m_state.suspects.startCheck(grant.replica);
-    }
-    return false;
-}
-
-std::optional<TimePoint> RequestHandler::nextFirstEventCheck(const DispatchGrant &grant)
-{
-    if (isReplicaGone(grant))
-        return std::nullopt;
-    const TimePoint now = m_state.clock.now();
-    if (now < m_firstEventDeadline)
-        return std::min(m_firstEventDeadline, now + kDirectoryCheckInterval);
-    return extendDeadline(grant);
-}
-
 Task<bool> RequestHandler::reserveMemory(const DispatchGrant &grant, ReservedMemory &reserved)
 {
     reserved.reservationIds.resize(grant.helpers.size());
@@ -199,23 +102,31 @@
         co_return AttemptOutcome::NotExecuted;
     UpstreamAttempt attempt(m_state.executor, m_state.pool, grant.replica.incarnation());
     m_currentAttempt = &attempt;
+    m_currentReplica = grant.replica.id;
     setFirstEventDeadline(attempt, grant);
-    attempt.onExpiry = [this, &grant] { return nextFirstEventCheck(grant); };
+    attempt.onExpiry = [this, &attempt, &grant] { return nextFirstEventCheck(attempt, grant); };
+    const auto sent = co_await send(attempt, grant, reserved.reservationIds);
+    const AttemptOutcome outcome = co_await readResponse(sent, attempt, grant);
+    m_currentAttempt = nullptr;
+    onAttemptEnded(outcome, attempt, grant);
+    attempt.release(m_state.clock.now());
+    co_return outcome;
+}
+
+Task<UpstreamAttempt::SendResult> RequestHandler::send(
+    UpstreamAttempt &attempt, const DispatchGrant &grant,
+    const std::vector<std::string> &reservationIds)
+{
     const bool isAtMostOnce = m_route->kind == RetryKind::AtMostOnce;
-    const UpstreamAttempt::Request request = upstreamRequest(grant, reserved.reservationIds);
-    m_sentAt = m_state.clock.now();
-    m_hasAttemptOutput = false;
+    const UpstreamAttempt::Request request = upstreamRequest(grant, reservationIds);
+    attempt.setSentAt(m_state.clock.now());
     const auto sent =
         co_await attempt.send(request, grant.replica.address, isAtMostOnce, kConnectTimeout);
     if (attempt.usedNewConnection())
         m_state.metrics.incrementCounter("connections", m_service);
     if (attempt.wasReached())
         ++m_reachedAttempts;
-    const AttemptOutcome outcome = co_await readResponse(sent, attempt, grant);
-    m_currentAttempt = nullptr;
-    onAttemptEnded(outcome, attempt, grant);
-    attempt.release(m_state.clock.now());
-    co_return outcome;
+    co_return sent;
 }
 
 Task<RequestHandler::AttemptOutcome> RequestHandler::readResponse(UpstreamAttempt::SendResult sent,
@@ -224,16 +135,22 @@
 {
     if (m_caller.isDisconnected())
         co_return AttemptOutcome::CallerDisconnected;
+    if (m_backups.hasWinner())
+        co_return AttemptOutcome::Superseded;
     if (sent == UpstreamAttempt::SendResult::NotConnected)
         co_return AttemptOutcome::NotExecuted;
     if (sent == UpstreamAttempt::SendResult::NoResponse)
         co_return AttemptOutcome::Lost;
-    const bool isStream = m_joiner && attempt.status() == kOk && !attempt.head().isNotExecuted;
-    if (isStream)
+    if (isEventStream(attempt))
         co_return co_await readStream(attempt, grant);
     co_return co_await readFullResponse(attempt);
 }
 
+bool RequestHandler::isEventStream(const UpstreamAttempt &attempt) const
+{
+    return m_joiner && attempt.status() == kOk && !attempt.head().isNotExecuted;
+}
+
 bool RequestHandler::isValidResponse(const UpstreamAttempt &attempt) const
 {
     const platform::ResponseHead &head = attempt.head();
@@ -249,15 +166,18 @@
         progress = co_await attempt.read(body);
     if (m_caller.isDisconnected())
         co_return AttemptOutcome::CallerDisconnected;
+    if (m_backups.hasWinner())
+        co_return AttemptOutcome::Superseded;
     if (attempt.head().isNotExecuted)
         co_return AttemptOutcome::NotExecuted;
     if (progress != UpstreamAttempt::ReadProgress::Complete || !isValidResponse(attempt))
         co_return AttemptOutcome::Lost;
-    const bool isFailure = attempt.status() >= kServerError;
-    if (isFailure && couldRetry() && !m_hasSentHead)
+    const bool isFailure = isServerErrorStatus(attempt.status());
+    if (isFailure && (couldRetry() || m_backups.sentCount() > 0) && !m_hasSentHead)
         co_return AttemptOutcome::Failed;
     if (m_hasSentHead)
         co_return AttemptOutcome::Lost;
+    m_backups.cancelRunning();
     m_timeToFirstEvent = m_state.clock.now() - m_arrivedAt;
     const bool isSent = co_await m_caller.sendResponse(
         attempt.status(), platform::callerFields(attempt.fields()), std::move(body));
@@ -282,25 +202,16 @@
     co_return co_await m_caller.sendChunk(events);
 }
 
-void RequestHandler::onFirstEvent(const DispatchGrant &grant)
+void RequestHandler::onFirstEvent(const UpstreamAttempt &attempt, const DispatchGrant &grant)
 {
     m_state.dispatchQueue.beginDecode(grant.activeRequestId);
-    const Duration timeToFirstEvent = m_state.clock.now() - m_sentAt;
+    const Duration timeToFirstEvent = m_state.clock.now() - attempt.sentAt();
     const bool showsSlowdown = grant.wasIdle && grant.forecast > Duration::zero();
     const double ratio =
         showsSlowdown ? toSeconds(timeToFirstEvent) / toSeconds(grant.forecast) : 0;
     m_state.health.onSuccess(grant.replica.incarnation(), ratio);
 }
 
-TimePoint RequestHandler::nextEventDeadline() const
-{
-    if (!couldRetry())
-        return deadline();
-    const Duration timeout =
-        fromSeconds(kEventGapTimeoutFactor * toSeconds(m_route->eventGapObjective));
-    return std::min(deadline(), m_state.clock.now() + std::max(kMinEventGapTimeout, timeout));
-}
-
 Task<RequestHandler::AttemptOutcome> RequestHandler::readStream(UpstreamAttempt &attempt,
                                                                 const DispatchGrant &grant)
 {
@@ -314,27 +225,34 @@
         progress = co_await attempt.read(bytes);
         if (m_caller.isDisconnected())
             co_return AttemptOutcome::CallerDisconnected;
+        if (m_backups.hasWinner())
+            co_return AttemptOutcome::Superseded;
         const auto events = m_joiner->feed(bytes);
         if (!events)
             co_return AttemptOutcome::Lost;
         if (events->empty())
             continue;
         if (!isDecoding) {
-            onFirstEvent(grant);
+            onFirstEvent(attempt, grant);
             // A removed replica may still finish its stream, so from now on only the inter-event
             // gap counts, not whether the directory lists the replica.
-            attempt.onExpiry = [this, &grant] { return extendDeadline(grant); };
+            attempt.onExpiry = [this, &attempt, &grant] { return nextEventCheck(attempt, grant); };
         }
         isDecoding = true;
-        m_hasAttemptOutput = true;
+        attempt.setHasOutput();
+        m_backups.cancelRunning();
+        // The time that the caller takes to read counts against the deadline only.
+        attempt.expireAt(deadline());
         if (!co_await forwardEvents(attempt, *events))
             co_return AttemptOutcome::CallerDisconnected;
-        attempt.expireAt(nextEventDeadline());
+        if (progress == UpstreamAttempt::ReadProgress::More)
+            attempt.expireAt(nextEventDeadline());
     }
     const bool isComplete =
         progress == UpstreamAttempt::ReadProgress::Complete && m_joiner->isAtEventBoundary();
     if (!isComplete || !m_hasSentHead)
         co_return AttemptOutcome::Lost;
+    m_backups.cancelRunning();
     if (!co_await m_caller.sendLastChunk())
         co_return AttemptOutcome::CallerDisconnected;
     log("answered", std::to_string(attempt.status()));
@@ -356,10 +274,15 @@
     case AttemptOutcome::CallerDisconnected:
         m_possibleExecutions += attempt.wasReached() ? 1 : 0;
         if (attempt.wasReached() && attempt.status() == 0)
-            m_state.suspects.onAbandoned(grant.replica, m_fingerprint, m_sentAt);
+            m_state.suspects.onAbandoned(grant.replica, m_fingerprint, attempt.sentAt());
         if (!m_wasLogged)
             log("caller-gone", "in-flight");
         return;
+    case AttemptOutcome::Superseded:
+        m_possibleExecutions += attempt.wasReached() ? 1 : 0;
+        if (attempt.wasReached() && attempt.status() == 0)
+            m_state.suspects.onAbandoned(grant.replica, m_fingerprint, attempt.sentAt());
+        break;
     case AttemptOutcome::NotExecuted:
         onNotExecuted(attempt, grant);
         break;
@@ -390,9 +313,10 @@
     const TimePoint now = m_state.clock.now();
     ++m_possibleExecutions;
     m_canSplit = m_canSplit && grant.helpers.empty();
-    m_state.health.onFailure(grant.replica.incarnation(), now);
-    m_state.suspects.onLost(grant.replica, {m_fingerprint, m_hasAttemptOutput}, m_sentAt);
-    if (attempt.hasExpired() && attempt.status() == 0)
+    if (!attempt.wasLate())
+        m_state.health.onFailure(grant.replica.incarnation(), now);
+    m_state.suspects.onLost(grant.replica, {m_fingerprint, attempt.hasOutput()}, attempt.sentAt());
+    if (attempt.hasExpired() && !attempt.wasLate() && attempt.status() == 0)
         m_state.zones.onUnresponsive(grant.replica.zone, grant.replica.id, now);
 }
 
@@ -427,6 +351,8 @@
         return "lost";
     case AttemptOutcome::CallerDisconnected:
         return "caller-gone";
+    case AttemptOutcome::Superseded:
+        return "superseded";
     }
     return "lost";
 }
--- a/src/gateway/upstreamattempt.cpp
+++ b/src/gateway/upstreamattempt.cpp
@@ -120,6 +120,11 @@
 
 Task<UpstreamAttempt::ReadProgress> UpstreamAttempt::read(std::string &bytes)
 {
+    if (!m_unread.empty()) {
+        bytes += m_unread;
+        m_unread.clear();
+        co_return m_isCancelled ? ReadProgress::Broken : ReadProgress::More;
+    }
     if (m_parser->is_done()) {
         m_isComplete = true;
         co_return ReadProgress::Complete;
--- a/src/gateway/upstreamattempt.h
+++ b/src/gateway/upstreamattempt.h
@@ -44,6 +44,8 @@
                           Duration connectTimeout);
     /// Reads the next bytes of the response body and appends them to `bytes`.
     Task<ReadProgress> read(std::string &bytes);
+    /// The next read returns these bytes again.
+    void unread(std::string bytes) { m_unread = std::move(bytes); }
 
     /// Resets the connection, which ends a pending send or read with an error.
     void cancel();
@@ -62,6 +64,16 @@
     /// Whether there was a connection, so that the replica may have received the request.
     bool wasReached() const { return m_wasReached; }
 
+    /// When the request was sent.
+    TimePoint sentAt() const { return m_sentAt; }
+    void setSentAt(TimePoint at) { m_sentAt = at; }
+    /// Whether the attempt has produced stream events.
+    bool hasOutput() const { return m_hasOutput; }
+    void setHasOutput() { m_hasOutput = true; }
+    /// Whether the replica was silent for too long at some time.
+    bool wasLate() const { return m_wasLate; }
+    void setWasLate() { m_wasLate = true; }
+
     /// Returns the connection to the pool if the response was read completely.
     void release(TimePoint now);
 
@@ -83,6 +95,10 @@
     bool m_isComplete = false;
     bool m_hasExpired = false;
     bool m_isCancelled = false;
+    std::string m_unread;
+    TimePoint m_sentAt{};
+    bool m_hasOutput = false;
+    bool m_wasLate = false;
 };
 
 } // namespace arbutuspier
--- a/src/kernel/httpstatus.h
+++ b/src/kernel/httpstatus.h
@@ -11,4 +11,11 @@
     return status >= kFirstSuccess && status < kFirstRedirection;
 }
 
+/// 5xx: the server failed to execute the request.
+constexpr bool isServerErrorStatus(int status)
+{
+    constexpr int kFirstServerError = 500;
+    return status >= kFirstServerError;
+}
+
 } // namespace arbutuspier
--- a/src/policy/fleetretrybudget.cpp
+++ b/src/policy/fleetretrybudget.cpp
@@ -20,14 +20,19 @@
     m_requests.push_back(now);
 }
 
-bool FleetRetryBudget::trySpend(TimePoint now, std::size_t vmCount)
+bool FleetRetryBudget::allows(TimePoint now, std::size_t vmCount)
 {
     expire(now);
     const double slackShare =
         m_options.slack / static_cast<double>(std::max<std::size_t>(vmCount, 1));
     const double allowed = m_options.usedFraction
         * (m_options.ratio * static_cast<double>(m_requests.size()) + slackShare);
-    if (static_cast<double>(m_retries.size()) + 1 > allowed)
+    return static_cast<double>(m_retries.size()) + 1 <= allowed;
+}
+
+bool FleetRetryBudget::trySpend(TimePoint now, std::size_t vmCount)
+{
+    if (!allows(now, vmCount))
         return false;
     m_retries.push_back(now);
     return true;
