net: Reset the connection of an HTTP call that got no response

Orders to replicas (of the daemon), calls to the platform's store and fetches from peers go through HttpChannel. A call that times out is closed by Beast, and the kernel goes on sending what it holds: an order or a write may be performed seconds after its caller has treated it as lost. It is the same class as the requests that were given up; no rule was seen broken by it.

The connection is now reset unless the whole response came; it is kept, or closed normally, after that.

AServerThatDoesNotRead.getsNoMoreOfACallThatTimedOut failed before and passes, with the other four of its group.

--- a/src/net/httpchannel.cpp
+++ b/src/net/httpchannel.cpp
@@ -81,6 +81,8 @@
         message.set(name, value);
     message.body() = std::move(request.body);
     message.prepare_payload();
+    // A call that has timed out must not arrive later.
+    setResetOnClose(m_stream->socket(), true);
     m_stream->expires_after(request.timeout);
     const auto [writeError, written] = co_await http::async_write(*m_stream, message, kAwait);
     reply.outcome = HttpReply::Outcome::Lost;
@@ -96,6 +98,7 @@
         m_stream.reset();
         co_return reply;
     }
+    setResetOnClose(m_stream->socket(), false);
     reply.outcome = HttpReply::Outcome::Answered;
     reply.status = parser.get().result_int();
     reply.body = std::move(parser.get().body());
--- a/src/net/httpchannel.h
+++ b/src/net/httpchannel.h
@@ -51,7 +51,8 @@
 public:
     HttpChannel(asio::any_io_executor executor, Address address);
 
-    /// Makes one call. Connects first if there is no connection or the kept one was closed.
+    /// Makes one call. Connects first if there is no connection or the kept one was closed. If the
+    /// call ends without a whole response, its connection is reset.
     Task<HttpReply> call(HttpRequest request);
 
 private:
