--- a/tests/gate/givenuprequesttest.cpp
+++ b/tests/gate/givenuprequesttest.cpp
@@ -1,6 +1,8 @@
 // What a replica or the store receives of a request that was given up before it was sent whole.
 #include "gateway/upstreamattempt.h"
+#include "net/callersession.h"
 #include "net/httpchannel.h"
+#include "net/upstreamstream.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -24,6 +26,12 @@
 constexpr std::size_t kLongBodyBytes = 16 * 1024 * 1024;
 constexpr Duration kTimeout = milliseconds{50};
 
+class IgnoredEvents : public EventSink
+{
+public:
+    void post(Event) override { }
+};
+
 } // namespace
 
 TEST_GROUP(AServerThatDoesNotRead)
@@ -166,3 +174,21 @@
     CHECK(reply.outcome == HttpReply::Outcome::Lost);
     checkWasReset();
 }
+
+// Guards against a request of the daemon that reaches an upstream after it was cancelled.
+TEST(AServerThatDoesNotRead, getsNoMoreOfAStreamThatWasCancelled)
+{
+    IgnoredEvents events;
+    OutgoingRequest outgoing;
+    outgoing.method = "POST";
+    outgoing.target = "/";
+    outgoing.body = std::make_shared<const std::string>(kLongBodyBytes, 'x');
+    const auto session = std::make_shared<CallerSession>(
+        context.get_executor(), RequestId{1}, ResponseForm::Events, std::move(outgoing), events);
+    OpenStream open;
+    open.attempt = AttemptId{1};
+    session->startAttempt(open, address());
+    context.run_for(kTimeout);
+    session->cancelAttempt(AttemptId{1});
+    checkWasReset();
+}
--- a/tests/gate/upstreamdirectorytest.cpp
+++ b/tests/gate/upstreamdirectorytest.cpp
@@ -146,6 +146,26 @@
     LONGS_EQUAL(2, usable());
 }
 
+// Guards against a replica that was removed on purpose and stays usable because one poll of this VM
+// had failed.
+TEST(ADirectory, keepsNoMissingEntryAfterAnOutageThatWasTooShortForOneToExpire)
+{
+    directory.setReachable(kStart);
+    directory.setUnreachable();
+    directory.setReachable(kStart + milliseconds{1'700});
+    directory.replaceAll({row("b", 1)}, kStart + milliseconds{1'700});
+    LONGS_EQUAL(1, usable());
+}
+
+TEST(ADirectory, keepsAMissingEntryAfterAnOutageInWhichItMayHaveExpired)
+{
+    directory.setReachable(kStart);
+    directory.setUnreachable();
+    directory.setReachable(kStart + milliseconds{2'500});
+    directory.replaceAll({row("b", 1)}, kStart + milliseconds{2'500});
+    LONGS_EQUAL(2, usable());
+}
+
 TEST(ADirectory, neverUsesADrainedIncarnationInAnyOrderOfLists)
 {
     const bool hasPassed = rc::check("a drained incarnation is never usable again", [] {
