gateway: Read the replicas again after a copy that is too old

Callers saw nothing; a replica that leaves may be used until its row changes again, or for good if its row was deleted.

Cause: when the store has dropped its history, the whole table is read. A copy older than what the VM knows was ignored, but the whole read counted as done, and the changes in between were never asked for again.

The whole read is now repeated, after the same pauses as a failed one, until a copy is recent enough. A store that refuses whole reads with 410 was asked again without a pause; it is now asked after a pause as well. No more calls otherwise.

AStoreWatcher.readsTheReplicasAgainAfterACopyThatWasTooOld and pausesBetweenCopiesThatAreTooOld failed before and pass.

--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -308,7 +308,7 @@
     }
 }
 
-void StoreWatcher::handleReplicaRead(const platform::StoreRead &read, bool isFullRead,
+bool StoreWatcher::handleReplicaRead(const platform::StoreRead &read, bool isFullRead,
                                      TimePoint polledAt)
 {
     // A stale response would restore replicas that were removed.
@@ -317,7 +317,7 @@
                          .add("revision", read.revision.number)
                          .add("known", m_replicaRevision.number)
                          .text();
-        return;
+        return false;
     }
     const TimePoint now = m_state.clock.now();
     const bool isRestored = m_replicaRevisionPolledAt && read.revision.era > m_replicaRevision.era;
@@ -354,6 +354,7 @@
     m_hasReplicas = true;
     if (onReplicas)
         onReplicas();
+    return true;
 }
 
 Task<void> StoreWatcher::watchReplicas()
@@ -371,9 +372,10 @@
         }
         noteEra(read);
         updateStoreState(read.outcome == Outcome::Done, "replicas", read.status);
-        if (read.outcome == Outcome::Done) {
+        const bool isApplied =
+            read.outcome == Outcome::Done && handleReplicaRead(read, isFullRead, polledAt);
+        if (isApplied) {
             failures = 0;
-            handleReplicaRead(read, isFullRead, polledAt);
             isFullRead = false;
             co_await awaitPoll(m_replicaSchedule, m_replicaTimer,
                                m_replicaInterval.nextPoll(m_state.clock.now(),
@@ -381,10 +383,12 @@
                                                           m_state.random));
             continue;
         }
-        isFullRead = isFullRead || read.outcome == Outcome::HistoryTruncated;
-        if (read.outcome == Outcome::HistoryTruncated)
+        const bool needsFullRead = !isFullRead && read.outcome == Outcome::HistoryTruncated;
+        isFullRead = isFullRead || needsFullRead;
+        if (needsFullRead)
             continue;
-        m_state.directory.setUnreachable();
+        if (read.outcome != Outcome::Done)
+            m_state.directory.setUnreachable();
         co_await awaitPoll(m_replicaSchedule, m_replicaTimer,
                            m_state.clock.now() + backoff(failures++));
     }
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -80,8 +80,9 @@
     /// Applies a configuration if it is newer. One that can't be decoded is logged and ignored.
     void tryApplyConfiguration(const std::string &bytes, std::string_view source);
     void handleConfigurationRead(const platform::StoreRead &read);
-    /// `polledAt` is the time at which the read began.
-    void handleReplicaRead(const platform::StoreRead &read, bool isFullRead, TimePoint polledAt);
+    /// `polledAt` is the time at which the read began. Returns false if the read is older than what
+    /// this VM knows, so that it was ignored.
+    bool handleReplicaRead(const platform::StoreRead &read, bool isFullRead, TimePoint polledAt);
     void recordHeartbeats(const std::vector<platform::StoreRow> &rows,
                           const std::vector<ReplicaRow> &decoded);
     /// Notices that the store has come back from a copy, and reads and writes anew what is
