gateway: Read past interim responses

What callers saw: if a replica sent an interim response (100 Continue, as it may to a request with Expect, which is forwarded), the caller got 502 though the replica ran the request and sent a whole response; a call that may run only once was lost.

Cause: UpstreamAttempt::send took the first head on the connection for that of the response.

Change: heads with status 1xx, except 101, are read past, at most eight of them.

Failed before: ACall.getsTheResponseThatFollowsAnInterimOne, expected <200> but was <502>. ACall.isNotAnsweredByInterimResponsesWithoutEnd held before.

--- a/src/gateway/upstreamattempt.cpp
+++ b/src/gateway/upstreamattempt.cpp
@@ -20,6 +20,15 @@
 
 constexpr std::size_t kReadBytes = 16 * 1024;
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
+/// Most interim responses (status 1xx) before the response itself.
+constexpr int kMaxInterimResponses = 8;
+constexpr int kSwitchingProtocols = 101;
+
+/// The response itself follows after one with such a status.
+bool isInterimStatus(int status)
+{
+    return status / 100 == 1 && status != kSwitchingProtocols;
+}
 
 } // namespace
 
@@ -105,19 +114,31 @@
         co_return SendResult::NoResponse;
     // A replica may respond and stop reading the request, so the response is read even if the write
     // failed.
-    m_parser.emplace();
-    m_parser->body_limit(boost::none);
-    m_parser->header_limit(kMaxHeadBytes);
-    const auto [readError, size] = co_await http::async_read_header(
-        m_connection->stream, m_connection->buffer, *m_parser, kAwait);
-    if (readError || m_isCancelled || m_hasExpired)
+    int status = 0;
+    for (int i = 0; i <= kMaxInterimResponses; ++i) {
+        status = co_await readHead();
+        if (!isInterimStatus(status))
+            break;
+    }
+    if (status == 0 || isInterimStatus(status))
         co_return SendResult::NoResponse;
-    m_status = m_parser->get().result_int();
+    m_status = status;
     m_head = platform::readResponseHead(m_status, m_parser->get().base());
     m_isComplete = m_parser->is_done();
     co_return SendResult::GotHead;
 }
 
+Task<int> UpstreamAttempt::readHead()
+{
+    m_parser.emplace();
+    m_parser->body_limit(boost::none);
+    m_parser->header_limit(kMaxHeadBytes);
+    const auto [error, size] = co_await http::async_read_header(
+        m_connection->stream, m_connection->buffer, *m_parser, kAwait);
+    const bool isUnusable = error || m_isCancelled || m_hasExpired;
+    co_return isUnusable ? 0 : static_cast<int>(m_parser->get().result_int());
+}
+
 Task<UpstreamAttempt::ReadProgress> UpstreamAttempt::read(std::string &bytes)
 {
     if (!m_unread.empty()) {
--- a/tests/gate/requesthandlertest.cpp
+++ b/tests/gate/requesthandlertest.cpp
@@ -149,6 +149,26 @@
     CHECK(contains(response, "Retry-After: "));
 }
 
+// Guards against an interim response that is taken for the response itself.
+TEST(ACall, getsTheResponseThatFollowsAnInterimOne)
+{
+    auto &replica = fixture.addReplica(
+        "a", "desk", {{"HTTP/1.1 100 Continue\r\n\r\n" + fullResponse(200, "done")}});
+    const std::string response = callAtMostOnce();
+    LONGS_EQUAL(200, statusOf(response));
+    CHECK(contains(response, "\r\n\r\ndone"));
+    LONGS_EQUAL(1, replica.requests().size());
+}
+
+TEST(ACall, isNotAnsweredByInterimResponsesWithoutEnd)
+{
+    ReplicaStep step;
+    step.endlessBytes = "HTTP/1.1 102 Processing\r\n\r\n";
+    auto &replica = fixture.addReplica("a", "desk", {step});
+    LONGS_EQUAL(502, statusOf(callAtMostOnce()));
+    CHECK(replica.closedByGateway() > 0);
+}
+
 TEST(ACall, withTooLargeABodyReachesNoReplica)
 {
     auto &replica = fixture.addReplica("a", "desk", {{fullResponse(200, "x")}});
