net: Read past interim responses in the daemon and in calls

What callers saw: if an upstream sent an interim response first, the daemon's caller of a plain service got status 100 with an empty body as the complete answer, a stream counted as broken, and calls to the store or of orders had an empty reply.

Cause: as in the gateway, the first head on the connection was taken for that of the response.

Change: receiveResponseHead, in src/net/responsehead.h, receives the head past those of interim responses, at most eight; UpstreamAttempt, UpstreamStream and HttpChannel use it, with the limits that each had.

Failed before: AnAttemptWithoutLength.followsAnInterimResponse, AnAttemptWithoutLength.mayBeAStreamThatFollowsAnInterimResponse, AReplyWithoutLength.followsAnInterimResponse.

--- a/src/gateway/upstreamattempt.cpp
+++ b/src/gateway/upstreamattempt.cpp
@@ -5,6 +5,7 @@
 #include "gateway/upstreamattempt.h"
 
 #include "net/httpchannel.h"
+#include "net/responsehead.h"
 #include "settings/settings.h"
 
 #include <boost/beast/http/read.hpp>
@@ -20,15 +21,6 @@
 
 constexpr std::size_t kReadBytes = 16 * 1024;
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
-/// Most interim responses (status 1xx) before the response itself.
-constexpr int kMaxInterimResponses = 8;
-constexpr int kSwitchingProtocols = 101;
-
-/// The response itself follows after one with such a status.
-bool isInterimStatus(int status)
-{
-    return status / 100 == 1 && status != kSwitchingProtocols;
-}
 
 } // namespace
 
@@ -114,31 +106,17 @@
         co_return SendResult::NoResponse;
     // A replica may respond and stop reading the request, so the response is read even if the write
     // failed.
-    int status = 0;
-    for (int i = 0; i <= kMaxInterimResponses; ++i) {
-        status = co_await readHead();
-        if (!isInterimStatus(status))
-            break;
-    }
-    if (status == 0 || isInterimStatus(status))
+    const ErrorCode readError =
+        co_await receiveResponseHead(m_connection->stream, m_connection->buffer, m_parser,
+                                     ResponseLimits{boost::none, kMaxHeadBytes});
+    if (readError || m_isCancelled || m_hasExpired)
         co_return SendResult::NoResponse;
-    m_status = status;
+    m_status = m_parser->get().result_int();
     m_head = platform::readResponseHead(m_status, m_parser->get().base());
     m_isComplete = m_parser->is_done();
     co_return SendResult::GotHead;
 }
 
-Task<int> UpstreamAttempt::readHead()
-{
-    m_parser.emplace();
-    m_parser->body_limit(boost::none);
-    m_parser->header_limit(kMaxHeadBytes);
-    const auto [error, size] = co_await http::async_read_header(
-        m_connection->stream, m_connection->buffer, *m_parser, kAwait);
-    const bool isUnusable = error || m_isCancelled || m_hasExpired;
-    co_return isUnusable ? 0 : static_cast<int>(m_parser->get().result_int());
-}
-
 Task<UpstreamAttempt::ReadProgress> UpstreamAttempt::read(std::string &bytes)
 {
     if (!m_unread.empty()) {
--- a/src/gateway/upstreamattempt.h
+++ b/src/gateway/upstreamattempt.h
@@ -80,8 +80,6 @@
 private:
     Task<bool> connect(const std::string &address, Duration timeout);
     void resetConnection();
-    /// Reads the head of the next response and returns its status; zero if none came.
-    Task<int> readHead();
 
     asio::any_io_executor m_executor;
     UpstreamPool &m_pool;
--- a/src/net/httpchannel.cpp
+++ b/src/net/httpchannel.cpp
@@ -1,12 +1,16 @@
 // Adds timeouts to HTTP calls with Beast, and reports how far a failed call got.
 #include "net/httpchannel.h"
 
+#include "net/responsehead.h"
+
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <tuple>
+
 namespace arbutuspier {
 
 namespace http = boost::beast::http;
@@ -90,22 +94,24 @@
         m_stream.reset();
         co_return reply;
     }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(kMaxReplyBytes);
-    const auto [readError, bytesRead] =
-        co_await http::async_read(*m_stream, m_buffer, parser, kAwait);
+    std::optional<http::response_parser<http::string_body>> parser;
+    ErrorCode readError =
+        co_await receiveResponseHead(*m_stream, m_buffer, parser, ResponseLimits{kMaxReplyBytes});
+    if (!readError)
+        std::tie(readError, std::ignore) =
+            co_await http::async_read(*m_stream, m_buffer, *parser, kAwait);
     if (readError) {
         m_stream.reset();
         co_return reply;
     }
     setResetOnClose(m_stream->socket(), false);
     reply.outcome = HttpReply::Outcome::Answered;
-    reply.status = parser.get().result_int();
-    reply.body = std::move(parser.get().body());
+    reply.status = parser->get().result_int();
+    reply.body = std::move(parser->get().body());
     // Bytes after the reply belong to no call; the next one would take them for its own reply.
-    if (!parser.get().keep_alive() || m_buffer.size() > 0)
+    if (!parser->get().keep_alive() || m_buffer.size() > 0)
         m_stream.reset();
-    reply.headers = std::move(parser.get().base());
+    reply.headers = std::move(parser->get().base());
     co_return reply;
 }
 
--- a/src/net/upstreamstream.cpp
+++ b/src/net/upstreamstream.cpp
@@ -3,6 +3,7 @@
 
 #include "net/callersession.h"
 #include "net/httpchannel.h"
+#include "net/responsehead.h"
 #include "net/sseparser.h"
 
 #include <boost/asio/write.hpp>
@@ -14,6 +15,7 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <tuple>
 
 namespace arbutuspier {
 
@@ -123,16 +125,19 @@
 
 Task<void> UpstreamStream::readWholeResponse()
 {
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(kMaxServiceResponseBytes);
-    const auto [error, size] = co_await http::async_read(m_stream, m_buffer, parser, kAwait);
+    std::optional<http::response_parser<http::string_body>> parser;
+    ErrorCode error = co_await receiveResponseHead(m_stream, m_buffer, parser,
+                                                   ResponseLimits{kMaxServiceResponseBytes});
+    if (!error)
+        std::tie(error, std::ignore) =
+            co_await http::async_read(m_stream, m_buffer, *parser, kAwait);
     if (m_isFinished)
         co_return;
     if (error) {
         fail(error == http::error::body_limit ? FailureKind::Broken : FailureKind::ConnectionLost);
         co_return;
     }
-    auto &message = parser.get();
+    auto &message = parser->get();
     if (message.count(kNotRunHeader) != 0) {
         fail(FailureKind::Refused);
         co_return;
@@ -146,16 +151,16 @@
 
 Task<void> UpstreamStream::readEvents()
 {
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(boost::none);
-    auto [headerError, headerSize] =
-        co_await http::async_read_header(m_stream, m_buffer, parser, kAwait);
+    std::optional<http::response_parser<http::buffer_body>> newParser;
+    const ErrorCode headError =
+        co_await receiveResponseHead(m_stream, m_buffer, newParser, ResponseLimits{});
     if (m_isFinished)
         co_return;
-    if (headerError) {
+    if (headError) {
         fail(FailureKind::ConnectionLost);
         co_return;
     }
+    http::response_parser<http::buffer_body> &parser = *newParser;
     if (parser.get().result() != http::status::ok) {
         const bool isRefusal = parser.get().count(kNotRunHeader) != 0
             || parser.get().result_int() < kFirstServerErrorStatus;
--- a/tests/upstreamstreamtest.cpp
+++ b/tests/upstreamstreamtest.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr const char *kHead = "HTTP/1.1 200 OK\r\n\r\n";
+constexpr const char *kInterimHead = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr const char *kDone = "data: [DONE]\n\n";
 constexpr std::size_t kEndlessStepBytes = 64 * 1024;
 /// More than any response, and far less than what a VM has memory for.
@@ -158,6 +159,19 @@
     CHECK(upstream->endlessBytesSent() < kMaxBytes);
 }
 
+// Guard against an interim response that is taken for the response itself.
+TEST(AnAttemptWithoutLength, followsAnInterimResponse)
+{
+    checkIsDone(closing(std::string(kInterimHead) + kHead + "done"), "done");
+}
+
+TEST(AnAttemptWithoutLength, mayBeAStreamThatFollowsAnInterimResponse)
+{
+    run(ResponseForm::Events, closing(std::string(kInterimHead) + kHead + event(1) + kDone));
+    CHECK(recorder.done() != nullptr);
+    LONGS_EQUAL(1, recorder.done()->tokens);
+}
+
 TEST_GROUP_BASE(AStreamedAttemptWithoutChunks, TEST_GROUP_CppUTestGroupAnAttemptWithoutLength){};
 
 TEST(AStreamedAttemptWithoutChunks, isCompleteAfterItsEndMarker)
@@ -260,6 +274,13 @@
     CHECK(call().outcome == HttpReply::Outcome::Lost);
 }
 
+// Guards against an interim response that is taken for the reply itself.
+TEST(AReplyWithoutLength, followsAnInterimResponse)
+{
+    listen({closing(std::string(kInterimHead) + kHead + "done")});
+    checkIsAnswered("done");
+}
+
 TEST(AReplyWithoutLength, leavesNoConnectionForTheNextCall)
 {
     listen({closing("HTTP/1.1 200 OK\r\nConnection: keep-alive\r\n\r\ndone")});
