gateway: Let a stream that has begun end until the deadline itself

Callers whose stream ended in the last 5 ms of their time lost its end.

Cause: the deadline has a margin of 5 ms, in which the gateway still sends a response of its own. Once the head of a stream was sent no such response can follow, and the margin only cuts the stream.

Evidence: ASilentReplica.canEndItsStreamUntilTheDeadline, on: the connection to the replica was closed less than 300 ms after a request with 300 ms was sent (the test ran 296 ms in all).

Change: no margin once the head was sent. The test failed before and holds now.

--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -108,7 +108,9 @@
 
 TimePoint RequestHandler::deadline() const
 {
-    const TimePoint own = std::min(m_callerDeadline, m_routeDeadline) - kResponseMargin;
+    // No response of the gateway can follow a stream that has begun.
+    const Duration margin = m_hasSentHead ? Duration::zero() : kResponseMargin;
+    const TimePoint own = std::min(m_callerDeadline, m_routeDeadline) - margin;
     return m_state.drainDeadline() ? std::min(own, *m_state.drainDeadline()) : own;
 }
 
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -180,7 +180,7 @@
     /// Remaining time until the deadline of the caller or the route, whichever is earlier.
     Duration timeLeft() const;
     /// Time by which the gateway must have responded: a little before the end of the remaining
-    /// time, and not after the end of draining.
+    /// time, at its end for a stream that has begun, and not after the end of draining.
     TimePoint deadline() const;
     /// Logs and counts how the request ended.
     void log(std::string_view outcome, std::string_view reason);
--- a/tests/gate/silentreplicatest.cpp
+++ b/tests/gate/silentreplicatest.cpp
@@ -337,3 +337,18 @@
     fixture.runFor(std::chrono::milliseconds{50});
     checkNothingIsLeft();
 }
+
+// Guards against a stream that is cut before its caller's time is over.
+TEST(ASilentReplica, canEndItsStreamUntilTheDeadline)
+{
+    constexpr Duration kDeadline = std::chrono::milliseconds{300};
+    auto &replica = fixture.addReplica("a", "desk", {{streamHead() + events(0, 1)}});
+    std::string request = GatewayFixture::request("POST", "/once/5", "", "prompt");
+    const std::string usual = "Deadline-Ms: 20000";
+    request.replace(request.find(usual), usual.size(), "Deadline-Ms: 300");
+    const TimePoint start = fixture.clock.now();
+    fixture.start(request);
+    while (replica.closedByGateway() == 0)
+        fixture.context.run_one();
+    CHECK(fixture.clock.now() - start >= kDeadline);
+}
