node: Keep the requests of a silent upstream unless they can be retried elsewhere

Callers of the daemon lost a call at an upstream that sent no load reports for 3 s and then went on.

Evidence: ASilentUpstream.finishesItsCallIfThereIsNoOther: one upstream, 5 s without reports, and its response then found no request (finished 0, expected 1). A silence of 1.6 s did no harm before.

Change: the attempt ends only if another upstream is usable and attempts and retry budget allow a retry. The decision is made again with each missing report.

--- a/src/node/attempthandler.cpp
+++ b/src/node/attempthandler.cpp
@@ -205,6 +205,9 @@
         // An at-most-once call must not be sent again, so its attempt stays open.
         if (!request || request->phase != Phase::Running || request->isAtMostOnce())
             continue;
+        // The upstream may go on, which is better than no attempt.
+        if (!canRetryElsewhere(*request))
+            continue;
         endAttempt(*request, FailureKind::Broken);
         handleFailure(*request, FailureKind::Broken);
     }
@@ -263,6 +266,18 @@
     m_completion.reject(request, Verdict::MayHaveRun, Reason::UpstreamLost);
 }
 
+bool AttemptHandler::canRetryElsewhere(const Request &request)
+{
+    const auto &router = m_context.service<Router>(service::kRouter);
+    const std::vector<UpstreamId> upstreams =
+        router.upstreamsFor(request.spec.kind, request.spec.target);
+    const bool hasOther = std::any_of(upstreams.begin(), upstreams.end(), [&](UpstreamId upstream) {
+        return upstream != request.upstream && router.isUsable(upstream, m_context.now);
+    });
+    return hasOther && request.attempts < kMaxAttempts
+        && budget(request.spec.className).balance() >= 1.0;
+}
+
 void AttemptHandler::retry(Request &request)
 {
     const Verdict verdict = request.mayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun;
--- a/src/node/attempthandler.h
+++ b/src/node/attempthandler.h
@@ -36,8 +36,8 @@
     void onFailed(const StreamFailed &event);
     /// The upstream's process crashed: all its attempts failed.
     void onUpstreamCrashed(UpstreamId upstream);
-    /// The upstream is unresponsive and sends no load reports: its requests are retried elsewhere,
-    /// except at-most-once calls.
+    /// The upstream is unresponsive and sends no load reports: its requests are retried elsewhere
+    /// where that is possible, except at-most-once calls.
     void onUpstreamUnresponsive(UpstreamId upstream);
     /// A load report that the upstream made at `asOf` arrived. If it is later than the presumed
     /// crash of the same incarnation, that crash is retracted.
@@ -67,6 +67,8 @@
     /// Queues the request for another attempt, or rejects it if its attempts or the retry budget
     /// are used up.
     void retry(Request &request);
+    /// Whether another upstream is usable, and attempts and retry budget allow a retry.
+    bool canRetryElsewhere(const Request &request);
     RetryBudget &budget(const std::string &className);
 
     NodeContext &m_context;
