tests: Share supervised replicas and the configuration row

They use start_supervised_replicas and put_gateway_config now; their checks and bounds are unchanged.

--- a/tests/process/crash.sh
+++ b/tests/process/crash.sh
@@ -8,41 +8,16 @@
 base_port=22000
 . bin/fleet.sh
 
-store_url="http://127.0.0.1:$((base_port + 1))"
 replica_count=6
 # The bounds of the rules: a fleet may lose three replicas to a request, and send it three more times later than this.
 contact_s=3
 max_crashes=3
 max_late_sends=3
 
-# Restarts the replica under a new id 0.7 s after each crash, until the file "stop" exists.
-supervise_replica() { # number
-    local start=0
-    while [ ! -e "$work_dir/stop" ]; do
-        start=$((start + 1))
-        build/standin --role replica --port $((base_port + 20 + $1)) --id "i-$1-$start" \
-            --store_port $((base_port + 1)) --crash_on saw-breaks &
-        echo $! >"$work_dir/replica-$1.pid"
-        wait $!
-        sleep 0.7
-    done
-}
 stop_all() {
-    touch "$work_dir/stop"
-    local file
-    for file in "$work_dir"/replica-*.pid; do kill -9 "$(cat "$file")" 2>/dev/null; done
-    sleep 0.9
-    stop_fleet
+    stop_supervised_fleet "$replica_count"
 }
 trap stop_all EXIT
-put_config() {
-    local encoded_config
-    encoded_config=$(printf '{"version":1,"routes":[
- {"host":"f.example","prefix":"/look/","routeKind":"idempotent","timeoutMs":5000,"goalMs":1000,"service":"assist","maxAttempts":2,"public":true},
- {"host":"f.example","prefix":"/ask/","routeKind":"streaming","timeoutMs":9000,"goalMs":3000,"service":"assist","maxAttempts":2,"resumable":true,"gapTargetMs":1000,"public":true}],
- "services":[{"name":"assist","maxConnections":100}]}' | base64 -w0)
-    curl -s -o /dev/null "$store_url/rows-tx" -d "{\"expected\":[],\"write\":[{\"tableName\":\"op\",\"part\":\"\",\"key\":\"config\",\"data\":\"$encoded_config\"}],\"remove\":[]}"
-}
 request_count=0
 send_request() { # gateway number, path, body; prints the HTTP status
     request_count=$((request_count + 1))
@@ -67,13 +42,13 @@
 is_at_most() { [ "$1" -le "$2" ]; }
 
 start_process store build/standin --role store --port $((base_port + 1))
-for i in $(seq "$replica_count"); do
-    supervise_replica "$i" >"$work_dir/supervisor-$i.log" 2>&1 &
-    disown $!
-done
+start_supervised_replicas "$replica_count" --crash_on saw-breaks
 start_gateway 2
 start_gateway 3
-put_config
+put_gateway_config '{"version":1,"routes":[
+ {"host":"f.example","prefix":"/look/","routeKind":"idempotent","timeoutMs":5000,"goalMs":1000,"service":"assist","maxAttempts":2,"public":true},
+ {"host":"f.example","prefix":"/ask/","routeKind":"streaming","timeoutMs":9000,"goalMs":3000,"service":"assist","maxAttempts":2,"resumable":true,"gapTargetMs":1000,"public":true}],
+ "services":[{"name":"assist","maxConnections":100}]}'
 check "both gateways become ready" until_true 60 eval 'gateway_is_ready 2 && gateway_is_ready 3'
 check "both gateways list all replicas" until_true 60 eval 'gateway_lists_replicas 2 "$replica_count" && gateway_lists_replicas 3 "$replica_count"'
 check "a harmless request gets status 200" test "$(send_request 2 /look/1 hello)" = 200
--- a/tests/process/gate.sh
+++ b/tests/process/gate.sh
@@ -9,20 +9,16 @@
 . bin/fleet.sh
 trap stop_fleet EXIT
 
-store_url="http://127.0.0.1:$((base_port + 1))"
 start_replica() { # number
     start_process "replica-$1" build/standin --role replica --port $((base_port + 20 + $1)) --id "i-$1" \
         --store_port $((base_port + 1))
 }
 put_config() { # version, path prefix of the idempotent route
-    local encoded_config
-    encoded_config=$(printf '{"version":%s,"routes":[
+    put_gateway_config "$(printf '{"version":%s,"routes":[
  {"host":"f.example","prefix":"/%s/","routeKind":"idempotent","timeoutMs":5000,"goalMs":1000,"service":"assist","maxAttempts":2},
  {"host":"f.example","prefix":"/order/","routeKind":"non_idempotent","timeoutMs":5000,"goalMs":1000,"service":"assist","maxAttempts":1},
  {"host":"f.example","prefix":"/ask/","routeKind":"streaming","timeoutMs":9000,"goalMs":3000,"service":"assist","maxAttempts":3,"resumable":true,"gapTargetMs":1000}],
- "services":[{"name":"assist","maxConnections":100}],"tenants":[{"name":"carvers","apiKeys":["saw-key"]}]}' "$1" "$2" |
-        base64 -w0)
-    curl -s -o /dev/null "$store_url/rows-tx" -d "{\"expected\":[],\"write\":[{\"tableName\":\"op\",\"part\":\"\",\"key\":\"config\",\"data\":\"$encoded_config\"}],\"remove\":[]}"
+ "services":[{"name":"assist","maxConnections":100}],"tenants":[{"name":"carvers","apiKeys":["saw-key"]}]}' "$1" "$2")"
 }
 request_count=0
 send_request() { # gateway number, path, curl flags...; prints the HTTP status
--- a/tests/process/restore.sh
+++ b/tests/process/restore.sh
@@ -14,11 +14,9 @@
         --store_port $((base_port + 1)) --crash_on saw-breaks
 }
 put_config() { # version, path prefix of the route
-    local encoded_config
-    encoded_config=$(printf '{"version":%s,"routes":[
+    put_gateway_config "$(printf '{"version":%s,"routes":[
  {"host":"f.example","prefix":"/%s/","routeKind":"idempotent","timeoutMs":5000,"goalMs":1000,"service":"assist","maxAttempts":2,"public":true}],
- "services":[{"name":"assist","maxConnections":100}]}' "$1" "$2" | base64 -w0)
-    curl -s -o /dev/null "$store_url/rows-tx" -d "{\"expected\":[],\"write\":[{\"tableName\":\"op\",\"part\":\"\",\"key\":\"config\",\"data\":\"$encoded_config\"}],\"remove\":[]}"
+ "services":[{"name":"assist","maxConnections":100}]}' "$1" "$2")"
 }
 request_count=0
 has_status() { # HTTP status, gateway number, path, body
