tests: End the supervisors of replicas with their test

prompt-part.sh, and crash.sh since it shares its supervisors, could leave supervisors and replicas behind. These kept the ports of the next run busy, with the flags of their own run.

Cause: a supervisor looked for the file "stop" once its pause of up to 1.9 s was over; by then the folder with the file was gone.

Change: a supervisor is one of the processes that stop_fleet ends, and ends its replica when it is told to. A check says if a replica found its port in use.

--- a/bin/fleet.sh
+++ b/bin/fleet.sh
@@ -221,18 +221,20 @@
     curl -s -o /dev/null "http://127.0.0.1:$((base_port + 1))/rows-tx" -d "{\"expected\":[],\"write\":[$row],\"remove\":[]}"
 }
 # Replicas under supervision: number N listens on port $base_port + 20 + N and starts again after it ended, under a new
-# id, until the file "stop" exists. The caller may set $restart_delays_s, of which each replica takes its turn.
+# id. stop_fleet ends supervisors and replicas. The caller may set $restart_delays_s, of which each start takes its turn.
 restart_delays_s=${restart_delays_s:-0.7}
 supervise_replica() { # number, more flags of the simulator
     local number=$1 start=0 delays=($restart_delays_s)
     shift
-    while [ ! -e "$work_dir/stop" ]; do
+    trap 'kill -9 $! 2>/dev/null; exit' TERM
+    while [ -d "$work_dir" ]; do
         start=$((start + 1))
         build/standin --role replica --port $((base_port + 20 + number)) --id "i-$number-$start" \
             --store_port $((base_port + 1)) "$@" &
         echo $! >"$work_dir/replica-$number.pid"
         wait $!
-        sleep "${delays[$(((number + start) % ${#delays[@]}))]}"
+        sleep "${delays[$(((number + start) % ${#delays[@]}))]}" &
+        wait $!
     done
 }
 start_supervised_replicas() { # number of replicas, more flags of the simulator
@@ -240,6 +242,7 @@
     shift
     for i in $(seq "$count"); do
         supervise_replica "$i" "$@" >"$work_dir/supervisor-$i.log" 2>&1 &
+        pids[supervisor-$i]=$!
         disown $!
     done
 }
@@ -247,10 +250,6 @@
     local number
     for number in "$@"; do kill -9 "$(cat "$work_dir/replica-$number.pid")" 2>/dev/null; done
 }
-stop_supervised_fleet() { # number of replicas
-    touch "$work_dir/stop"
-    kill_supervised_replicas $(seq "$1")
-    sleep 0.9
-    kill_supervised_replicas $(seq "$1")
-    stop_fleet
+all_supervised_replicas_listen() { # false if one could not, as another process uses its port
+    ! cat "$work_dir"/supervisor-*.log | grep -F 'Address already in use' >/dev/null
 }
--- a/tests/process/crash.sh
+++ b/tests/process/crash.sh
@@ -14,10 +14,7 @@
 max_crashes=3
 max_late_sends=3
 
-stop_all() {
-    stop_supervised_fleet "$replica_count"
-}
-trap stop_all EXIT
+trap stop_fleet EXIT
 request_count=0
 send_request() { # gateway number, path, body; prints the HTTP status
     request_count=$((request_count + 1))
@@ -104,6 +101,7 @@
 send_other_crashing_requests 4 3
 check "the gateway that was paused rejects it" is_at_most "$(late_sends)" "$max_late_sends"
 check "no gateway rejects harmless requests" test "$(send_request 3 /look/1 hello)" = 200
+check "no other process used the ports of the replicas" all_supervised_replicas_listen
 
 echo "crash tests: $passed_checks held, $failed_checks not held"
 exit "$((failed_checks > 0))"
--- a/tests/process/prompt-part.sh
+++ b/tests/process/prompt-part.sh
@@ -26,10 +26,7 @@
 # Longest time for which a round waits for the window after its last crash.
 max_round_ms=26000
 
-stop_all() {
-    stop_supervised_fleet "$replica_count"
-}
-trap stop_all EXIT
+trap stop_fleet EXIT
 now_ms() { date +%s%3N; }
 wait_until_ms() { # time in milliseconds since the epoch
     while [ "$(now_ms)" -lt "$1" ]; do sleep 0.05; done
@@ -174,6 +171,7 @@
 kill_supervised_replicas 7 8 1
 check_round "$front_part" 2 3 4 5
 check_late_sends "$middle_part"
+check "no other process used the ports of the replicas" all_supervised_replicas_listen
 
 print_line "Ends of the sound requests in the logs of the gateways, by outcome and reason:"
 cat "$work_dir"/gateway-*.log | sed -nE 's/.*event=request_ended request=sound.* (outcome=[^ ]*) (reason=[^ ]*).*/   \1 \2/p' | sort | uniq -c
