--- a/include/arbutuspier/ids.h
+++ b/include/arbutuspier/ids.h
@@ -34,6 +34,8 @@
 using Incarnation = Id<struct IncarnationTag>;
 /// A digest that identifies a request's content.
 using Fingerprint = Id<struct FingerprintTag>;
+/// A part of a prompt, which several requests may share.
+using PromptPartId = Id<struct PromptPartTag>;
 
 } // namespace arbutuspier
 
