gateway: Reject requests with a prompt part that crashes replicas

The gateway now reads the shared parts of a prompt from its headers (all but the last), checks them on arrival and before each send, and rejects with 503 at once. Crashes that a quarantined part explains don't count against the fingerprints of other requests. Stream events for half a second clear the parts, as does a success. part_suspect, part_cleared, part_quarantined, part_released and part_tried log each step, request_ended names the rejected part, and the counter prompt_parts counts quarantined, released and tried parts.

--- a/include/arbutuspier/quarantine.h
+++ b/include/arbutuspier/quarantine.h
@@ -11,6 +11,7 @@
 #include "arbutuspier/peer.h"
 
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <map>
 #include <set>
@@ -42,7 +43,10 @@
     {
     }
 
-    QuarantineState quarantineState(Fingerprint fingerprint) const;
+    /// `isExplained` tells by the digest of a crash whether something else is to blame for it.
+    QuarantineState quarantineState(
+        Fingerprint fingerprint,
+        const std::function<bool(std::uint64_t crash)> &isExplained = nullptr) const;
     /// An upstream's incarnation crashed, or may have crashed, while these fingerprints were in
     /// flight. Returns notices to send to every peer.
     std::vector<SuspectNotice> onUpstreamCrash(UpstreamId upstream, Incarnation incarnation,
@@ -89,7 +93,8 @@
         TimePoint updatedAt;
 
         std::vector<std::uint64_t> crashesIn(CrashState state) const;
-        std::size_t count(CrashState state) const;
+        std::size_t count(CrashState state,
+                          const std::function<bool(std::uint64_t crash)> &isExplained) const;
         /// Returns true if the crash wasn't known yet to be in this or a later state.
         bool raise(std::uint64_t crash, CrashState state);
     };
--- a/include/arbutuspier/unansweredattempts.h
+++ b/include/arbutuspier/unansweredattempts.h
@@ -7,6 +7,7 @@
 
 #include "arbutuspier/clock.h"
 #include "arbutuspier/ids.h"
+#include "arbutuspier/promptpartquarantine.h"
 #include "arbutuspier/upstreamdirectory.h"
 
 #include <cstddef>
@@ -29,6 +30,8 @@
     Fingerprint fingerprint;
     /// The replica had begun to respond, so the request is less likely to blame for its crash.
     bool hasOutput = false;
+    /// Empty if no part of its prompt can be to blame.
+    std::vector<PartExposure> parts = {};
 };
 
 class UnansweredAttempts
@@ -58,6 +61,7 @@
         /// When the last attempt ended.
         TimePoint endedAt{};
         bool hasOutput = true;
+        std::vector<PartExposure> parts;
     };
 
     UnansweredAttemptsOptions m_options;
--- a/src/coordination/quarantine.cpp
+++ b/src/coordination/quarantine.cpp
@@ -36,10 +36,13 @@
     return result;
 }
 
-std::size_t Quarantine::Record::count(CrashState state) const
+std::size_t Quarantine::Record::count(
+    CrashState state, const std::function<bool(std::uint64_t crash)> &isExplained) const
 {
-    return static_cast<std::size_t>(std::count_if(
-        crashes.begin(), crashes.end(), [&](const auto &entry) { return entry.second == state; }));
+    const auto counts = [&](const auto &entry) {
+        return entry.second == state && !(isExplained && isExplained(entry.first));
+    };
+    return static_cast<std::size_t>(std::count_if(crashes.begin(), crashes.end(), counts));
 }
 
 bool Quarantine::Record::raise(std::uint64_t crash, CrashState state)
@@ -53,13 +56,14 @@
     return true;
 }
 
-Quarantine::QuarantineState Quarantine::quarantineState(Fingerprint fingerprint) const
+Quarantine::QuarantineState Quarantine::quarantineState(
+    Fingerprint fingerprint, const std::function<bool(std::uint64_t crash)> &isExplained) const
 {
     auto it = m_records.find(fingerprint);
     if (it == m_records.end())
         return QuarantineState::Clean;
-    const std::size_t confirmed = it->second.count(CrashState::Confirmed);
-    const std::size_t all = confirmed + it->second.count(CrashState::Unconfirmed);
+    const std::size_t confirmed = it->second.count(CrashState::Confirmed, isExplained);
+    const std::size_t all = confirmed + it->second.count(CrashState::Unconfirmed, isExplained);
     if (all == 0)
         return QuarantineState::Clean;
     const bool isQuarantined =
--- a/src/coordination/unansweredattempts.cpp
+++ b/src/coordination/unansweredattempts.cpp
@@ -2,6 +2,8 @@
 // connection was closed.
 #include "arbutuspier/unansweredattempts.h"
 
+#include <utility>
+
 namespace arbutuspier {
 
 void UnansweredAttempts::record(const ReplicaIncarnation &incarnation, UnansweredAttempt attempt,
@@ -14,6 +16,8 @@
     Record &record = attempts[attempt.fingerprint];
     record.endedAt = now;
     record.hasOutput = record.hasOutput && attempt.hasOutput;
+    if (!attempt.parts.empty())
+        record.parts = std::move(attempt.parts);
 }
 
 std::vector<UnansweredAttempt> UnansweredAttempts::of(const ReplicaIncarnation &incarnation,
@@ -25,7 +29,7 @@
         return result;
     for (const auto &[fingerprint, record] : found->second) {
         if (now < record.endedAt + m_options.window)
-            result.push_back({fingerprint, record.hasOutput});
+            result.push_back({fingerprint, record.hasOutput, record.parts});
     }
     return result;
 }
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -139,7 +139,8 @@
         co_await reject(kUnavailable, "draining", kRetryWhenDraining);
         co_return;
     }
-    m_fingerprint = requestFingerprint(text(m_request.target()), m_team, m_request.body());
+    m_identity = identity();
+    m_state.suspects.tryBegin(m_identity);
     if (isQuarantined()) {
         co_await reject(kUnavailable, "quarantined", std::nullopt);
         co_return;
@@ -152,6 +153,15 @@
     co_await stopBackups();
 }
 
+RequestIdentity RequestHandler::identity() const
+{
+    RequestIdentity identity;
+    identity.fingerprint = requestFingerprint(text(m_request.target()), m_team, m_request.body());
+    for (std::uint64_t part : m_head.sharedPromptParts)
+        identity.parts.push_back(PromptPartId{part});
+    return identity;
+}
+
 bool RequestHandler::authenticate()
 {
     m_priority = m_route->priority;
@@ -343,9 +353,10 @@
     line.add("request", m_head.requestId)
         .add("route", route)
         .add("team", m_team)
-        .add("fingerprint", m_fingerprint.value)
+        .add("fingerprint", m_identity.fingerprint.value)
         .add("outcome", outcome)
         .add("reason", reason)
+        .add("rejected_part", m_state.suspects.quarantinedPart(m_identity).value)
         .add("config", m_table ? m_table->version() : 0)
         .add("directory", m_state.directory.revision())
         .add("prompt_tokens", m_head.promptTokens)
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -56,7 +56,8 @@
     bool authenticate();
     /// Sets the deadlines of the route and of the caller.
     void setDeadlines();
-    bool isQuarantined() const { return m_state.suspects.isQuarantined(m_fingerprint); }
+    bool isQuarantined() const { return m_state.suspects.isQuarantined(m_identity); }
+    RequestIdentity identity() const;
     PromptShape promptShape() const;
     /// Time after which a rejected request is likely to be accepted.
     Duration retryAfter(DispatchRejection rejection) const;
@@ -92,6 +93,8 @@
                                       const DispatchGrant &grant);
     /// Updates the replica's load and slowdown factor when the first event of an attempt came.
     void onFirstEvent(const UpstreamAttempt &attempt, const DispatchGrant &grant);
+    /// Updates the progress of an attempt when stream events came.
+    void onEvents(UpstreamAttempt &attempt);
     /// Time from which the attempt is late unless its next event has come; the request's deadline
     /// if no retry is allowed.
     TimePoint nextEventDeadline() const;
@@ -194,7 +197,7 @@
     std::string m_team;
     std::uint32_t m_priority = 0;
     std::string m_service;
-    Fingerprint m_fingerprint;
+    RequestIdentity m_identity;
     TimePoint m_arrivedAt;
     /// When the caller stops waiting, and when the route's timeout expires.
     TimePoint m_callerDeadline;
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -212,6 +212,15 @@
     m_state.health.onSuccess(grant.replica.incarnation(), ratio);
 }
 
+void RequestHandler::onEvents(UpstreamAttempt &attempt)
+{
+    const AttemptProgress before = attempt.progress();
+    attempt.recordEvents(m_state.clock.now());
+    const bool keepsWriting = attempt.progress() == AttemptProgress::KeepsWriting;
+    if (keepsWriting && attempt.progress() != before)
+        m_state.suspects.onWriting(m_identity);
+}
+
 Task<RequestHandler::AttemptOutcome> RequestHandler::readStream(UpstreamAttempt &attempt,
                                                                 const DispatchGrant &grant)
 {
@@ -239,7 +248,7 @@
             attempt.onExpiry = [this, &attempt, &grant] { return nextEventCheck(attempt, grant); };
         }
         isDecoding = true;
-        attempt.setHasOutput();
+        onEvents(attempt);
         m_backups.cancelRunning();
         // The time that the caller takes to read counts against the deadline only.
         attempt.expireAt(deadline());
@@ -269,19 +278,19 @@
         m_state.health.onSuccess(grant.replica.incarnation(), 0);
         // An error response doesn't show that the replica executed the request.
         if (isSuccessStatus(attempt.status()))
-            m_state.suspects.onCompleted(grant.replica, m_fingerprint);
+            m_state.suspects.onCompleted(grant.replica, m_identity);
         return;
     case AttemptOutcome::CallerDisconnected:
         m_possibleExecutions += attempt.wasReached() ? 1 : 0;
         if (attempt.wasReached() && attempt.status() == 0)
-            m_state.suspects.onAbandoned(grant.replica, m_fingerprint, attempt.sentAt());
+            m_state.suspects.onAbandoned(grant.replica, m_identity, attempt.sentAt());
         if (!m_wasLogged)
             log("caller-gone", "in-flight");
         return;
     case AttemptOutcome::Superseded:
         m_possibleExecutions += attempt.wasReached() ? 1 : 0;
         if (attempt.wasReached() && attempt.status() == 0)
-            m_state.suspects.onAbandoned(grant.replica, m_fingerprint, attempt.sentAt());
+            m_state.suspects.onAbandoned(grant.replica, m_identity, attempt.sentAt());
         break;
     case AttemptOutcome::NotExecuted:
         onNotExecuted(attempt, grant);
@@ -315,7 +324,7 @@
     m_canSplit = m_canSplit && grant.helpers.empty();
     if (!attempt.wasLate())
         m_state.health.onFailure(grant.replica.incarnation(), now);
-    m_state.suspects.onLost(grant.replica, {m_fingerprint, attempt.hasOutput()}, attempt.sentAt());
+    m_state.suspects.onLost(grant.replica, m_identity, attempt.progress(), attempt.sentAt());
     if (attempt.hasExpired() && !attempt.wasLate() && attempt.status() == 0)
         m_state.zones.onUnresponsive(grant.replica.zone, grant.replica.id, now);
 }
@@ -325,7 +334,7 @@
 {
     LogLine line("attempt_failed");
     line.add("request", m_head.requestId)
-        .add("fingerprint", m_fingerprint.value)
+        .add("fingerprint", m_identity.fingerprint.value)
         .add("replica", grant.replica.id)
         .add("born", static_cast<std::uint64_t>(grant.replica.startedAtMs))
         .add("end", outcomeName(outcome))
--- a/src/gateway/requesthandlertimeout.cpp
+++ b/src/gateway/requesthandlertimeout.cpp
@@ -159,7 +159,7 @@
 {
     const TimePoint now = m_state.clock.now();
     m_state.health.onFailure(grant.replica.incarnation(), now);
-    m_state.suspects.onLost(grant.replica, {m_fingerprint, attempt.hasOutput()}, attempt.sentAt());
+    m_state.suspects.onLost(grant.replica, m_identity, attempt.progress(), attempt.sentAt());
     if (attempt.status() == 0)
         m_state.zones.onUnresponsive(grant.replica.zone, grant.replica.id, now);
 }
--- a/src/gateway/suspecttable.cpp
+++ b/src/gateway/suspecttable.cpp
@@ -56,7 +56,7 @@
 void SuspectTable::markChanged(Fingerprint fingerprint)
 {
     m_changed.insert(fingerprint);
-    if (m_state.suspects.isQuarantined(fingerprint))
+    if (m_state.suspects.isQuarantined({fingerprint, {}}))
         m_schedule.scheduleNow(m_state.clock.now());
     else
         m_schedule.onChange(m_state.clock.now());
--- a/src/gateway/suspecttracker.cpp
+++ b/src/gateway/suspecttracker.cpp
@@ -54,6 +54,13 @@
     return options;
 }
 
+PromptPartQuarantineOptions promptPartQuarantineOptions()
+{
+    PromptPartQuarantineOptions options;
+    options.recordLifetime = kSuspectRetention;
+    return options;
+}
+
 } // namespace
 
 SuspectTracker::SuspectTracker(asio::any_io_executor executor, const Clock &clock,
@@ -64,25 +71,58 @@
     , m_crashDetector(crashDetectorOptions(replicaHeartbeat))
     , m_unanswered({})
     , m_quarantine(quarantineOptions())
+    , m_promptParts(promptPartQuarantineOptions())
+{
+}
+
+bool SuspectTracker::isQuarantined(const RequestIdentity &request)
 {
+    if (quarantinedPart(request).isValid())
+        return true;
+    const auto state =
+        m_quarantine.quarantineState(request.fingerprint, [this](std::uint64_t crash) {
+            return m_promptParts.isExplained(crash);
+        });
+    return state == Quarantine::QuarantineState::Quarantined;
 }
 
-bool SuspectTracker::isQuarantined(Fingerprint fingerprint) const
+PromptPartId SuspectTracker::quarantinedPart(const RequestIdentity &request)
 {
-    return m_quarantine.quarantineState(fingerprint) == Quarantine::QuarantineState::Quarantined;
+    const PromptPartId part = m_promptParts.quarantinedPart(request);
+    logPartChanges();
+    return part;
 }
 
-void SuspectTracker::onLost(const ReplicaEntry &replica, UnansweredAttempt attempt,
-                            TimePoint sentAt)
+void SuspectTracker::tryBegin(RequestIdentity &request)
 {
+    const PromptPartId part = m_promptParts.quarantinedPart(request);
+    if (!part.isValid() || !m_promptParts.tryBegin(request, part, m_clock.now()))
+        return;
+    m_metrics.incrementCounter("prompt_parts", "tried");
+    LOG(INFO) << LogLine("part_tried")
+                     .add("part", part.value)
+                     .add("fingerprint", request.fingerprint.value)
+                     .add("level", static_cast<std::uint64_t>(request.triedLevel))
+                     .text();
+}
+
+void SuspectTracker::onLost(const ReplicaEntry &replica, const RequestIdentity &request,
+                            AttemptProgress progress, TimePoint sentAt)
+{
+    UnansweredAttempt attempt{request.fingerprint, progress != AttemptProgress::NoOutput};
+    if (progress != AttemptProgress::KeepsWriting)
+        attempt.parts = m_promptParts.exposuresOf(request.parts, sentAt, m_clock.now());
     recordUnanswered(replica.incarnation(), attempt, sentAt);
     startCheck(replica);
 }
 
-void SuspectTracker::onAbandoned(const ReplicaEntry &replica, Fingerprint fingerprint,
+void SuspectTracker::onAbandoned(const ReplicaEntry &replica, const RequestIdentity &request,
                                  TimePoint sentAt)
 {
-    recordUnanswered(replica.incarnation(), {fingerprint}, sentAt);
+    const UnansweredAttempt attempt{
+        request.fingerprint, false,
+        m_promptParts.exposuresOf(request.parts, sentAt, m_clock.now())};
+    recordUnanswered(replica.incarnation(), attempt, sentAt);
 }
 
 void SuspectTracker::recordUnanswered(const ReplicaIncarnation &incarnation,
@@ -226,20 +266,71 @@
         countCrash(incarnation, attempt, state);
 }
 
-void SuspectTracker::countCrash(const ReplicaIncarnation &incarnation, UnansweredAttempt attempt,
-                                CrashState state)
+void SuspectTracker::countCrash(const ReplicaIncarnation &incarnation,
+                                const UnansweredAttempt &attempt, CrashState state)
 {
     const CrashState counted = attempt.hasOutput ? CrashState::Unconfirmed : state;
     publish(m_quarantine.onUpstreamCrash(upstreamId(incarnation), incarnationOf(incarnation),
                                          std::span(&attempt.fingerprint, 1), m_clock.now(),
                                          counted),
             counted == CrashState::Confirmed ? "crash" : "unconfirmed-crash", incarnation);
+    publish(m_promptParts.onCrash(
+        Quarantine::crashDigest(upstreamId(incarnation), incarnationOf(incarnation)),
+        attempt.fingerprint, attempt.parts, m_clock.now()));
+}
+
+void SuspectTracker::onCompleted(const ReplicaEntry &replica, const RequestIdentity &request)
+{
+    m_unanswered.forget(request.fingerprint);
+    publish(m_quarantine.onCompleted(request.fingerprint), "completed", replica.incarnation());
+    publish(m_promptParts.onSuccess(request.parts, m_clock.now()));
+}
+
+void SuspectTracker::onWriting(const RequestIdentity &request)
+{
+    publish(m_promptParts.onSuccess(request.parts, m_clock.now()));
+}
+
+void SuspectTracker::publish(const PartNotices &notices)
+{
+    if (notices.empty())
+        return;
+    for (const PartEvidence &evidence : notices.evidence) {
+        for (const PartExposure &exposure : evidence.parts)
+            LOG(INFO) << LogLine("part_suspect")
+                             .add("part", exposure.part.value)
+                             .add("fingerprint", evidence.request.value)
+                             .add("crash", evidence.crash)
+                             .add("level", static_cast<std::uint64_t>(exposure.level))
+                             .add("succeeded", exposure.hasSucceeded ? "yes" : "no")
+                             .text();
+    }
+    for (const PartClearance &clearance : notices.clearances)
+        LOG(INFO) << LogLine("part_cleared")
+                         .add("part", clearance.part.value)
+                         .add("level", static_cast<std::uint64_t>(clearance.level))
+                         .text();
+    if (onPartNotices)
+        onPartNotices(notices);
+}
+
+bool SuspectTracker::merge(const PartNotices &notices)
+{
+    return m_promptParts.merge(notices, m_clock.now());
 }
 
-void SuspectTracker::onCompleted(const ReplicaEntry &replica, Fingerprint fingerprint)
+void SuspectTracker::logPartChanges()
 {
-    m_unanswered.forget(fingerprint);
-    publish(m_quarantine.onCompleted(fingerprint), "completed", replica.incarnation());
+    for (const PartQuarantineChange &change : m_promptParts.takeChanges()) {
+        m_metrics.incrementCounter("prompt_parts",
+                                   change.isQuarantined ? "quarantined" : "released");
+        LOG(INFO) << LogLine(change.isQuarantined ? "part_quarantined" : "part_released")
+                         .add("part", change.part.value)
+                         .add("levels", change.levels)
+                         .add("deaths", change.crashes)
+                         .add("requests", change.requests)
+                         .text();
+    }
 }
 
 void SuspectTracker::onUnreachable(const ReplicaEntry &replica)
@@ -266,15 +357,21 @@
 
 void SuspectTracker::onHeartbeat(const ReplicaIncarnation &incarnation, TimePoint writtenAfter)
 {
-    if (m_crashDetector.onHeartbeat(incarnation, writtenAfter))
-        publish(m_quarantine.retract(upstreamId(incarnation), incarnationOf(incarnation)),
-                "heartbeat", incarnation);
+    if (!m_crashDetector.onHeartbeat(incarnation, writtenAfter))
+        return;
+    publish(m_quarantine.retract(upstreamId(incarnation), incarnationOf(incarnation)), "heartbeat",
+            incarnation);
+    publish(m_promptParts.retract(
+        Quarantine::crashDigest(upstreamId(incarnation), incarnationOf(incarnation)),
+        m_clock.now()));
 }
 
 void SuspectTracker::tick()
 {
     m_unanswered.tick(m_clock.now());
     m_quarantine.tick(m_clock.now());
+    m_promptParts.tick(m_clock.now());
+    logPartChanges();
 }
 
 } // namespace arbutuspier
--- a/src/gateway/suspecttracker.h
+++ b/src/gateway/suspecttracker.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "arbutuspier/crashdetector.h"
+#include "arbutuspier/promptpartquarantine.h"
 #include "arbutuspier/quarantine.h"
 #include "arbutuspier/unansweredattempts.h"
 #include "arbutuspier/upstreamdirectory.h"
@@ -22,6 +23,14 @@
 /// How long a suspect request is remembered after the last replica crash that it was in flight at.
 inline constexpr std::chrono::seconds kSuspectRetention = std::chrono::hours{1};
 
+/// How far the response of an attempt had come when it was lost.
+enum class AttemptProgress : std::uint8_t {
+    NoOutput,
+    HasOutput,
+    /// It had been writing for so long that no part of its prompt can be to blame for a crash.
+    KeepsWriting,
+};
+
 class SuspectTracker
 {
 public:
@@ -30,10 +39,16 @@
     SuspectTracker(asio::any_io_executor executor, const Clock &clock, GatewayMetrics &metrics,
                    Duration replicaHeartbeat);
 
-    bool isQuarantined(Fingerprint fingerprint) const;
+    /// Whether the request or a part of its prompt is quarantined.
+    bool isQuarantined(const RequestIdentity &request);
+    /// The part of its prompt that is quarantined; invalid if none is.
+    PromptPartId quarantinedPart(const RequestIdentity &request);
+    /// For a request that arrived: makes it the trial of a quarantined part if one is due.
+    void tryBegin(RequestIdentity &request);
     /// An attempt that was sent at `sentAt` broke off or expired without a complete response:
     /// checks whether the replica crashed.
-    void onLost(const ReplicaEntry &replica, UnansweredAttempt attempt, TimePoint sentAt);
+    void onLost(const ReplicaEntry &replica, const RequestIdentity &request,
+                AttemptProgress progress, TimePoint sentAt);
     /// Starts a check of whether the replica crashed, unless one of it is running.
     void startCheck(const ReplicaEntry &replica);
     /// When a check first found the replica unreachable; empty if none did.
@@ -45,9 +60,11 @@
     Task<void> awaitCheck(const ReplicaIncarnation &incarnation);
     /// The caller left before the replica responded. Nothing is checked, but the request is a
     /// suspect if the replica turns out to have crashed.
-    void onAbandoned(const ReplicaEntry &replica, Fingerprint fingerprint, TimePoint sentAt);
+    void onAbandoned(const ReplicaEntry &replica, const RequestIdentity &request, TimePoint sentAt);
     /// A request was executed to its end, so that it is no suspect any more.
-    void onCompleted(const ReplicaEntry &replica, Fingerprint fingerprint);
+    void onCompleted(const ReplicaEntry &replica, const RequestIdentity &request);
+    /// An attempt keeps writing, so that the parts of its prompt are no suspects any more.
+    void onWriting(const RequestIdentity &request);
     /// A replica refused a connection or didn't accept it in time. If attempts there got no
     /// response, this checks whether it crashed.
     void onUnreachable(const ReplicaEntry &replica);
@@ -61,12 +78,17 @@
     /// Merges a notice of another VM. Returns true if it changed whether the request is a suspect
     /// or quarantined.
     bool merge(const SuspectNotice &notice, std::string_view source);
+    /// Merges notices of another VM on parts of prompts. Returns true if something was new.
+    bool merge(const PartNotices &notices);
     void tick();
 
     const Quarantine &quarantine() const { return m_quarantine; }
+    const PromptPartQuarantine &promptParts() const { return m_promptParts; }
 
     /// Called for each new notice of this VM, which the other VMs have to get.
     std::function<void(const SuspectNotice &)> onNotice;
+    /// Called for new notices of this VM on parts of prompts, which the other VMs have to get.
+    std::function<void(const PartNotices &)> onPartNotices;
     /// Called for a replica that a check found unreachable.
     std::function<void(const ReplicaEntry &)> onReplicaDown;
 
@@ -78,11 +100,14 @@
     /// Counts the crash of a replica against all requests with unanswered attempts there.
     void recordCrash(const ReplicaIncarnation &incarnation, CrashEvidence evidence,
                      CrashState state);
-    void countCrash(const ReplicaIncarnation &incarnation, UnansweredAttempt attempt,
+    void countCrash(const ReplicaIncarnation &incarnation, const UnansweredAttempt &attempt,
                     CrashState state);
     /// Checks by a connection whether a replica crashed. If it can't be reached, the crash is
     /// unconfirmed at first, and confirmed unless several others can't be reached either.
     Task<void> checkForCrash(ReplicaEntry replica);
+    void publish(const PartNotices &notices);
+    /// Logs and counts the parts of prompts that were quarantined or released.
+    void logPartChanges();
     void endCheck(const ReplicaIncarnation &incarnation, std::string_view outcome);
     /// Logs the notices with their cause and sends them to the other VMs.
     void publish(const std::vector<SuspectNotice> &notices, std::string_view cause,
@@ -96,6 +121,7 @@
     /// Replicas that a check is running for. The timer expires at its first result.
     std::map<ReplicaIncarnation, std::shared_ptr<asio::steady_timer>> m_checking;
     Quarantine m_quarantine;
+    PromptPartQuarantine m_promptParts;
 };
 
 } // namespace arbutuspier
--- a/src/gateway/upstreamattempt.cpp
+++ b/src/gateway/upstreamattempt.cpp
@@ -21,6 +21,8 @@
 
 constexpr std::size_t kReadBytes = 16 * 1024;
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
+/// A replica that is crashed by a part of the prompt doesn't write for this long.
+constexpr Duration kMinWritingTime = std::chrono::milliseconds{500};
 
 } // namespace
 
@@ -142,6 +144,16 @@
     co_return m_isComplete ? ReadProgress::Complete : ReadProgress::More;
 }
 
+void UpstreamAttempt::recordEvents(TimePoint now)
+{
+    if (m_progress == AttemptProgress::NoOutput) {
+        m_progress = AttemptProgress::HasOutput;
+        m_writingSince = now;
+    } else if (now >= m_writingSince + kMinWritingTime) {
+        m_progress = AttemptProgress::KeepsWriting;
+    }
+}
+
 void UpstreamAttempt::release(TimePoint now)
 {
     m_timer->cancel();
--- a/src/gateway/upstreamattempt.h
+++ b/src/gateway/upstreamattempt.h
@@ -1,6 +1,7 @@
 // One attempt of a request at one replica, over a pooled or a new connection.
 #pragma once
 
+#include "gateway/suspecttracker.h"
 #include "gateway/upstreampool.h"
 #include "net/asiotypes.h"
 #include "platform/httpheaders.h"
@@ -67,9 +68,10 @@
     /// When the request was sent.
     TimePoint sentAt() const { return m_sentAt; }
     void setSentAt(TimePoint at) { m_sentAt = at; }
-    /// Whether the attempt has produced stream events.
-    bool hasOutput() const { return m_hasOutput; }
-    void setHasOutput() { m_hasOutput = true; }
+    /// How far its stream events have come.
+    AttemptProgress progress() const { return m_progress; }
+    /// Stream events came now.
+    void recordEvents(TimePoint now);
     /// Whether the replica was silent for too long at some time.
     bool wasLate() const { return m_wasLate; }
     void setWasLate() { m_wasLate = true; }
@@ -97,7 +99,9 @@
     bool m_isCancelled = false;
     std::string m_unread;
     TimePoint m_sentAt{};
-    bool m_hasOutput = false;
+    AttemptProgress m_progress = AttemptProgress::NoOutput;
+    /// When the first stream events came, if any did.
+    TimePoint m_writingSince{};
     bool m_wasLate = false;
 };
 
--- a/tests/gate/gatewayfixture.h
+++ b/tests/gate/gatewayfixture.h
@@ -40,6 +40,8 @@
     /// `afterPause`.
     Duration pause{};
     std::string afterPause{};
+    /// Time from the request to the response or the crash.
+    Duration delay{};
 };
 
 /// The request crashes the replica: its connection is reset and its address refuses new ones.
@@ -157,6 +159,10 @@
             }
             m_requests.push_back(request);
             const ReplicaStep step = m_script->next(request);
+            if (step.delay > Duration::zero()) {
+                asio::steady_timer timer(m_context, step.delay);
+                co_await timer.async_wait(kAwait);
+            }
             const std::string response = withId(step.response, request);
             co_await asio::async_write(stream, asio::buffer(response), kAwait);
             if (step.pause > Duration::zero()) {
