gateway: Tell other VMs which prompt parts crash replicas

Evidence and clearances go to all peers at once in datagrams of their own, without a sequence number, are repeated for 3 s and sent with the full state. Each VM keeps one row parts/VM in the store while a part has two levels or more, at most one write a second, so that VMs which restart, start later or are cut off learn of it; popular parts are cleared before the write.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -60,8 +60,15 @@
         m_messenger.broadcast(notice);
         m_suspectTable.markChanged(notice.fingerprint);
     };
+    m_state.suspects.onPartNotices = [this](const PartNotices &notices) {
+        m_messenger.broadcast(notices);
+        m_suspectTable.markPartsChanged();
+    };
     // The peers that this VM hears may not read the store soon.
     m_suspectTable.onNews = [this](const SuspectNotice &notice) { m_messenger.broadcast(notice); };
+    m_suspectTable.onPartNews = [this](const PartNotices &notices) {
+        m_messenger.broadcast(notices);
+    };
     m_storeWatcher.onVms = [this](const std::vector<VmRegistration> &vms) {
         m_messenger.setVms(vms);
     };
--- a/src/gateway/peermessenger.cpp
+++ b/src/gateway/peermessenger.cpp
@@ -2,6 +2,7 @@
 // full state instead.
 #include "gateway/peermessenger.h"
 
+#include "gateway/partnoticescodec.h"
 #include "kernel/logline.h"
 #include "net/httpchannel.h"
 
@@ -31,6 +32,8 @@
 constexpr Duration kRepeatTime = std::chrono::seconds{3};
 /// Most suspects that are sent with the full state; it has to fit into a datagram.
 constexpr std::size_t kMaxSuspectsInFullState = 256;
+/// Most items of each kind of notices on parts of prompts in a datagram, and in the full state.
+constexpr std::size_t kMaxPartItems = 256;
 constexpr Duration kFetchTimeout = std::chrono::milliseconds{800};
 constexpr std::size_t kMaxDatagramBytes = 60'000;
 
@@ -44,6 +47,7 @@
     , m_flushTimer(context)
     , m_recentDepartures(kRepeatTime)
     , m_recentSuspects(kRepeatTime)
+    , m_recentPartNotices(kRepeatTime)
     , m_peers(state.settings.vm)
     , m_incarnation(
           static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -135,6 +139,50 @@
     scheduleFlush();
 }
 
+namespace {
+
+template <class Item>
+void append(std::vector<Item> &to, const std::vector<Item> &from)
+{
+    to.insert(to.end(), from.begin(), from.end());
+}
+
+void append(PartNotices &to, const PartNotices &from)
+{
+    append(to.evidence, from.evidence);
+    append(to.clearances, from.clearances);
+}
+
+/// Removes and returns the first items.
+template <class Item>
+std::vector<Item> takeFirst(std::vector<Item> &items, std::size_t maxCount)
+{
+    const std::size_t count = std::min(items.size(), maxCount);
+    const auto end = items.begin() + static_cast<std::ptrdiff_t>(count);
+    std::vector<Item> first(items.begin(), end);
+    items.erase(items.begin(), end);
+    return first;
+}
+
+} // namespace
+
+void PeerMessenger::broadcast(const PartNotices &notices)
+{
+    append(m_partOutbox, notices);
+    m_recentPartNotices.add(notices, m_state.clock.now());
+    scheduleFlush();
+}
+
+void PeerMessenger::sendPartNotices(const PartNotices &notices)
+{
+    PartNotices rest = notices;
+    while (!rest.empty()) {
+        const PartNotices first{takeFirst(rest.evidence, kMaxPartItems),
+                                takeFirst(rest.clearances, kMaxPartItems)};
+        sendToAll(encodePartRow({{}, first}));
+    }
+}
+
 void PeerMessenger::broadcastChanges()
 {
     const TimePoint now = m_state.clock.now();
@@ -159,6 +207,7 @@
         if (status() != m_sentStatus)
             datagram.status = status();
         sendToAll(std::move(datagram));
+        sendPartNotices(std::exchange(m_partOutbox, {}));
     });
 }
 
@@ -168,7 +217,11 @@
     datagram.sequence = ++m_sequence;
     if (datagram.status)
         m_sentStatus = *datagram.status;
-    const std::string bytes = encodePeerDatagram(datagram);
+    sendToAll(encodePeerDatagram(datagram));
+}
+
+void PeerMessenger::sendToAll(const std::string &bytes)
+{
     const auto isInGroup = [this](const std::string &vm) {
         return vm.empty() || m_state.groups.isInOwnGroup(vm);
     };
@@ -207,6 +260,9 @@
     datagram.activeRequests = m_state.load.activeRequestsOf(m_state.settings.vm);
     datagram.suspects = m_state.suspects.quarantine().records(kMaxSuspectsInFullState);
     send(encodePeerDatagram(datagram), to);
+    const PartNotices notices = m_state.suspects.promptParts().notices(kMaxPartItems);
+    if (!notices.empty())
+        send(encodePartRow({{}, notices}), to);
 }
 
 void PeerMessenger::logTraffic()
@@ -239,6 +295,10 @@
         datagram.departures = m_recentDepartures.current(m_state.clock.now());
         datagram.suspects = m_recentSuspects.current(m_state.clock.now());
         sendToAll(std::move(datagram));
+        PartNotices notices;
+        for (const PartNotices &recent : m_recentPartNotices.current(m_state.clock.now()))
+            append(notices, recent);
+        sendPartNotices(notices);
         dropUnresponsivePeers(m_state.clock.now());
         timer.expires_after(jittered(m_state.random, kHeartbeatInterval));
         co_await timer.async_wait(kAwait);
@@ -266,7 +326,12 @@
             co_await m_socket.async_receive_from(asio::buffer(m_receiveBuffer), from, kAwait);
         if (error)
             continue;
-        const auto datagram = decodePeerDatagram({m_receiveBuffer.data(), size});
+        const std::string_view bytes{m_receiveBuffer.data(), size};
+        if (const auto parts = decodePartRow(bytes)) {
+            m_state.suspects.merge(parts->notices);
+            continue;
+        }
+        const auto datagram = decodePeerDatagram(bytes);
         if (!datagram) {
             m_state.metrics.incrementCounter("hints", "unreadable");
             continue;
--- a/src/gateway/peermessenger.h
+++ b/src/gateway/peermessenger.h
@@ -35,6 +35,7 @@
     /// Sends the update to all peers after a short delay, so that several updates share a datagram.
     void broadcast(const ActiveRequestUpdate &update);
     void broadcast(const SuspectNotice &notice);
+    void broadcast(const PartNotices &notices);
     /// Sends peers the new departures of replicas, and the status if it changed, for example by a
     /// new configuration.
     void broadcastChanges();
@@ -56,6 +57,10 @@
     void sendFullState(const Udp::endpoint &to);
     void scheduleFlush();
     void sendToAll(PeerDatagram datagram);
+    void sendToAll(const std::string &bytes);
+    /// Sends the notices in as many datagrams as they need. The datagrams have no sequence number,
+    /// as the notices may be merged in any order and more than once.
+    void sendPartNotices(const PartNotices &notices);
     void send(const std::string &bytes, const Udp::endpoint &to);
     void logTraffic();
     void dropUnresponsivePeers(TimePoint now);
@@ -69,6 +74,8 @@
     PeerDatagram m_outbox;
     RepeatedNotices<Departure> m_recentDepartures;
     RepeatedNotices<SuspectNotice> m_recentSuspects;
+    PartNotices m_partOutbox;
+    RepeatedNotices<PartNotices> m_recentPartNotices;
     bool m_isFlushScheduled = false;
     bool m_isFetchingSnapshot = false;
     PeerTable m_peers;
--- a/src/gateway/suspecttable.cpp
+++ b/src/gateway/suspecttable.cpp
@@ -2,6 +2,7 @@
 // a request.
 #include "gateway/suspecttable.h"
 
+#include "gateway/partnoticescodec.h"
 #include "gateway/suspectrowcodec.h"
 #include "kernel/logline.h"
 #include "platform/tablenames.h"
@@ -12,6 +13,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace arbutuspier {
 
@@ -32,6 +34,8 @@
                                                        std::chrono::seconds{8}};
 /// Interval of checking whether a partition has begun, so that the table is read sooner.
 constexpr Duration kPartitionCheck = std::chrono::seconds{1};
+/// Most items of each kind in a row on parts of prompts.
+constexpr std::size_t kMaxPartItems = 256;
 constexpr Duration kFirstBackoff = std::chrono::milliseconds{200};
 constexpr std::uint32_t kMaxDoublings = 4;
 
@@ -63,8 +67,17 @@
     m_timer.cancel();
 }
 
+void SuspectTable::markPartsChanged()
+{
+    m_havePartsChanged = true;
+    m_schedule.onChange(m_state.clock.now());
+    m_timer.cancel();
+}
+
 void SuspectTable::onStoreRestored()
 {
+    m_havePartsChanged = true;
+    m_writtenParts = {};
     m_isFullRead = true;
     m_rows.clear();
     for (const SuspectNotice &notice : m_state.suspects.quarantine().records())
@@ -125,7 +138,8 @@
 
 Task<void> SuspectTable::awaitDue(TimePoint &readAt)
 {
-    m_schedule.scheduleAt(m_changed.empty() ? readAt
+    const bool hasNothingToWrite = m_changed.empty() && !m_havePartsChanged;
+    m_schedule.scheduleAt(hasNothingToWrite ? readAt
                                             : std::min(readAt, m_state.clock.now() + kWriteDelay));
     while (!m_schedule.isDue(m_state.clock.now())) {
         m_timer.expires_at(std::min(m_schedule.due(), m_state.clock.now() + kPartitionCheck));
@@ -138,10 +152,27 @@
     }
 }
 
+void SuspectTable::addPartRow(std::vector<platform::RowContent> &rows)
+{
+    if (!std::exchange(m_havePartsChanged, false))
+        return;
+    PartNotices notices = m_state.suspects.promptParts().suspectNotices(kMaxPartItems);
+    const std::string key = partRowKey(m_state.settings.vm);
+    m_mayHavePartRow = m_mayHavePartRow || m_rows.contains(key);
+    // Without evidence there is nothing to clear, unless it was written before.
+    const bool isNeeded = !notices.evidence.empty() || m_mayHavePartRow;
+    if (!isNeeded || notices == m_writtenParts)
+        return;
+    rows.push_back({key, encodePartRow({wallSeconds(), notices})});
+    m_mayHavePartRow = true;
+    m_writtenParts = std::move(notices);
+}
+
 Task<bool> SuspectTable::writeChanged()
 {
     std::vector<Fingerprint> written;
     std::vector<platform::RowContent> rows;
+    addPartRow(rows);
     for (auto it = m_changed.begin();
          it != m_changed.end() && rows.size() < platform::kMaxRowsPerWrite;) {
         const Fingerprint fingerprint = *it;
@@ -164,8 +195,11 @@
                      .add("rows", count)
                      .add("outcome", isWritten ? "confirmed" : "failed")
                      .text();
-    if (!isWritten)
+    if (!isWritten) {
         m_changed.insert(written.begin(), written.end());
+        m_havePartsChanged = true;
+        m_writtenParts = {};
+    }
     co_return isWritten;
 }
 
@@ -194,6 +228,10 @@
         m_rows.erase(row.key);
         return;
     }
+    if (isPartRowKey(row.key)) {
+        handlePartRow(row);
+        return;
+    }
     const auto content = decodeSuspectRow(row.bytes);
     if (!content) {
         LOG(WARNING) << LogLine("suspect_row_unreadable").add("key", row.key).text();
@@ -208,6 +246,20 @@
     }
 }
 
+void SuspectTable::handlePartRow(const platform::StoreRow &row)
+{
+    const auto content = decodePartRow(row.bytes);
+    if (!content) {
+        LOG(WARNING) << LogLine("suspect_row_unreadable").add("key", row.key).text();
+        return;
+    }
+    m_rows[row.key] = {row.version, content->writtenAt};
+    if (wallSeconds() >= content->writtenAt + kSuspectRetention)
+        return;
+    if (m_state.suspects.merge(content->notices) && onPartNews)
+        onPartNews(content->notices);
+}
+
 Task<void> SuspectTable::removeExpired()
 {
     const std::chrono::seconds now = wallSeconds();
--- a/src/gateway/suspecttable.h
+++ b/src/gateway/suspecttable.h
@@ -25,6 +25,9 @@
     void start();
     /// What this VM knows of the request changed: writes its row soon.
     void markChanged(Fingerprint fingerprint);
+    /// What this VM knows of parts of prompts changed: writes its row of them soon if a part is
+    /// suspected.
+    void markPartsChanged();
     /// The store has come back from a copy: writes all that this VM knows; the next read is full.
     void onStoreRestored();
     /// True once the table was read, or could not be read, after the start.
@@ -34,6 +37,7 @@
 
     /// Called for each notice from the store that changed what this VM does.
     std::function<void(const SuspectNotice &)> onNews;
+    std::function<void(const PartNotices &)> onPartNews;
 
 private:
     struct Row
@@ -46,6 +50,9 @@
     Task<void> run();
     /// Writes the rows of changed requests. Returns false if the store didn't confirm it.
     Task<bool> writeChanged();
+    /// Appends the row on parts of prompts if it has to be written.
+    void addPartRow(std::vector<platform::RowContent> &rows);
+    void handlePartRow(const platform::StoreRow &row);
     /// Reads what changed since the last read. Returns false if the store can't be read.
     Task<bool> readChanges();
     /// Removes rows that are too old to count.
@@ -69,6 +76,10 @@
     SharedPollInterval m_quietInterval;
     SharedPollInterval m_partitionInterval;
     std::set<Fingerprint> m_changed;
+    bool m_havePartsChanged = false;
+    /// This VM may have a row on parts of prompts, with these notices if the write was confirmed.
+    bool m_mayHavePartRow = false;
+    PartNotices m_writtenParts;
     /// All rows of the table that were read, by key.
     std::map<std::string, Row> m_rows;
     platform::StoreRevision m_revision;
