--- a/tests/gate/platformtest.cpp
+++ b/tests/gate/platformtest.cpp
@@ -135,6 +135,22 @@
     CHECK(!read.lastEventId.has_value());
 }
 
+// Guards against a session, which the last part belongs to, that is taken for a shared part.
+TEST(CallerHeaders, nameTheSharedPartsOfThePromptWithoutTheLast)
+{
+    const auto partsOf = [&](std::string_view list) {
+        caller.set("X-Arbutuspier-Prompt-Prefix", std::string(list));
+        return platform::readCallerHead(caller).sharedPromptParts;
+    };
+    const auto parts = partsOf("5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
+    LONGS_EQUAL(2, parts.size());
+    CHECK(parts == partsOf("5c1e07a2:7,91bd3f06:8,00000000:9"));
+    CHECK(parts != partsOf("91bd3f06:410,5c1e07a2:800,e4402b7d:250"));
+    CHECK(partsOf("5c1e07a2:800").empty());
+    CHECK(partsOf("").empty());
+    CHECK(partsOf(",,:5,x").empty());
+}
+
 TEST(CallerHeaders, areForwardedWithoutTheApiKey)
 {
     const platform::Fields sent = platform::upstreamFields(caller, head);
--- a/tests/gate/suspectexchangetest.cpp
+++ b/tests/gate/suspectexchangetest.cpp
@@ -2,6 +2,7 @@
 // rows of the metadata store.
 #include "gatewayfixture.h"
 
+#include "gateway/partnoticescodec.h"
 #include "gateway/peermessenger.h"
 #include "gateway/repeatednotices.h"
 #include "gateway/suspectrowcodec.h"
@@ -136,3 +137,62 @@
     peer.send_to(asio::buffer(encodePeerDatagram(status)), endpoint);
     CHECK(names(receiveFor(milliseconds{1500}), fingerprint));
 }
+
+TEST_GROUP_BASE(AVmThatMissedAPartNotice, TEST_GROUP_CppUTestGroupAVmThatMissedANotice)
+{
+    const PromptPartId part{2};
+
+    /// Evidence of four crashes, one after the other, on two requests each.
+    PartNotices evidence() const
+    {
+        PartNotices notices;
+        for (std::uint32_t level = 1; level <= 4; ++level)
+            notices.evidence.push_back({level, Fingerprint{level}, {{part, level, false}}});
+        return notices;
+    }
+    bool isRejected()
+    {
+        return fixture.state.suspects.isQuarantined({Fingerprint{99}, {part}});
+    }
+};
+
+TEST(AVmThatMissedAPartNotice, rejectsThePartOnceAPeerTellsIt)
+{
+    const asio::ip::udp::endpoint endpoint = freeEndpoint(fixture.context);
+    fixture.settings.vm = "edge-1";
+    fixture.settings.peers = {"127.0.0.1", endpoint.port()};
+    StoreWatcher store(fixture.context, fixture.state);
+    PeerMessenger messenger(fixture.context, fixture.state, store);
+    CHECK(messenger.open().has_value());
+    messenger.start();
+    CHECK(!isRejected());
+    peer.send_to(asio::buffer(encodePartRow({{}, evidence()})), endpoint);
+    fixture.runFor(milliseconds{100});
+    CHECK(isRejected());
+}
+
+// Guards against a VM that never hears of a part that crashes replicas, as its one datagram was
+// lost or the VM started later.
+TEST(AVmThatMissedAPartNotice, getsItWithTheFullStateOfAPeer)
+{
+    const asio::ip::udp::endpoint endpoint = freeEndpoint(fixture.context);
+    fixture.settings.vm = "edge-1";
+    fixture.settings.peers = {"127.0.0.1", endpoint.port()};
+    fixture.state.suspects.merge(evidence());
+    StoreWatcher store(fixture.context, fixture.state);
+    PeerMessenger messenger(fixture.context, fixture.state, store);
+    CHECK(messenger.open().has_value());
+    messenger.start();
+    PeerDatagram request;
+    request.requestsFullState = true;
+    peer.send_to(asio::buffer(encodePeerDatagram(request)), endpoint);
+    fixture.runFor(milliseconds{200});
+    std::array<char, 65536> bytes{};
+    std::size_t items = 0;
+    while (peer.available() > 0) {
+        const std::size_t size = peer.receive(asio::buffer(bytes));
+        if (const auto row = decodePartRow({bytes.data(), size}))
+            items += row->notices.evidence.size();
+    }
+    LONGS_EQUAL(4, items);
+}
