--- a/tests/gate/promptparttraffictest.cpp
+++ b/tests/gate/promptparttraffictest.cpp
@@ -46,6 +46,8 @@
     double lossRate = 0;
     bool hasCrashSeries = false;
     bool hasMassCrash = false;
+    /// Time from the crash of one replica to that of the next.
+    int massCrashStaggerMs = 0;
     bool hasVmRestarts = false;
     bool hasCutVm = false;
     PromptPartQuarantineOptions options = {};
@@ -291,10 +293,12 @@
         if (m_scenario.hasCrashSeries && isInSeries
             && chance(kCrashesPerSecondInSeries * toSeconds(kStep)))
             crash(m_random() % m_running.size());
-        const bool isMassCrash = atMs(2000) || atMs(6000) || atMs(9000) || atMs(9400);
-        if (m_scenario.hasMassCrash && isMassCrash) {
-            for (std::size_t replica = 0; replica < m_running.size(); ++replica)
-                crash(replica);
+        for (int beginsAtMs : {2000, 6000, 9000, 9400}) {
+            for (std::size_t replica = 0; replica < m_running.size(); ++replica) {
+                const int delayMs = m_scenario.massCrashStaggerMs * static_cast<int>(replica);
+                if (m_scenario.hasMassCrash && atMs(beginsAtMs + delayMs))
+                    crash(replica);
+            }
         }
         if (m_scenario.hasVmRestarts && (atMs(5500) || atMs(12000)))
             restart(m_random() % m_vms.size());
@@ -460,6 +464,18 @@
     checkAllSeeds(scenario);
 }
 
+// Guards against retries that are in flight on each replica as one crashes shortly after the other.
+TEST(AFleetOfGateways, rejectsNoHarmlessRequestsAfterAllReplicasCrashedShortlyAfterEachOther)
+{
+    Scenario scenario;
+    scenario.crashingPerSecond = 0;
+    scenario.hasMassCrash = true;
+    for (int staggerMs : {5, 10, 25, 50, 100}) {
+        scenario.massCrashStaggerMs = staggerMs;
+        checkAllSeeds(scenario);
+    }
+}
+
 TEST(AFleetOfGateways, rejectsNoHarmlessRequestsAfterCrashesOfManyKinds)
 {
     Scenario scenario;
