directory: Keep no missing entry after an outage too short to expire one

Callers saw nothing; a replica that was removed on purpose, without a draining state, may get requests up to 1.9 s longer than needed on a VM of which one poll had failed.

Cause: each failed poll counted as an outage of the list, and the next successful one began a grace period in which missing entries stay usable, as they may have expired. An entry expires only after three heartbeats of silence (3.6 s).

The grace period now begins only if there was no successful poll for two seconds, which a poll that fails at once does not reach (one that hangs to its timeouts may), or if the store came back from a copy.

ADirectory.keepsNoMissingEntryAfterAnOutageThatWasTooShortForOneToExpire failed before and passes; the search over all orders of two VMs' polls passes too.

--- a/include/arbutuspier/upstreamdirectory.h
+++ b/include/arbutuspier/upstreamdirectory.h
@@ -5,7 +5,8 @@
 // whatever a list says. A missing entry means that the incarnation has departed, until a newer list
 // shows it again. There are two exceptions: while the list can't be read, entries stay as they are,
 // and an entry that is missing right after such an outage may only have expired during it and stays
-// usable until `missingEntryGrace` has passed.
+// usable until `missingEntryGrace` has passed. During an outage shorter than `shortestLapse` no
+// entry expires.
 #pragma once
 
 #include "arbutuspier/clock.h"
@@ -68,6 +69,9 @@
     /// Time after an outage of the list during which a missing entry stays usable, because the
     /// replica may register again.
     Duration missingEntryGrace = std::chrono::milliseconds{1900};
+    /// Shortest time without a successful poll in which an entry may have expired. An entry expires
+    /// after several heartbeats of silence, and the last one may precede the last poll.
+    Duration shortestLapse = std::chrono::seconds{2};
     /// Maximum number of departed incarnations to remember; the oldest is forgotten first.
     std::size_t maxDepartures = 4096;
 };
@@ -94,9 +98,11 @@
     void applyChanges(const std::vector<ReplicaRow> &rows, TimePoint now);
     /// Records that a poll of the list failed.
     void setUnreachable();
-    /// Records that a poll succeeded. After an outage this starts the grace period of missing
-    /// entries.
+    /// Records that a poll succeeded. After an outage in which entries may have expired, this
+    /// starts the grace period of missing entries.
     void setReachable(TimePoint now);
+    /// Starts the grace period, as the list may lack entries that will be written again.
+    void startGracePeriod(TimePoint now) { m_graceEnd = now + m_options.missingEntryGrace; }
     /// Records a departure that a peer or the replica itself reported. Returns true if it wasn't
     /// known yet.
     bool applyDeparture(const Departure &departure);
@@ -152,6 +158,8 @@
     std::uint64_t m_departureCount = 0;
     std::uint64_t m_revision = 0;
     bool m_isReachable = true;
+    /// Time of the last successful poll; empty before the first.
+    std::optional<TimePoint> m_lastReachableAt;
     /// End of the grace period in which missing entries stay usable.
     TimePoint m_graceEnd{};
 };
--- a/src/coordination/upstreamdirectory.cpp
+++ b/src/coordination/upstreamdirectory.cpp
@@ -86,10 +86,13 @@
 
 void UpstreamDirectory::setReachable(TimePoint now)
 {
+    const std::optional<TimePoint> before = std::exchange(m_lastReachableAt, now);
     if (m_isReachable)
         return;
     m_isReachable = true;
-    m_graceEnd = now + m_options.missingEntryGrace;
+    const bool mayHaveExpired = !before || now - *before >= m_options.shortestLapse;
+    if (mayHaveExpired)
+        startGracePeriod(now);
 }
 
 bool UpstreamDirectory::applyDeparture(const Departure &departure)
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -331,10 +331,10 @@
     recordHeartbeats(read.rows, rows);
     m_replicaRevision = read.revision;
     m_replicaRevisionPolledAt = polledAt;
+    m_state.directory.setReachable(now);
     // Entries that the copy lacks may be written again, as after an outage.
     if (isRestored)
-        m_state.directory.setUnreachable();
-    m_state.directory.setReachable(now);
+        m_state.directory.startGracePeriod(now);
     const std::uint64_t before = m_state.directory.revision();
     if (isFullRead)
         m_state.directory.replaceAll(rows, now,
