net: Reset the connection of a stream that the daemon cancelled

No failure was seen by callers.

The connection is now reset unless the response was read whole.

AServerThatDoesNotRead.getsNoMoreOfAStreamThatWasCancelled failed before and passes.

--- a/src/net/upstreamstream.cpp
+++ b/src/net/upstreamstream.cpp
@@ -67,6 +67,13 @@
     m_session->events().post(StreamFailed{m_open.attempt, kind, m_session->delivered()});
 }
 
+void UpstreamStream::complete(StreamDone done)
+{
+    m_isFinished = true;
+    setResetOnClose(m_stream.socket(), false);
+    m_session->events().post(std::move(done));
+}
+
 std::string UpstreamStream::requestHeader() const
 {
     const OutgoingRequest &outgoing = m_session->outgoing();
@@ -103,6 +110,8 @@
     }
     ErrorCode ignored;
     m_stream.socket().set_option(Tcp::no_delay(true), ignored);
+    // An attempt that has ended before its response must not arrive later.
+    setResetOnClose(m_stream.socket(), true);
     m_stream.expires_never();
     if (!co_await sendRequest()) {
         fail(FailureKind::ConnectionLost);
@@ -145,8 +154,7 @@
     const int status = message.result_int();
     m_session->onWholeResponse(m_open.attempt, status,
                                std::string(message[http::field::content_type]), message.body());
-    m_isFinished = true;
-    m_session->events().post(StreamDone{m_open.attempt, 0, 0, status, std::move(message.body())});
+    complete({m_open.attempt, 0, 0, status, std::move(message.body())});
 }
 
 Task<void> UpstreamStream::readEvents()
@@ -184,9 +192,7 @@
         while (const auto event = events.next()) {
             if (event->data == "[DONE]") {
                 m_session->onEvent(m_open.attempt, *event);
-                m_isFinished = true;
-                m_session->events().post(
-                    StreamDone{m_open.attempt, lastEventId, cachedTokenCount, 200, {}});
+                complete({m_open.attempt, lastEventId, cachedTokenCount, 200, {}});
                 co_return;
             }
             if (event->id != 0 && !hasFirstToken) {
--- a/src/net/upstreamstream.h
+++ b/src/net/upstreamstream.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "arbutuspier/command.h"
+#include "arbutuspier/event.h"
 #include "net/asiotypes.h"
 #include "settings/settings.h"
 
@@ -23,7 +24,7 @@
     /// Runs the attempt and posts how it ended, unless it was cancelled. `self` keeps this object
     /// alive until then.
     Task<void> run(std::shared_ptr<UpstreamStream> self);
-    /// Closes the connection; no more events are posted.
+    /// Resets the connection; no more events are posted.
     void cancel();
 
 private:
@@ -32,6 +33,7 @@
     Task<void> readWholeResponse();
     std::string requestHeader() const;
     void fail(FailureKind kind);
+    void complete(StreamDone done);
 
     std::shared_ptr<CallerSession> m_session;
     OpenStream m_open;
