gateway: Poll the replicas sooner after an outage, which bounds the grace

Cause: an entry that is missing after an outage stays usable for 1.9 s, counted from the first successful poll of the VM. A connect that hangs (0.8 s) and the pause after it (up to 1.2 s) put that poll up to 2.0 s after the end of the outage, and so the end of the grace period beyond the 3 s from which the rule holds.

Connecting may now take 0.6 of a call's timeout (0.48 s), and the pause after a failed poll of the replicas is 0.4 s at most: the grace period ends 2.8 s after the outage, or earlier. Entries that expired still have the whole 1.9 s.

--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -50,6 +50,9 @@
 constexpr Duration kFirstBackoff = std::chrono::milliseconds{100};
 constexpr Duration kMaxBackoff = std::chrono::milliseconds{800};
 constexpr std::uint32_t kMaxDoublings = 4;
+/// Upper bound of the pause after a failed poll of the replicas. The grace period of missing
+/// entries begins with the first poll after an outage, so the pause extends it.
+constexpr Duration kMaxReplicaPause = std::chrono::milliseconds{400};
 
 Duration scaled(double fraction, Duration duration)
 {
@@ -390,7 +393,7 @@
         if (read.outcome != Outcome::Done)
             m_state.directory.setUnreachable();
         co_await awaitPoll(m_replicaSchedule, m_replicaTimer,
-                           m_state.clock.now() + backoff(failures++));
+                           m_state.clock.now() + std::min(backoff(failures++), kMaxReplicaPause));
     }
 }
 
--- a/src/net/httpchannel.cpp
+++ b/src/net/httpchannel.cpp
@@ -18,6 +18,9 @@
 namespace {
 
 constexpr int kHttp11 = 11;
+/// Part of a call's timeout that connecting may take. An address that can be reached accepts a
+/// connection much sooner than it answers a call.
+constexpr double kConnectFraction = 0.6;
 /// Bounds the head of a reply and of each of its chunks.
 constexpr std::size_t kMaxBufferBytes = 1024 * 1024;
 constexpr std::uint64_t kMaxReplyBytes = 64ULL * 1024 * 1024;
@@ -57,7 +60,7 @@
 {
     m_buffer.clear();
     m_stream = std::make_unique<beast::tcp_stream>(m_executor);
-    m_stream->expires_after(timeout);
+    m_stream->expires_after(fromSeconds(kConnectFraction * toSeconds(timeout)));
     const auto [error] = co_await m_stream->async_connect(endpointOf(m_address), kAwait);
     if (!error) {
         ErrorCode ignored;
--- a/src/net/httpchannel.h
+++ b/src/net/httpchannel.h
@@ -42,7 +42,7 @@
     std::string target;
     std::string body;
     std::vector<std::pair<std::string, std::string>> headers;
-    /// For connecting, and again for sending the request and reading the response.
+    /// For sending the request and reading the response; connecting may take a fraction of it.
     Duration timeout = std::chrono::seconds{1};
 };
 
