gateway: Tell peers of departures that are found while their datagrams arrive

Cause: the maintenance tick records such a departure and nothing sends it; the next datagram of a peer drops it together with the departures of that peer, which need not be forwarded.

The tick now sends what it has found, and a VM takes its own departures out before it applies those of a peer. AVmThatMissedANotice.isToldOfADepartureThatAPeerFoundAsItsDatagramArrived failed before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -173,6 +173,7 @@
         const TimePoint now = m_clock.now();
         detectSuspension(now);
         m_state.directory.tick(now);
+        m_messenger.broadcastDepartures();
         m_state.pool.tick(now);
         m_state.suspects.tick();
         m_state.dispatchQueue.dispatchWaiting();
--- a/src/gateway/peermessenger.cpp
+++ b/src/gateway/peermessenger.cpp
@@ -183,16 +183,25 @@
     }
 }
 
-void PeerMessenger::broadcastChanges()
+void PeerMessenger::broadcastDepartures()
 {
+    std::vector<Departure> departures = m_state.directory.takeNewDepartures();
+    if (departures.empty())
+        return;
     const TimePoint now = m_state.clock.now();
-    for (Departure &departure : m_state.directory.takeNewDepartures()) {
+    for (Departure &departure : departures) {
         m_outbox.departures.push_back(departure);
         m_recentDepartures.add(std::move(departure), now);
     }
     scheduleFlush();
 }
 
+void PeerMessenger::broadcastChanges()
+{
+    broadcastDepartures();
+    scheduleFlush();
+}
+
 void PeerMessenger::scheduleFlush()
 {
     if (m_isFlushScheduled)
@@ -394,6 +403,8 @@
             break;
         }
     }
+    // Those that this VM has found itself must not be taken for the peer's.
+    broadcastDepartures();
     for (const Departure &departure : datagram.departures) {
         if (!m_state.directory.applyDeparture(departure))
             continue;
--- a/src/gateway/peermessenger.h
+++ b/src/gateway/peermessenger.h
@@ -36,8 +36,10 @@
     void broadcast(const ActiveRequestUpdate &update);
     void broadcast(const SuspectNotice &notice);
     void broadcast(const PartNotices &notices);
-    /// Sends peers the new departures of replicas, and the status if it changed, for example by a
-    /// new configuration.
+    /// Sends peers the departures of replicas that this VM has found since the last call.
+    void broadcastDepartures();
+    /// Sends peers these departures, and the status if it changed, for example by a new
+    /// configuration.
     void broadcastChanges();
     /// Number of responsive peers.
     std::size_t alivePeerCount() const { return m_peers.aliveCount(); }
--- a/tests/gate/suspectexchangetest.cpp
+++ b/tests/gate/suspectexchangetest.cpp
@@ -138,6 +138,35 @@
     CHECK(names(receiveFor(milliseconds{1500}), fingerprint));
 }
 
+// Guards against a departure that is told to nobody, as a datagram of a peer arrives before it is
+// sent.
+TEST(AVmThatMissedANotice, isToldOfADepartureThatAPeerFoundAsItsDatagramArrived)
+{
+    const asio::ip::udp::endpoint endpoint = freeEndpoint(fixture.context);
+    fixture.settings.vm = "edge-1";
+    fixture.settings.peers = {"127.0.0.1", endpoint.port()};
+    fixture.addReplica("a", "desk", {{""}});
+    StoreWatcher store(fixture.context, fixture.state);
+    PeerMessenger messenger(fixture.context, fixture.state, store);
+    CHECK(messenger.open().has_value());
+    messenger.start();
+    PeerDatagram status;
+    status.incarnationTag = incarnationTagOf(5);
+    status.sequence = 1;
+    status.status = PeerStatus{"edge-2", 5, 0, {}, true, false};
+    peer.send_to(asio::buffer(encodePeerDatagram(status)), endpoint);
+    fixture.runFor(milliseconds{100});
+    fixture.state.directory.applyChanges({{"a", std::nullopt}}, fixture.clock.now());
+    status.sequence = 2;
+    peer.send_to(asio::buffer(encodePeerDatagram(status)), endpoint);
+    bool isTold = false;
+    for (const PeerDatagram &datagram : receiveFor(milliseconds{1500})) {
+        for (const Departure &departure : datagram.departures)
+            isTold = isTold || departure.incarnation.id == "a";
+    }
+    CHECK(isTold);
+}
+
 TEST_GROUP_BASE(AVmThatMissedAPartNotice, TEST_GROUP_CppUTestGroupAVmThatMissedANotice)
 {
     const PromptPartId part{2};
