gateway: Start no backup attempt while the response is written

Found by review, by reading; no test of its own. While a complete response was written to a slow caller, the timer of its attempt went on: a sound replica was blamed for being late, and an idempotent call was sent once more for nothing.

--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -178,6 +178,8 @@
     if (m_hasSentHead)
         co_return AttemptOutcome::Lost;
     m_backups.cancelRunning();
+    // The time that the caller takes to read counts against the deadline only.
+    attempt.expireAt(deadline());
     m_timeToFirstEvent = m_state.clock.now() - m_arrivedAt;
     const bool isSent = co_await m_caller.sendResponse(
         attempt.status(), platform::callerFields(attempt.fields()), std::move(body));
@@ -262,6 +264,7 @@
     if (!isComplete || !m_hasSentHead)
         co_return AttemptOutcome::Lost;
     m_backups.cancelRunning();
+    attempt.expireAt(deadline());
     if (!co_await m_caller.sendLastChunk())
         co_return AttemptOutcome::CallerDisconnected;
     log("answered", std::to_string(attempt.status()));
