gateway: Wait for the check of the replica that a backup attempt lost

Found by review, by reading; no test of its own. After a backup attempt broke, the retry waited for the crash check of the attempt before it, which may not even have been lost, so a request that crashes replicas could reach the next one before its crash was counted. It now waits for the check of the last replica that lost it.

--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -264,15 +264,19 @@
         }
         if (isFinal(outcome))
             co_return;
-        // A retry of a request that crashed its replica would crash the next one too.
-        if (outcome == AttemptOutcome::Lost)
-            co_await m_state.suspects.awaitCheck(failed);
+        co_await awaitCrashCheck();
         if (!mayRetry(outcome))
             break;
     }
     co_await respondWithFailure();
 }
 
+Task<void> RequestHandler::awaitCrashCheck()
+{
+    if (m_lastLostReplica)
+        co_await m_state.suspects.awaitCheck(*m_lastLostReplica);
+}
+
 bool RequestHandler::isFinal(AttemptOutcome outcome)
 {
     return outcome == AttemptOutcome::Completed || outcome == AttemptOutcome::CallerDisconnected;
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -61,6 +61,9 @@
     PromptShape promptShape() const;
     /// Time after which a rejected request is likely to be accepted.
     Duration retryAfter(DispatchRejection rejection) const;
+    /// Waits until it is known whether the last replica that lost the request has crashed: a retry
+    /// of a request that crashed its replica would crash the next one too.
+    Task<void> awaitCrashCheck();
     /// Whether no attempt can follow this outcome.
     static bool isFinal(AttemptOutcome outcome);
     /// Makes attempts until one is completed, no retry is allowed, or the caller disconnects.
@@ -212,6 +215,7 @@
     BackupAttempts m_backups;
     std::optional<EventStreamJoiner> m_joiner;
     std::set<std::string> m_triedReplicas;
+    std::optional<ReplicaIncarnation> m_lastLostReplica;
     /// Attempts that reached a replica.
     std::uint32_t m_reachedAttempts = 0;
     /// Attempts that the replica may have executed.
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -324,6 +324,7 @@
 {
     const TimePoint now = m_state.clock.now();
     ++m_possibleExecutions;
+    m_lastLostReplica = grant.replica.incarnation();
     m_canSplit = m_canSplit && grant.helpers.empty();
     if (!attempt.wasLate())
         m_state.health.onFailure(grant.replica.incarnation(), now);
--- a/src/gateway/requesthandlerbackup.cpp
+++ b/src/gateway/requesthandlerbackup.cpp
@@ -40,8 +40,8 @@
 
 Task<void> RequestHandler::runBackup(BackupAttempts::Pointer backup, ReplicaIncarnation late)
 {
-    // A second attempt of a request that crashed its replica would crash the next one too.
     co_await m_state.suspects.awaitCheck(late);
+    co_await awaitCrashCheck();
     AttemptOutcome outcome = AttemptOutcome::NotExecuted;
     if (co_await placeBackup(*backup))
         outcome = co_await readBackup(*backup);
