gateway: End waiting backup attempts at the deadline

Found by review, by reading; no test of its own. A backup attempt that waited for a slot when the VM began to drain could outlast the end of the drain, and its caller got no response. Backup attempts now end at the current deadline.

--- a/src/gateway/requesthandlerbackup.cpp
+++ b/src/gateway/requesthandlerbackup.cpp
@@ -175,6 +175,8 @@
 Task<BackupAttempts::Pointer> RequestHandler::awaitBackup(const ReplicaIncarnation &failed)
 {
     while (!m_backups.hasWinner() && m_backups.hasRunning()) {
+        if (m_state.clock.now() >= deadline())
+            m_backups.cancelRunning();
         startBackup(failed);
         co_await m_backups.awaitChange(m_state.clock.now() + kBackupInterval);
     }
