gateway: Limit backup attempts at unreachable replicas

Found by review, by reading; no test of its own. Backup attempts that could not connect counted in no limit, so a request could spend a retry each 250 ms on a replica behind a partition. They now share the limit of the other attempts.

--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -22,8 +22,6 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-/// Most attempts of a request at replicas that can't be reached.
-constexpr std::uint32_t kMaxUnreachableAttempts = 6;
 /// Most attempts of a request to reserve memory at several replicas.
 constexpr std::uint32_t kMaxFailedReservations = 4;
 constexpr Duration kRetryWhenNotReady = std::chrono::seconds{1};
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -114,6 +114,9 @@
     /// Interval at which it is checked whether another backup attempt may be started.
     static constexpr Duration kBackupInterval = std::chrono::milliseconds{250};
 
+    /// Most attempts of a request at replicas that can't be reached.
+    static constexpr std::uint32_t kMaxUnreachableAttempts = 6;
+
     bool mayStartBackup() const;
     /// Starts a backup attempt, if one may be, for an attempt at `late`.
     void startBackup(const ReplicaIncarnation &late);
--- a/src/gateway/requesthandlerbackup.cpp
+++ b/src/gateway/requesthandlerbackup.cpp
@@ -29,6 +29,8 @@
     const bool canContinue = !m_hasSentHead || m_joiner->lastId();
     if (!isNeeded || !canContinue || !m_route->isRetryable() || !isBelowAttemptLimit())
         return false;
+    if (m_unreachableAttempts >= kMaxUnreachableAttempts)
+        return false;
     return m_state.retryBudget(m_service).allows(now, m_state.vmCount());
 }
 
