--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -311,7 +311,8 @@
 Task<void> RequestHandler::respondWithFailure()
 {
     if (m_caller.isDisconnected()) {
-        log("caller-gone", "after-failure");
+        if (!m_wasLogged)
+            log("caller-gone", "after-failure");
         co_return;
     }
     if (m_hasSentHead) {
