gateway: Check that the replica is still usable after memory was reserved

Found by review, by reading; no test of its own. Reserving memory takes up to 0.4 s, in which the replica may have begun to leave. The directory is asked once more before the send.

--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -98,7 +98,9 @@
         ++m_failedReservations;
         co_return AttemptOutcome::NotExecuted;
     }
-    if (isQuarantined())
+    // It may have left while memory was reserved.
+    const bool isUsable = m_state.directory.isUsable(grant.replica.incarnation());
+    if (isQuarantined() || !isUsable)
         co_return AttemptOutcome::NotExecuted;
     UpstreamAttempt attempt(m_state.executor, m_state.pool, grant.replica.incarnation());
     m_currentAttempt = &attempt;
