coordination: Try a quarantined part after 45 s in every case

A part that many requests share was tried after 15 s, then 30 and 60 s, each time by the VMs that reported its last crash. Each trial of a part that does crash replicas is one of the three sends that the fleet may make after the fifth crash, so within two minutes they could exceed it.

--- a/include/arbutuspier/promptpartquarantine.h
+++ b/include/arbutuspier/promptpartquarantine.h
@@ -48,10 +48,8 @@
     /// Crashes that follow a new level within this time are on the same level, as many upstreams
     /// that crash together don't do so at exactly the same time.
     Duration minLevelInterval = std::chrono::milliseconds{100};
-    /// Time from the last level to the trial of a part, and of one that has succeeded or that many
-    /// share. It doubles with each further level.
+    /// Time from the last level to the trial of a part. It doubles with each further level.
     Duration trialInterval = std::chrono::seconds{45};
-    Duration trialIntervalOfSharedPart = std::chrono::seconds{15};
     Duration maxTrialInterval = std::chrono::minutes{10};
     /// Most crashes that are remembered. The least recently updated is dropped first.
     std::size_t maxCrashes = 512;
--- a/src/coordination/promptpartquarantine.cpp
+++ b/src/coordination/promptpartquarantine.cpp
@@ -221,10 +221,8 @@
 
 Duration PromptPartQuarantine::trialIntervalOf(const Case &evidence) const
 {
-    const std::size_t minLevels = minLevelsOf(evidence);
-    Duration interval = minLevels > m_options.minLevels ? m_options.trialIntervalOfSharedPart
-                                                        : m_options.trialInterval;
-    for (std::size_t level = minLevels; level < evidence.levels.size(); ++level)
+    Duration interval = m_options.trialInterval;
+    for (std::size_t level = minLevelsOf(evidence); level < evidence.levels.size(); ++level)
         interval = std::min(2 * interval, m_options.maxTrialInterval);
     return interval;
 }
