--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -68,6 +68,9 @@
     std::function<void()> onReplicas;
 
 private:
+    /// Timeout of a call to the store, beside the time for which a long poll waits.
+    static constexpr Duration kCallTimeout = std::chrono::milliseconds{800};
+
     Task<void> watchConfiguration();
     Task<void> watchReplicas();
     Task<void> watchVms();
