--- a/src/coordination/promptpartblame.cpp
+++ b/src/coordination/promptpartblame.cpp
@@ -10,10 +10,9 @@
 
 namespace {
 
-/// A part is preferred to one that it always comes with if it has more than this share of its
-/// levels and fewer requests.
-constexpr std::size_t kShareNumerator = 1;
-constexpr std::size_t kShareDenominator = 2;
+/// A part is preferred to one that it always comes with if it has fewer requests and more levels
+/// than those of the other divided by this.
+constexpr std::size_t kLevelDivisor = 2;
 
 } // namespace
 
@@ -115,8 +114,7 @@
     const Cases::value_type &best = *blamed.front();
     // A part that all requests of a route share was also in flight at crashes of other causes.
     const auto isMoreSpecific = [&](const Cases::value_type *other) {
-        return other->second.levels.size() * kShareDenominator
-            > best.second.levels.size() * kShareNumerator
+        return other->second.levels.size() * kLevelDivisor > best.second.levels.size()
             && other->second.requests.size() < best.second.requests.size()
             && alwaysComesWith(*other, best.first);
     };
