--- a/bin/fleet.sh
+++ b/bin/fleet.sh
@@ -201,6 +201,7 @@
 readiness = "127.0.0.$1:$((base_port + 11))"
 peers = "127.0.0.$1:$((base_port + 12))"
 metrics = "127.0.0.$1:$((base_port + 13))"
+relays = "127.0.0.$1:$((base_port + 14))"
 [peers]
 seeds = ["127.0.0.2:1", "127.0.0.3:1"]
 [platform]
--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -1,6 +1,7 @@
 // Simulators of the servers that the entry daemon and the gateway talk to. --role chooses one:
-// engine, service, platform, store or replica.
+// engine, service, platform, store, replica or link.
 #include "engineserver.h"
+#include "linkserver.h"
 #include "platformserver.h"
 #include "replicaserver.h"
 #include "serviceserver.h"
@@ -12,7 +13,7 @@
 
 #include <iostream>
 
-DEFINE_string(role, "", "engine, service, platform, store or replica");
+DEFINE_string(role, "", "engine, service, platform, store, replica or link");
 DEFINE_string(ip, "127.0.0.1", "IP address to listen on");
 DEFINE_uint32(port, 0, "port to listen on");
 DEFINE_uint64(memory_tokens, 400'000, "engine: size of the KV cache in tokens");
@@ -35,6 +36,13 @@
     replica_silence_ms, 0,
     "store: remove the entry of a replica that was silent for this long, in milliseconds; "
     "0 for never");
+DEFINE_string(
+    views, "",
+    "store: comma-separated PORT:OFFSET; at that port, the offset is added to the ports of "
+    "replicas");
+DEFINE_uint32(first_link_port, 0, "link: port of the first link");
+DEFINE_uint32(first_target_port, 0, "link: port on the same IP address that it leads to");
+DEFINE_uint32(links, 1, "link: number of links, with successive ports");
 DEFINE_uint32(events, 10, "replica: number of events in a stream");
 DEFINE_uint32(work_ms, 20, "service: execution time of a call in milliseconds");
 DEFINE_double(writes_per_second, 300, "platform: table writes accepted per second");
@@ -59,6 +67,21 @@
     return 0;
 }
 
+std::vector<StoreView> parseViews(const std::string &text)
+{
+    std::vector<StoreView> views;
+    std::vector<std::string> items;
+    boost::split(items, text, boost::is_any_of(","));
+    for (const std::string &item : items) {
+        const std::size_t colon = item.find(':');
+        if (colon == std::string::npos)
+            continue;
+        views.push_back({static_cast<std::uint16_t>(std::stoul(item.substr(0, colon))),
+                         static_cast<std::uint16_t>(std::stoul(item.substr(colon + 1)))});
+    }
+    return views;
+}
+
 int run()
 {
     const Address listen{FLAGS_ip, static_cast<std::uint16_t>(FLAGS_port)};
@@ -89,8 +112,17 @@
         StoreServerOptions options;
         options.listen = listen;
         options.replicaSilence = std::chrono::milliseconds{FLAGS_replica_silence_ms};
+        options.views = parseViews(FLAGS_views);
         return runServer<StoreServer>(std::move(options));
     }
+    if (FLAGS_role == "link") {
+        LinkServerOptions options;
+        options.control = listen;
+        options.listenPort = static_cast<std::uint16_t>(FLAGS_first_link_port);
+        options.targetPort = static_cast<std::uint16_t>(FLAGS_first_target_port);
+        options.count = FLAGS_links;
+        return runServer<LinkServer>(std::move(options));
+    }
     if (FLAGS_role == "replica") {
         ReplicaServerOptions options;
         options.listen = listen;
@@ -105,7 +137,7 @@
         boost::split(options.crashParts, FLAGS_crash_on_part, boost::is_any_of(","));
         return runServer<ReplicaServer>(std::move(options));
     }
-    std::cerr << "standin: --role must be engine, service, platform, store or replica\n";
+    std::cerr << "standin: --role must be engine, service, platform, store, replica or link\n";
     return kBadUsage;
 }
 
@@ -115,7 +147,8 @@
 int main(int argc, char **argv)
 {
     gflags::SetUsageMessage(
-        "simulates an engine, a plain service, the platform, its metadata store or a replica");
+        "simulates an engine, a plain service, the platform, its metadata store, a replica or a "
+        "VM's links");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     return arbutuspier::standin::run();
 }
--- a/tools/standin/storeserver.cpp
+++ b/tools/standin/storeserver.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/beast/core/detail/base64.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -32,6 +33,37 @@
     return std::string(rest.substr(0, rest.find('&')));
 }
 
+std::string decodeBase64(const std::string &text)
+{
+    namespace base64 = boost::beast::detail::base64;
+    std::string bytes(base64::decoded_size(text.size()), '\0');
+    bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
+    return bytes;
+}
+
+std::string encodeBase64(const std::string &bytes)
+{
+    namespace base64 = boost::beast::detail::base64;
+    std::string text(base64::encoded_size(bytes.size()), '\0');
+    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+    return text;
+}
+
+/// Adds the offset to the port of a replica's address. Other rows are returned as they are.
+std::string withPortOffset(const std::string &table, const std::string &data,
+                           std::uint16_t portOffset)
+{
+    if (portOffset == 0 || table != platform::kReplicaTable)
+        return data;
+    Json entry = Json::parse(decodeBase64(data), nullptr, false);
+    Address address;
+    if (!entry.is_object() || !parseAddress(entry.value("address", ""), address))
+        return data;
+    address.port = static_cast<std::uint16_t>(address.port + portOffset);
+    entry["address"] = address.text();
+    return encodeBase64(entry.dump());
+}
+
 Json encodeRow(const std::pair<std::string, std::string> &key, const std::string &data,
                std::uint64_t revision, bool isDeleted)
 {
@@ -57,9 +89,19 @@
 {
     if (m_options.replicaSilence > Duration::zero())
         asio::co_spawn(m_context, removeSilentReplicas(), asio::detached);
-    return serve(m_context, m_options.listen, [this](beast::tcp_stream &stream, Request request) {
-        return handle(stream, std::move(request));
-    });
+    for (const StoreView &view : m_options.views) {
+        if (!serveAt(view.port, view.portOffset))
+            return false;
+    }
+    return serveAt(m_options.listen.port, 0);
+}
+
+bool StoreServer::serveAt(std::uint16_t port, std::uint16_t portOffset)
+{
+    return serve(m_context, {m_options.listen.host, port},
+                 [this, portOffset](beast::tcp_stream &stream, Request request) {
+                     return handle(stream, std::move(request), portOffset);
+                 });
 }
 
 std::string StoreServer::applyTransaction(const std::string &body, int &httpStatus)
@@ -89,39 +131,41 @@
     return Json{{"schemaVersion", m_revision}, {"nowMs", 0}}.dump();
 }
 
-std::string StoreServer::readTable(const std::string &table) const
+std::string StoreServer::readTable(const std::string &table, std::uint16_t portOffset) const
 {
     Json rows = Json::array();
     for (const auto &[key, row] : m_rows) {
         if (key.first == table && !row.isDeleted)
-            rows.push_back(encodeRow(key, row.data, row.revision, false));
+            rows.push_back(encodeRow(key, withPortOffset(key.first, row.data, portOffset),
+                                     row.revision, false));
     }
     return Json{{"rows", rows}, {"hasMore", false}, {"schemaVersion", m_revision}, {"nowMs", 0}}
         .dump();
 }
 
 std::string StoreServer::changesSince(const std::string &table, std::uint64_t sinceRevision,
-                                      bool &hasChanges) const
+                                      std::uint16_t portOffset, bool &hasChanges) const
 {
     Json rows = Json::array();
     for (const auto &[key, row] : m_rows) {
         if (key.first == table && row.revision > sinceRevision)
-            rows.push_back(encodeRow(key, row.data, row.revision, row.isDeleted));
+            rows.push_back(encodeRow(key, withPortOffset(key.first, row.data, portOffset),
+                                     row.revision, row.isDeleted));
     }
     hasChanges = !rows.empty();
     return Json{{"rows", rows}, {"schemaVersion", m_revision}, {"nowMs", 0}}.dump();
 }
 
 Task<std::string> StoreServer::waitForChanges(std::string table, std::uint64_t sinceRevision,
-                                              std::uint64_t waitMs)
+                                              std::uint64_t waitMs, std::uint16_t portOffset)
 {
     const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds{waitMs};
     bool hasChanges = false;
-    std::string text = changesSince(table, sinceRevision, hasChanges);
+    std::string text = changesSince(table, sinceRevision, portOffset, hasChanges);
     while (!hasChanges && std::chrono::steady_clock::now() < deadline) {
         m_changeSignal.expires_at(deadline);
         co_await m_changeSignal.async_wait(kAwait);
-        text = changesSince(table, sinceRevision, hasChanges);
+        text = changesSince(table, sinceRevision, portOffset, hasChanges);
     }
     co_return text;
 }
@@ -160,7 +204,7 @@
     co_return co_await reply(stream, request, httpStatus, std::move(body), std::move(headers));
 }
 
-Task<bool> StoreServer::handle(beast::tcp_stream &stream, Request request)
+Task<bool> StoreServer::handle(beast::tcp_stream &stream, Request request, std::uint16_t portOffset)
 {
     const std::string target(request.target());
     const std::string table = queryParameter(target, "tableName");
@@ -179,13 +223,13 @@
         co_return co_await replyWithEra(stream, request, httpStatus, std::move(body));
     }
     if (target.starts_with("/rows-get"))
-        co_return co_await replyWithEra(stream, request, kOk, readTable(table));
+        co_return co_await replyWithEra(stream, request, kOk, readTable(table, portOffset));
     if (target.starts_with("/rows-feed")) {
         const std::uint64_t sinceRevision = numberAfter(target, "sinceRevision=");
         if (sinceRevision > m_revision)
             co_return co_await replyWithEra(stream, request, kGone, "{}");
-        std::string body =
-            co_await waitForChanges(table, sinceRevision, numberAfter(target, "waitMs="));
+        std::string body = co_await waitForChanges(table, sinceRevision,
+                                                   numberAfter(target, "waitMs="), portOffset);
         co_return co_await replyWithEra(stream, request, kOk, std::move(body));
     }
     co_return co_await replyWithEra(stream, request, kNotFound, "{}");
--- a/tools/standin/storeserver.h
+++ b/tools/standin/storeserver.h
@@ -7,12 +7,22 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace arbutuspier::standin {
 
+/// A port at which the addresses of replicas are read as those of a VM's links to them.
+struct StoreView
+{
+    std::uint16_t port = 0;
+    /// Added to the ports of the replicas.
+    std::uint16_t portOffset = 0;
+};
+
 struct StoreServerOptions
 {
     Address listen;
+    std::vector<StoreView> views;
     /// A replica's row is removed when it wasn't written for this long; zero for never.
     Duration replicaSilence = Duration::zero();
 };
@@ -36,7 +46,8 @@
     /// Name of the table and key of the row.
     using Key = std::pair<std::string, std::string>;
 
-    Task<bool> handle(beast::tcp_stream &stream, Request request);
+    Task<bool> handle(beast::tcp_stream &stream, Request request, std::uint16_t portOffset);
+    bool serveAt(std::uint16_t port, std::uint16_t portOffset);
     Task<bool> replyWithEra(beast::tcp_stream &stream, const Request &request, int httpStatus,
                             std::string body);
     void restoreCopy();
@@ -44,12 +55,12 @@
     /// Applies a transaction and returns the response body. Nothing is written if the revision of
     /// an expected row differs.
     std::string applyTransaction(const std::string &body, int &httpStatus);
-    std::string readTable(const std::string &table) const;
+    std::string readTable(const std::string &table, std::uint16_t portOffset) const;
     /// Waits up to `waitMs` for a change after `sinceRevision`.
     Task<std::string> waitForChanges(std::string table, std::uint64_t sinceRevision,
-                                     std::uint64_t waitMs);
+                                     std::uint64_t waitMs, std::uint16_t portOffset);
     std::string changesSince(const std::string &table, std::uint64_t sinceRevision,
-                             bool &hasChanges) const;
+                             std::uint16_t portOffset, bool &hasChanges) const;
 
     asio::io_context &m_context;
     StoreServerOptions m_options;
