--- a/include/arbutuspier/replicahealth.h
+++ b/include/arbutuspier/replicahealth.h
@@ -41,6 +41,9 @@
     /// No connection could be opened: the replica is down or behind a network partition.
     void onUnreachable(const ReplicaIncarnation &incarnation, TimePoint now);
 
+    /// The failures so far weren't those of the replica.
+    void endEjection(const ReplicaIncarnation &incarnation);
+
     bool isEjected(const ReplicaIncarnation &incarnation, TimePoint now) const;
     /// Slowdown factor against the published figures; 1 for an unknown replica.
     double slowdown(const ReplicaIncarnation &incarnation) const;
--- /dev/null
+++ b/include/arbutuspier/upstreampath.h
@@ -0,0 +1,88 @@
+// Notices that a VM has lost its network path to all replicas of a service, and that it has it
+// back.
+//
+// Only connections count. A response over a connection that is open already doesn't show that
+// another one could be opened, and silence doesn't show that none could. A few replicas that can't
+// be reached may be down: before the path counts as lost, the caller probes others, those first
+// that responded last. While it is lost, the caller probes one replica after the other, and the
+// path is back when two have accepted connections for some time.
+#pragma once
+
+#include "arbutuspier/clock.h"
+#include "arbutuspier/upstreamdirectory.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace arbutuspier {
+
+struct UpstreamPathOptions
+{
+    /// Different replicas that are unreachable within `window`, with no connection accepted in the
+    /// meantime, until others are probed. A single one may be down, so that the path to a service
+    /// with one replica never counts as lost.
+    std::size_t minUnreachable = 2;
+    Duration window = std::chrono::seconds{2};
+    Duration checkInterval = std::chrono::milliseconds{500};
+    /// Most replicas that one check probes.
+    std::size_t maxProbes = 4;
+    /// Different replicas that have to accept connections until a lost path is back.
+    std::size_t minAccepting = 2;
+    /// The path is back this long after the first of them accepted one. Doubled, up to the maximum,
+    /// each time that the path is lost within `stableTime` after it was back.
+    Duration confirmTime = std::chrono::milliseconds{200};
+    Duration maxConfirmTime = std::chrono::milliseconds{1600};
+    Duration stableTime = std::chrono::seconds{10};
+};
+
+class UpstreamPath
+{
+public:
+    explicit UpstreamPath(UpstreamPathOptions options)
+        : m_options(options)
+        , m_confirmTime(options.confirmTime)
+    {
+    }
+
+    /// A replica refused a connection or didn't accept it in time. Returns true if the caller has
+    /// to probe the replicas that `replicasToProbe` returns, and to call `onCheckEnded`.
+    bool onUnreachable(const ReplicaIncarnation &incarnation, TimePoint now);
+    /// A replica accepted a new connection. Returns true if the lost path is back by that.
+    bool onConnected(const ReplicaIncarnation &incarnation, std::size_t replicaCount,
+                     TimePoint now);
+    /// A replica responded over any connection.
+    void onResponse(const ReplicaIncarnation &incarnation, TimePoint now);
+
+    /// Replicas whose probes show whether the path is lost: the last one of each zone to respond,
+    /// then others, those known to be unreachable last.
+    std::vector<ReplicaEntry> replicasToProbe(std::span<const ReplicaEntry *const> replicas) const;
+    /// All probes of a check have ended. Returns true if the path is lost by that.
+    bool onCheckEnded(bool wasAnyAccepted, TimePoint now);
+    /// While the path is lost, the replica to probe next; empty if there is none.
+    std::optional<ReplicaEntry> nextProbe(std::span<const ReplicaEntry *const> replicas);
+
+    bool isLost() const { return m_lostSince.has_value(); }
+    std::optional<TimePoint> lostSince() const { return m_lostSince; }
+    /// No replica is known any more: nothing can be said about the path.
+    void reset();
+
+private:
+    UpstreamPathOptions m_options;
+    /// Replicas that were unreachable, and when.
+    std::map<ReplicaIncarnation, TimePoint> m_unreachable;
+    std::map<ReplicaIncarnation, TimePoint> m_lastResponse;
+    std::optional<TimePoint> m_lostSince;
+    std::optional<TimePoint> m_restoredAt;
+    std::optional<TimePoint> m_lastCheckAt;
+    Duration m_confirmTime;
+    /// Replicas that accepted a connection while the path was lost.
+    std::set<ReplicaIncarnation> m_accepting;
+    TimePoint m_acceptingSince{};
+    std::size_t m_nextProbe = 0;
+};
+
+} // namespace arbutuspier
--- a/src/gateway/callerconnection.cpp
+++ b/src/gateway/callerconnection.cpp
@@ -2,6 +2,7 @@
 // bytes that it reads belong to the next request.
 #include "gateway/callerconnection.h"
 
+#include "gateway/relayhead.h"
 #include "gateway/requesthandler.h"
 #include "kernel/logline.h"
 
@@ -22,6 +23,7 @@
 namespace {
 
 constexpr int kHttp11 = 11;
+constexpr int kBadRequest = 400;
 /// Most bytes of further requests that are buffered while one is served.
 constexpr std::size_t kMaxReadAhead = 64 * 1024;
 constexpr std::size_t kReadAheadStep = 4 * 1024;
@@ -30,9 +32,10 @@
 
 } // namespace
 
-CallerConnection::CallerConnection(Tcp::socket socket, GatewayState &state)
+CallerConnection::CallerConnection(Tcp::socket socket, GatewayState &state, Origin origin)
     : m_stream(std::move(socket))
     , m_state(state)
+    , m_origin(origin)
     , m_watchEndedTimer(m_stream.get_executor())
 {
 }
@@ -49,10 +52,7 @@
         Request request = parser.release();
         m_wantsKeepAlive = request.keep_alive();
         startDisconnectWatch();
-        {
-            RequestHandler handler(m_state, *this, request);
-            co_await handler.run();
-        }
+        co_await serve(request);
         onDisconnect = nullptr;
         co_await stopDisconnectWatch();
         m_isBusy = false;
@@ -63,6 +63,21 @@
     m_stream.close();
 }
 
+Task<void> CallerConnection::serve(Request &request)
+{
+    std::optional<RelayHead> relay;
+    if (m_origin == Origin::Peer) {
+        relay = takeRelayHead(request.base());
+        if (!relay) {
+            m_wantsKeepAlive = false;
+            co_await sendResponse(kBadRequest, {}, {});
+            co_return;
+        }
+    }
+    RequestHandler handler(m_state, *this, request, relay);
+    co_await handler.run();
+}
+
 void CallerConnection::closeIfIdle()
 {
     if (m_isBusy || m_buffer.size() > 0)
@@ -134,7 +149,7 @@
         status = 408;
     else if (error.category() == http::make_error_code(http::error::bad_method).category()
              && error != http::error::end_of_stream && error != http::error::partial_message)
-        status = 400;
+        status = kBadRequest;
     if (status == 0)
         co_return false;
     LOG(INFO) << LogLine("request_rejected")
--- a/src/gateway/callerconnection.h
+++ b/src/gateway/callerconnection.h
@@ -24,7 +24,13 @@
 public:
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
 
-    CallerConnection(Tcp::socket socket, GatewayState &state);
+    enum class Origin : std::uint8_t {
+        Caller,
+        /// A peer that relays requests.
+        Peer,
+    };
+
+    CallerConnection(Tcp::socket socket, GatewayState &state, Origin origin = Origin::Caller);
 
     /// Serves requests until the caller or the gateway closes the connection. `self` keeps this
     /// object alive meanwhile.
@@ -81,11 +87,15 @@
     void handleDisconnect();
     bool staysOpen() const;
 
+    /// Serves one request. One of a peer is rejected unless it is marked as relayed.
+    Task<void> serve(Request &request);
+
     beast::tcp_stream m_stream;
     /// Bounds the head of a request and of each of its chunks.
     static constexpr std::size_t kMaxBufferBytes = 1024 * 1024;
     beast::flat_buffer m_buffer{kMaxBufferBytes};
     GatewayState &m_state;
+    Origin m_origin;
     asio::cancellation_signal m_watchCancel;
     asio::steady_timer m_watchEndedTimer;
     bool m_isWatching = false;
--- a/src/gateway/dispatchqueue.h
+++ b/src/gateway/dispatchqueue.h
@@ -62,6 +62,11 @@
     /// The replica had no other prompt to prefill (or, without an engine, no other request), so
     /// that the measured time to first event shows its slowdown factor.
     bool wasIdle = false;
+    /// The peer that the request is relayed to; `replica` then names the peer, and the request has
+    /// no entry in the fleet's load here. Empty if the request goes to a replica.
+    std::string relayVm;
+
+    bool isRelay() const { return !relayVm.empty(); }
 };
 
 /// Why a request was rejected.
@@ -76,6 +81,8 @@
     CannotMeetDeadline,
     /// All replicas limit their requests, and this VM's shares are used up for too long.
     RateLimited,
+    /// No connection to a replica can be opened, and no peer is known that has a path to them.
+    NoPath,
     /// The request was cancelled while it waited, as its caller disconnected.
     Cancelled,
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -68,6 +68,7 @@
         m_state.logRequestLimit(notice, "replica");
         m_messenger.broadcast(notice);
     };
+    m_state.onPathsChanged = [this] { m_messenger.broadcastLostPaths(); };
     // The peers that this VM hears may not read the store soon.
     m_suspectTable.onNews = [this](const SuspectNotice &notice) { m_messenger.broadcast(notice); };
     m_suspectTable.onPartNews = [this](const PartNotices &notices) {
@@ -90,6 +91,12 @@
     if (!callers)
         return callers.error();
     m_callerAcceptor = std::move(*callers);
+    if (m_settings.relays.port != 0) {
+        auto relays = openAcceptor(m_context, m_settings.relays, "listen.relays");
+        if (!relays)
+            return relays.error();
+        m_relayAcceptor = std::move(*relays);
+    }
     for (const Result<bool> &result :
          {m_readinessServer.listen("listen.readiness"), m_snapshotServer.listen("listen.peers"),
           m_metricsServer.listen("listen.metrics"), m_messenger.open()}) {
@@ -102,7 +109,7 @@
 bool Gateway::isReady() const
 {
     return m_state.routes() && m_storeWatcher.hasReplicas() && m_suspectTable.wasRead()
-        && !m_state.isDraining();
+        && !m_state.isDraining() && !m_state.isCutOff();
 }
 
 StatusResponse Gateway::readinessResponse(std::string_view path) const
@@ -127,6 +134,7 @@
     metrics.setGauge("waiting", static_cast<double>(m_state.dispatchQueue.waiting()));
     metrics.setGauge("replicas", static_cast<double>(m_state.directory.size()));
     metrics.setGauge("limited_replicas", static_cast<double>(m_state.limits.limitedCount()));
+    metrics.setGauge("lost_paths", static_cast<double>(m_state.paths.lostServices().size()));
     metrics.setGauge("vms", static_cast<double>(m_state.vmCount()));
     metrics.setGauge("idle_connections", static_cast<double>(m_state.pool.idleCount()));
     metrics.setGauge("store_calls",
@@ -140,16 +148,37 @@
 {
     while (m_callerAcceptor->is_open()) {
         auto [error, socket] = co_await m_callerAcceptor->async_accept(kAwait);
+        if (!error)
+            serve(std::move(socket), CallerConnection::Origin::Caller);
+    }
+}
+
+Task<void> Gateway::acceptRelays()
+{
+    while (m_relayAcceptor->is_open()) {
+        Tcp::endpoint from;
+        auto [error, socket] = co_await m_relayAcceptor->async_accept(from, kAwait);
         if (error)
             continue;
-        ErrorCode ignored;
-        socket.set_option(Tcp::no_delay(true), ignored);
-        auto connection = std::make_shared<CallerConnection>(std::move(socket), m_state);
-        m_callerConnections.push_back(connection);
-        asio::co_spawn(m_context, connection->run(connection), asio::detached);
+        const std::string host = from.address().to_string();
+        if (m_state.relayPeers.isPeer(host)) {
+            serve(std::move(socket), CallerConnection::Origin::Peer);
+            continue;
+        }
+        m_state.metrics.incrementCounter("relays", "not-a-peer");
+        LOG(WARNING) << LogLine("relay_connection_rejected").add("address", host).text();
     }
 }
 
+void Gateway::serve(Tcp::socket socket, CallerConnection::Origin origin)
+{
+    ErrorCode ignored;
+    socket.set_option(Tcp::no_delay(true), ignored);
+    auto connection = std::make_shared<CallerConnection>(std::move(socket), m_state, origin);
+    m_callerConnections.push_back(connection);
+    asio::co_spawn(m_context, connection->run(connection), asio::detached);
+}
+
 void Gateway::detectSuspension(TimePoint now)
 {
     const std::chrono::nanoseconds bootNow = bootClockNow();
@@ -281,6 +310,8 @@
     asio::co_spawn(m_context, m_snapshotServer.accept(), asio::detached);
     asio::co_spawn(m_context, m_metricsServer.accept(), asio::detached);
     asio::co_spawn(m_context, acceptCallers(), asio::detached);
+    if (m_relayAcceptor)
+        asio::co_spawn(m_context, acceptRelays(), asio::detached);
     asio::co_spawn(m_context, tick(), asio::detached);
     asio::co_spawn(m_context, watchSignals(), asio::detached);
     m_context.run();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -36,6 +36,9 @@
     StatusResponse snapshotResponse(std::string_view path) const;
     std::string metricsText();
     Task<void> acceptCallers();
+    /// Accepts connections of peers that relay requests to this VM, and closes those of others.
+    Task<void> acceptRelays();
+    void serve(Tcp::socket socket, CallerConnection::Origin origin);
     Task<void> tick();
     Task<void> drain();
     Task<void> watchSignals();
@@ -58,6 +61,8 @@
     StatusServer m_snapshotServer;
     StatusServer m_metricsServer;
     std::unique_ptr<Tcp::acceptor> m_callerAcceptor;
+    /// Null if this VM takes part in no relaying.
+    std::unique_ptr<Tcp::acceptor> m_relayAcceptor;
     std::vector<std::weak_ptr<CallerConnection>> m_callerConnections;
     asio::signal_set m_signals;
     bool m_wasReady = false;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -36,6 +36,12 @@
         return result;
     }
 
+    /// An address with port zero if there is no such key.
+    Address optionalAddress(const char *path)
+    {
+        return m_document.at_path(path) ? address(path) : Address{};
+    }
+
     Duration milliseconds(const char *path, Duration fallback)
     {
         return duration(path, fallback, 1e-3);
@@ -96,6 +102,7 @@
     settings.callers = reader.address("listen.callers");
     settings.readiness = reader.address("listen.readiness");
     settings.peers = reader.address("listen.peers");
+    settings.relays = reader.optionalAddress("listen.relays");
     settings.metrics = reader.address("listen.metrics");
     settings.store = reader.address("platform.store");
     for (const std::string &seed : reader.strings("peers.seeds"))
@@ -148,6 +155,7 @@
     reportIfChanged("listen.callers", active.callers.text(), reloaded.callers.text());
     reportIfChanged("listen.readiness", active.readiness.text(), reloaded.readiness.text());
     reportIfChanged("listen.peers", active.peers.text(), reloaded.peers.text());
+    reportIfChanged("listen.relays", active.relays.text(), reloaded.relays.text());
     reportIfChanged("listen.metrics", active.metrics.text(), reloaded.metrics.text());
     reportIfChanged("bounds.heartbeat_ms", std::to_string(toSeconds(active.replicaHeartbeat)),
                     std::to_string(toSeconds(reloaded.replicaHeartbeat)));
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -24,6 +24,9 @@
     /// Address on which peers send datagrams (UDP) and fetch the configuration (TCP). All VMs use
     /// the same port.
     Address peers;
+    /// Address on which peers relay requests that they can't send to a replica themselves. All VMs
+    /// use the same port; zero if this VM takes part in no relaying.
+    Address relays;
     /// Address that serves the metrics.
     Address metrics;
     /// Address of the metadata store.
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -44,6 +44,7 @@
     , dispatchQueue(executor, clock, settings.vm, settings.zone, directory, groups, load, health,
                     zones, limits)
     , random(seedOf(settings.vm, clock))
+    , paths(executor, clock, directory, random)
 {
     pool.maxIdleConnections = [this](const ReplicaIncarnation &incarnation) {
         return maxIdleConnectionsTo(incarnation);
@@ -59,6 +60,7 @@
         return service && service->engine;
     };
     suspects.onReplicaDown = [this](const ReplicaEntry &replica) { recordUnreachable(replica); };
+    paths.onChange = [this](const std::string &service) { onPathChanged(service); };
 }
 
 std::size_t GatewayState::maxIdleConnectionsTo(const ReplicaIncarnation &incarnation) const
@@ -106,6 +108,7 @@
 {
     zones.onResponse(replica.zone);
     suspects.onResponse(replica.incarnation());
+    paths.onResponse(replica);
 }
 
 void GatewayState::recordRequestLimit(const ReplicaIncarnation &incarnation,
@@ -143,6 +146,32 @@
     suspects.onUnreachable(replica);
     health.onUnreachable(incarnation, clock.now());
     pool.closeIdle(incarnation);
+    paths.onUnreachable(replica);
+}
+
+void GatewayState::onPathChanged(const std::string &service)
+{
+    if (!paths.isLost(service)) {
+        // The failures before were those of the path.
+        for (const ReplicaEntry *replica : directory.usable(service)) {
+            health.endEjection(replica->incarnation());
+            zones.onResponse(replica->zone);
+        }
+    }
+    if (onPathsChanged)
+        onPathsChanged();
+    dispatchQueue.dispatchWaiting();
+}
+
+bool GatewayState::isCutOff() const
+{
+    if (!m_routes || m_routes->configuration().services.empty())
+        return false;
+    const auto hasWay = [this](const ServiceSpec &service) {
+        return !paths.isLost(service.name) || relayPeers.knowsPath(service.name, clock.now());
+    };
+    const auto &services = m_routes->configuration().services;
+    return std::none_of(services.begin(), services.end(), hasWay);
 }
 
 void GatewayState::beginDrain()
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -12,7 +12,9 @@
 #include "gateway/dispatchqueue.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/gatewaysettings.h"
+#include "gateway/relaypeers.h"
 #include "gateway/suspecttracker.h"
+#include "gateway/upstreampaths.h"
 #include "gateway/upstreampool.h"
 #include "platform/httpheaders.h"
 
@@ -30,6 +32,9 @@
     GatewayState(asio::any_io_executor executor, const GatewaySettings &settings,
                  const Clock &clock);
 
+    /// Called when the path to a service was lost, or is back.
+    std::function<void()> onPathsChanged;
+
     /// Activates a configuration if its version is higher than the active one's. True if it was.
     bool applyConfiguration(std::shared_ptr<const RouteTable> table, std::string_view source);
     /// The active configuration; null until one is known.
@@ -69,6 +74,10 @@
     bool hearsAllVms() const { return m_hearsAllVms; }
     void setHearsAllVms(bool hearsAll) { m_hearsAllVms = hearsAll; }
 
+    /// Whether this VM can serve no service of the configuration: it has a path to none of them,
+    /// and knows no peer that has.
+    bool isCutOff() const;
+
     bool isDraining() const { return m_drainDeadline.has_value(); }
     /// Deadline of everything in flight; empty unless the VM drains.
     const std::optional<TimePoint> &drainDeadline() const { return m_drainDeadline; }
@@ -91,8 +100,12 @@
     SuspectTracker suspects;
     DispatchQueue dispatchQueue;
     Random random;
+    UpstreamPaths paths;
+    RelayPeers relayPeers;
 
 private:
+    /// The path to a service was lost, or is back.
+    void onPathChanged(const std::string &service);
     FleetRetryBudgetOptions retryBudgetOptions() const;
     /// VMs that may send requests to the replica.
     std::vector<std::string> vmsSharing(const ReplicaIncarnation &incarnation) const;
--- a/src/gateway/peermessenger.cpp
+++ b/src/gateway/peermessenger.cpp
@@ -258,6 +258,8 @@
         datagram.suspects = m_recentSuspects.current(m_state.clock.now());
         sendToAll(std::move(datagram));
         repeatNotices(m_state.clock.now());
+        if (!m_state.paths.lostServices().empty())
+            broadcastLostPaths();
         dropUnresponsivePeers(m_state.clock.now());
         timer.expires_after(jittered(m_state.random, kHeartbeatInterval));
         co_await timer.async_wait(kAwait);
@@ -273,6 +275,7 @@
     const std::size_t groupVmCount = m_peers.aliveCount() + 1;
     m_state.setSharingVmCount(groupVmCount);
     m_state.setResponsivePeers(m_peers.aliveVms());
+    updateRelayPeers();
     m_state.setVmCount(m_state.groups.groupCount() == 1 ? groupVmCount : m_state.groups.vmCount());
     m_state.setStoreReaderCount(m_peers.storeReaderCount() + 1);
     m_state.setHearsAllVms(m_state.groups.groupCount() == 1 && !m_peers.hasUnresponsivePeer(now));
@@ -317,6 +320,8 @@
         sendFullState(from);
     if (reaction.mustRequestFullState)
         requestFullState(from);
+    if (reaction.hasStatus)
+        updateRelayPeers();
     if (reaction.hasStatus)
         handleStatus(*datagram.status, from);
     if (!reaction.isAccepted)
--- a/src/gateway/peermessenger.h
+++ b/src/gateway/peermessenger.h
@@ -37,6 +37,8 @@
     void broadcast(const SuspectNotice &notice);
     void broadcast(const PartNotices &notices);
     void broadcast(const RequestLimitNotice &notice);
+    /// Tells peers to which services this VM has lost its paths.
+    void broadcastLostPaths();
     /// Sends peers the departures of replicas that this VM has found since the last call.
     void broadcastDepartures();
     /// Sends peers these departures, and the status if it changed, for example by a new
@@ -68,6 +70,8 @@
     /// as the notices may be merged in any order and more than once.
     void sendPartNotices(const PartNotices &notices);
     void sendLimitNotices(const std::vector<RequestLimitNotice> &notices);
+    /// Tells the list of peers that may take relayed requests.
+    void updateRelayPeers();
     /// Sends the recent notices again.
     void repeatNotices(TimePoint now);
     /// Applies a datagram that consists of notices of one kind. Returns false if it is another.
--- a/src/gateway/peermessengernotices.cpp
+++ b/src/gateway/peermessengernotices.cpp
@@ -1,8 +1,9 @@
-// The part of PeerMessenger that exchanges notices in datagrams of their own: on parts of prompts
-// and on request limits. They have no sequence numbers, as they may be merged in any order.
+// The part of PeerMessenger that exchanges notices in datagrams of their own: on parts of prompts,
+// request limits and lost paths. They have no sequence numbers, as they may be merged in any order.
 #include "gateway/peermessenger.h"
 
 #include "gateway/cborfields.h"
+#include "gateway/lostpathscodec.h"
 #include "gateway/partnoticescodec.h"
 #include "gateway/requestlimitcodec.h"
 
@@ -59,6 +60,19 @@
     scheduleFlush();
 }
 
+void PeerMessenger::broadcastLostPaths()
+{
+    sendToAll(encodeLostPaths({m_state.settings.vm, m_state.paths.lostServices()}));
+}
+
+void PeerMessenger::updateRelayPeers()
+{
+    std::vector<RelayPeer> peers;
+    for (const PeerTable::ResponsivePeer &peer : m_peers.responsivePeers())
+        peers.push_back({peer.vm, peer.endpoint.address().to_string(), peer.isDraining});
+    m_state.relayPeers.setPeers(std::move(peers));
+}
+
 void PeerMessenger::sendLimitNotices(const std::vector<RequestLimitNotice> &notices)
 {
     if (!notices.empty())
@@ -84,6 +98,10 @@
         m_state.suspects.merge(parts->notices);
         return true;
     }
+    if (const auto lost = decodeLostPaths(bytes)) {
+        m_state.relayPeers.applyLostPaths(*lost, m_state.clock.now());
+        return true;
+    }
     const auto limits = decodeRequestLimits(bytes);
     if (limits)
         applyLimits(*limits);
--- a/src/gateway/peertable.cpp
+++ b/src/gateway/peertable.cpp
@@ -136,6 +136,16 @@
     return vms;
 }
 
+std::vector<PeerTable::ResponsivePeer> PeerTable::responsivePeers() const
+{
+    std::vector<ResponsivePeer> result;
+    for (const auto &[endpoint, peer] : m_peers) {
+        if (peer.isAlive)
+            result.push_back({peer.status.vm, endpoint, peer.status.isDraining});
+    }
+    return result;
+}
+
 std::size_t PeerTable::storeReaderCount() const
 {
     return static_cast<std::size_t>(
--- a/src/gateway/peertable.h
+++ b/src/gateway/peertable.h
@@ -62,6 +62,14 @@
     std::size_t aliveCount() const;
     /// Names of the responsive peers.
     std::vector<std::string> aliveVms() const;
+    /// A responsive peer.
+    struct ResponsivePeer
+    {
+        std::string vm;
+        UdpEndpoint endpoint;
+        bool isDraining = false;
+    };
+    std::vector<ResponsivePeer> responsivePeers() const;
     /// Number of responsive peers that can read the store and are not draining.
     std::size_t storeReaderCount() const;
 
--- /dev/null
+++ b/src/gateway/relayhead.h
@@ -0,0 +1,31 @@
+// Header fields that two VMs exchange about a request that one relays to the other.
+#pragma once
+
+#include "platform/httpheaders.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace arbutuspier {
+
+/// What the VM that relays a request tells the one that is to send it to a replica.
+struct RelayHead
+{
+    /// Version of the configuration by which the request was accepted.
+    std::uint64_t configVersion = 0;
+    /// Attempts of the request that have reached a replica so far.
+    std::uint32_t reachedAttempts = 0;
+};
+
+void setRelayHead(platform::Fields &fields, const RelayHead &head);
+/// Reads the fields and removes them. Returns nullopt if one is missing or is no number.
+std::optional<RelayHead> takeRelayHead(platform::Fields &fields);
+
+/// Sets, in the head of a relayed response, how many attempts have reached a replica, without those
+/// that the relaying VM knows.
+void setRelayedAttempts(platform::Fields &fields, std::uint32_t reachedAttempts);
+/// Reads the number and removes it. Returns nullopt if there is none.
+std::optional<std::uint32_t> takeRelayedAttempts(platform::Fields &fields);
+
+} // namespace arbutuspier
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -61,6 +61,8 @@
         return "cannot-meet-deadline";
     case DispatchRejection::RateLimited:
         return "rate-limited";
+    case DispatchRejection::NoPath:
+        return "no-path";
     case DispatchRejection::Cancelled:
         return "caller-gone";
     }
@@ -78,14 +80,16 @@
 }
 
 RequestHandler::RequestHandler(GatewayState &state, CallerConnection &caller,
-                               const Request &request)
+                               const Request &request, std::optional<RelayHead> relay)
     : m_state(state)
     , m_caller(caller)
     , m_request(request)
     , m_head(platform::readCallerHead(request.base()))
+    , m_relay(relay)
     , m_table(state.routes())
     , m_arrivedAt(state.clock.now())
     , m_backups(state.executor, state.dispatchQueue)
+    , m_reachedAttempts(relay ? relay->reachedAttempts : 0)
 {
     m_caller.onDisconnect = [this] {
         if (m_ticket)
@@ -98,6 +102,8 @@
 
 RequestHandler::~RequestHandler()
 {
+    if (m_isAcceptedRelay)
+        m_state.relayPeers.endAccepted();
     m_caller.onDisconnect = nullptr;
 }
 
@@ -116,6 +122,11 @@
 
 Task<void> RequestHandler::run()
 {
+    if (m_relay) {
+        const bool isRejected = co_await rejectRelay();
+        if (isRejected)
+            co_return;
+    }
     if (!m_table) {
         co_await reject(kUnavailable, "not-ready", kRetryWhenNotReady);
         co_return;
@@ -146,7 +157,13 @@
         co_return;
     }
     m_service = pickService(*m_route, uniform(m_state.random));
-    m_state.retryBudget(m_service).onRequest(m_state.clock.now());
+    // A relayed request is counted where its caller sent it.
+    if (!m_relay)
+        m_state.retryBudget(m_service).onRequest(m_state.clock.now());
+    if (m_relay && m_state.paths.isLost(m_service)) {
+        co_await reject(kUnavailable, reasonOf(DispatchRejection::NoPath), kRetryWhenNoReplica);
+        co_return;
+    }
     if (m_route->kind == RetryKind::Stream)
         m_joiner.emplace(m_head.lastEventId);
     co_await attemptUntilDone();
@@ -212,6 +229,13 @@
     requirements.prompt = promptShape();
     requirements.priority = m_priority;
     requirements.excluded = m_triedReplicas;
+    if (m_state.paths.isLost(m_service)) {
+        // Connections that are open already may still work.
+        for (const ReplicaEntry *replica : m_state.directory.usable(m_service)) {
+            if (!m_state.pool.hasIdle(replica->incarnation()))
+                requirements.forbidden.insert(replica->id);
+        }
+    }
     const TimePoint now = m_state.clock.now();
     const Duration remaining = deadline() - now;
     const double fraction = m_route->kind == RetryKind::Stream ? 1.0 : kCallWaitFraction;
@@ -223,7 +247,9 @@
 {
     if (result.retryAfter)
         return std::min(*result.retryAfter, timeLeft() / kRetryDivisor);
-    if (result.rejection == DispatchRejection::NoReplica)
+    const bool hasNone = result.rejection == DispatchRejection::NoReplica
+        || result.rejection == DispatchRejection::NoPath;
+    if (hasNone)
         return kRetryWhenNoReplica;
     const ServiceSpec *service = m_table->service(m_service);
     const bool isLarge =
@@ -238,9 +264,7 @@
 {
     while (true) {
         const TimePoint queuedAt = m_state.clock.now();
-        m_ticket = m_state.dispatchQueue.makeTicket(requirements());
-        const DispatchResult result = co_await m_state.dispatchQueue.acquire(m_ticket);
-        m_ticket.reset();
+        const DispatchResult result = co_await acquire();
         m_queueTime += m_state.clock.now() - queuedAt;
         if (!result.grant) {
             if (result.rejection == DispatchRejection::Cancelled) {
@@ -255,7 +279,7 @@
             co_return;
         }
         AttemptOutcome outcome = co_await attempt(*result.grant);
-        m_state.dispatchQueue.end(result.grant->activeRequestId);
+        endGrant(*result.grant);
         ReplicaIncarnation failed = result.grant->replica.incarnation();
         while (!isFinal(outcome)) {
             const BackupAttempts::Pointer backup = co_await awaitBackup(failed);
@@ -293,8 +317,8 @@
     if (outcome == AttemptOutcome::NotExecuted && m_reachedAttempts == 0
         && m_failedReservations > 0)
         return m_failedReservations < kMaxFailedReservations;
-    if (outcome == AttemptOutcome::NotExecuted && m_unreachableAttempts > 0
-        && m_reachedAttempts == 0)
+    const bool wasUnreachable = m_unreachableAttempts + m_refusedRelays > 0;
+    if (outcome == AttemptOutcome::NotExecuted && wasUnreachable && m_reachedAttempts == 0)
         return m_unreachableAttempts < kMaxUnreachableAttempts;
     const bool mayHaveExecuted = m_possibleExecutions > 0;
     if (mayHaveExecuted && !m_route->isRetryable())
@@ -308,7 +332,7 @@
 {
     // Makes up for replicas that refused to execute the request.
     constexpr std::uint32_t kExtraAttempts = 2;
-    return m_possibleExecutions + runningAttempts() < m_route->maxAttempts
+    return m_possibleExecutions + runningAttempts() < maxExecutions()
         && m_reachedAttempts < m_route->maxAttempts + kExtraAttempts;
 }
 
@@ -342,6 +366,11 @@
 {
     platform::Fields fields;
     platform::setGatewayResponseFields(fields, m_head.requestId, retryAfter);
+    if (m_relay) {
+        setRelayedAttempts(fields, m_reachedAttempts - m_relay->reachedAttempts);
+        if (m_possibleExecutions == 0)
+            platform::setNotExecuted(fields);
+    }
     log(std::to_string(status), reason);
     co_await m_caller.sendResponse(status, std::move(fields), {});
 }
@@ -367,6 +396,7 @@
         .add("config", m_table ? m_table->version() : 0)
         .add("directory", m_state.directory.revision())
         .add("prompt_tokens", m_head.promptTokens)
+        .add("relayed", m_relay ? "yes" : "no")
         .add("replicas", m_attemptedReplicas)
         .add("sends", static_cast<std::uint64_t>(m_reachedAttempts))
         .add("runs", static_cast<std::uint64_t>(m_possibleExecutions))
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -9,6 +9,7 @@
 #include "gateway/dispatchqueue.h"
 #include "gateway/gatewaystate.h"
 #include "gateway/memoryreservation.h"
+#include "gateway/relayhead.h"
 #include "gateway/upstreamattempt.h"
 
 #include <memory>
@@ -29,7 +30,9 @@
 public:
     using Request = CallerConnection::Request;
 
-    RequestHandler(GatewayState &state, CallerConnection &caller, const Request &request);
+    /// `relay` is set for a request that a peer relays to this VM.
+    RequestHandler(GatewayState &state, CallerConnection &caller, const Request &request,
+                   std::optional<RelayHead> relay = std::nullopt);
     ~RequestHandler();
 
     /// Handles the request until its response was sent or the caller disconnected.
@@ -109,6 +112,35 @@
     /// Updates the health of the replica when an attempt becomes late.
     void recordLateness(const UpstreamAttempt &attempt, const DispatchGrant &grant);
 
+    // Relays to peers.
+
+    /// Unreachable replicas after which a request is relayed, even if others may be reachable.
+    static constexpr std::uint32_t kMaxUnreachableBeforeRelay = 2;
+    /// Most relays of a request that are refused.
+    static constexpr std::uint32_t kMaxRefusedRelays = 2;
+
+    /// Rejects a request that a peer relays if this VM can't take it. Returns true if it did.
+    Task<bool> rejectRelay();
+    /// Waits, but not for long, for the configuration by which the peer accepted the request.
+    Task<void> awaitConfiguration();
+    /// Whether the next attempt should be made by a peer.
+    bool shouldRelay() const;
+    /// Chooses a peer for the next attempt; empty if there is none.
+    std::optional<DispatchGrant> relayGrant();
+    /// Waits for a peer or a replica.
+    Task<DispatchResult> acquire();
+    void endGrant(const DispatchGrant &grant);
+    UpstreamAttempt::Request relayRequest() const;
+    void onRelayEnded(AttemptOutcome outcome, const UpstreamAttempt &attempt,
+                      const DispatchGrant &grant);
+    /// Attempts at a peer or a replica that have reached a replica.
+    std::uint32_t reachedAttempts(UpstreamAttempt &attempt, const DispatchGrant &grant) const;
+    /// Fields of a replica's response for the caller, or for the peer that relays the request.
+    platform::Fields responseFields(const UpstreamAttempt &attempt) const;
+    /// Most attempts of the request that may be executed here. The peer that relays it makes the
+    /// others.
+    std::uint32_t maxExecutions() const { return m_relay ? 1 : m_route->maxAttempts; }
+
     // Backup attempts. They never split a prompt.
 
     /// Interval at which it is checked whether another backup attempt may be started.
@@ -121,8 +153,10 @@
     /// Starts a backup attempt, if one may be, for an attempt at `late`.
     void startBackup(const ReplicaIncarnation &late);
     Task<void> runBackup(BackupAttempts::Pointer backup, ReplicaIncarnation late);
-    /// Waits for a replica and takes a retry from the budget. False if there is none.
+    /// Waits for a peer or a replica and takes a retry from the budget. False if there is none.
     Task<bool> placeBackup(BackupAttempt &backup);
+    /// Waits for a replica.
+    Task<void> placeBackupAtReplica(BackupAttempt &backup);
     /// Sends the request and reads the response until there is new output.
     Task<AttemptOutcome> readBackup(BackupAttempt &backup);
     Task<AttemptOutcome> readBackupStream(BackupAttempt &backup);
@@ -198,6 +232,10 @@
     CallerConnection &m_caller;
     const Request &m_request;
     platform::CallerHead m_head;
+    /// Set if a peer relays the request to this VM.
+    std::optional<RelayHead> m_relay;
+    /// The request counts as one that this VM accepted from a peer.
+    bool m_isAcceptedRelay = false;
     std::shared_ptr<const RouteTable> m_table;
     const ServiceRoute *m_route = nullptr;
     std::string m_team;
@@ -225,6 +263,10 @@
     std::uint32_t m_possibleExecutions = 0;
     /// Attempts for which no connection could be opened.
     std::uint32_t m_unreachableAttempts = 0;
+    /// Relays that peers refused or couldn't accept.
+    std::uint32_t m_refusedRelays = 0;
+    /// Peers that the request was relayed to.
+    std::set<std::string> m_triedVms;
     /// Attempts for which memory could not be reserved at all helpers.
     std::uint32_t m_failedReservations = 0;
     /// False after an attempt with helpers failed; the next attempts use a single replica.
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -99,7 +99,8 @@
         co_return AttemptOutcome::NotExecuted;
     }
     // It may have left while memory was reserved.
-    const bool isUsable = m_state.directory.isUsable(grant.replica.incarnation());
+    const bool isUsable =
+        grant.isRelay() || m_state.directory.isUsable(grant.replica.incarnation());
     if (isQuarantined() || !isUsable)
         co_return AttemptOutcome::NotExecuted;
     UpstreamAttempt attempt(m_state.executor, m_state.pool, grant.replica.incarnation());
@@ -120,14 +121,20 @@
     const std::vector<std::string> &reservationIds)
 {
     const bool isAtMostOnce = m_route->kind == RetryKind::AtMostOnce;
-    const UpstreamAttempt::Request request = upstreamRequest(grant, reservationIds);
+    const UpstreamAttempt::Request request =
+        grant.isRelay() ? relayRequest() : upstreamRequest(grant, reservationIds);
+    if (grant.isRelay())
+        attempt.setLocalHost(m_state.settings.relays.host);
     attempt.setSentAt(m_state.clock.now());
     const auto sent =
         co_await attempt.send(request, grant.replica.address, isAtMostOnce, kConnectTimeout);
+    m_reachedAttempts += reachedAttempts(attempt, grant);
+    if (grant.isRelay())
+        co_return sent;
     if (attempt.usedNewConnection())
         m_state.metrics.incrementCounter("connections", m_service);
-    if (attempt.wasReached())
-        ++m_reachedAttempts;
+    if (attempt.usedNewConnection() && attempt.wasReached())
+        m_state.paths.onConnected(grant.replica);
     if (sent == UpstreamAttempt::SendResult::GotHead)
         m_state.recordRequestLimit(grant.replica.incarnation(), attempt.head(),
                                    isValidResponse(attempt), attempt.sentAt());
@@ -186,8 +193,8 @@
     // The time that the caller takes to read counts against the deadline only.
     attempt.expireAt(deadline());
     m_timeToFirstEvent = m_state.clock.now() - m_arrivedAt;
-    const bool isSent = co_await m_caller.sendResponse(
-        attempt.status(), platform::callerFields(attempt.fields()), std::move(body));
+    const bool isSent =
+        co_await m_caller.sendResponse(attempt.status(), responseFields(attempt), std::move(body));
     log(isSent ? "answered" : "caller-gone", std::to_string(attempt.status()));
     co_return isSent ? AttemptOutcome::Completed : AttemptOutcome::CallerDisconnected;
 }
@@ -201,8 +208,8 @@
     if (!m_hasSentHead) {
         m_hasSentHead = true;
         m_timeToFirstEvent = now - m_arrivedAt;
-        const bool isSent = co_await m_caller.sendStreamHead(
-            attempt.status(), platform::callerFields(attempt.fields()));
+        const bool isSent =
+            co_await m_caller.sendStreamHead(attempt.status(), responseFields(attempt));
         if (!isSent)
             co_return false;
     }
@@ -211,6 +218,8 @@
 
 void RequestHandler::onFirstEvent(const UpstreamAttempt &attempt, const DispatchGrant &grant)
 {
+    if (grant.isRelay())
+        return;
     m_state.dispatchQueue.beginDecode(grant.activeRequestId);
     const Duration timeToFirstEvent = m_state.clock.now() - attempt.sentAt();
     const bool showsSlowdown = grant.wasIdle && grant.forecast > Duration::zero();
@@ -279,6 +288,10 @@
 void RequestHandler::onAttemptEnded(AttemptOutcome outcome, const UpstreamAttempt &attempt,
                                     const DispatchGrant &grant)
 {
+    if (grant.isRelay()) {
+        onRelayEnded(outcome, attempt, grant);
+        return;
+    }
     if (attempt.status() != 0)
         m_state.recordResponse(grant.replica);
     switch (outcome) {
--- a/src/gateway/requesthandlerbackup.cpp
+++ b/src/gateway/requesthandlerbackup.cpp
@@ -64,7 +64,7 @@
         backup.upstream->release(m_state.clock.now());
     }
     if (backup.grant)
-        m_state.dispatchQueue.end(backup.grant->activeRequestId);
+        endGrant(*backup.grant);
 }
 
 Task<void> RequestHandler::stopBackups()
@@ -74,19 +74,27 @@
         endBackup(*unused, cancelledOutcome());
 }
 
-Task<bool> RequestHandler::placeBackup(BackupAttempt &backup)
+Task<void> RequestHandler::placeBackupAtReplica(BackupAttempt &backup)
 {
-    if (backup.isCancelled)
-        co_return false;
     DispatchRequirements needed = requirements();
     needed.prompt.maySplit = false;
-    needed.forbidden = m_backups.replicas();
+    needed.forbidden.merge(m_backups.replicas());
     if (m_currentAttempt)
         needed.forbidden.insert(m_currentReplica);
     backup.ticket = m_state.dispatchQueue.makeTicket(std::move(needed));
     const DispatchResult result = co_await m_state.dispatchQueue.acquire(backup.ticket);
     backup.ticket.reset();
     backup.grant = result.grant;
+}
+
+Task<bool> RequestHandler::placeBackup(BackupAttempt &backup)
+{
+    if (backup.isCancelled)
+        co_return false;
+    if (shouldRelay())
+        backup.grant = relayGrant();
+    if (!backup.grant)
+        co_await placeBackupAtReplica(backup);
     if (!backup.grant || backup.isCancelled || isQuarantined() || !isBelowAttemptLimit())
         co_return false;
     co_return m_state.retryBudget(m_service).trySpend(m_state.clock.now(), m_state.vmCount());
--- /dev/null
+++ b/src/gateway/requesthandlerrelay.cpp
@@ -0,0 +1,167 @@
+// The part of RequestHandler that has a peer send the request to a replica, while this VM has no
+// path to the replicas, and that serves requests of such peers.
+//
+// A relay is one attempt of the request: the peer makes one that may be executed, and the VM that
+// the caller sent the request to decides on all others. A relayed request is never relayed again.
+#include "gateway/requesthandler.h"
+
+#include "kernel/logline.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace arbutuspier {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr int kUnavailable = 503;
+/// Sent to a peer, which can ask another VM at once.
+constexpr Duration kRetryElsewhere = std::chrono::milliseconds{20};
+constexpr Duration kMaxConfigurationWait = std::chrono::milliseconds{300};
+constexpr Duration kConfigurationCheckInterval = std::chrono::milliseconds{15};
+/// Forecast of the time to first event over a peer, as a fraction of the route's objective.
+constexpr double kRelayForecastFraction = 0.5;
+
+} // namespace
+
+Task<void> RequestHandler::awaitConfiguration()
+{
+    const auto isCurrent = [this] {
+        return m_state.routes() && m_state.routes()->version() >= m_relay->configVersion;
+    };
+    const TimePoint end = m_state.clock.now() + kMaxConfigurationWait;
+    asio::steady_timer timer(m_state.executor);
+    while (!isCurrent() && m_state.clock.now() < end && !m_caller.isDisconnected()) {
+        timer.expires_after(kConfigurationCheckInterval);
+        co_await timer.async_wait(kAwait);
+    }
+    m_table = m_state.routes();
+}
+
+Task<bool> RequestHandler::rejectRelay()
+{
+    if (m_state.isDraining()) {
+        co_await reject(kUnavailable, "draining", kRetryElsewhere);
+        co_return true;
+    }
+    m_isAcceptedRelay = m_state.relayPeers.tryAccept();
+    if (!m_isAcceptedRelay) {
+        co_await reject(kUnavailable, "no-room", kRetryElsewhere);
+        co_return true;
+    }
+    co_await awaitConfiguration();
+    const bool isOlder = !m_table || m_table->version() < m_relay->configVersion;
+    if (isOlder)
+        co_await reject(kUnavailable, "older-configuration", kRetryElsewhere);
+    co_return isOlder;
+}
+
+bool RequestHandler::shouldRelay() const
+{
+    const bool canRelay =
+        !m_relay && m_state.settings.relays.port != 0 && m_refusedRelays < kMaxRefusedRelays;
+    const bool isPathLost =
+        m_state.paths.isLost(m_service) || m_unreachableAttempts >= kMaxUnreachableBeforeRelay;
+    return canRelay && isPathLost;
+}
+
+std::optional<DispatchGrant> RequestHandler::relayGrant()
+{
+    const auto peer = m_state.relayPeers.choose(m_service, m_triedVms, m_state.clock.now());
+    if (!peer)
+        return std::nullopt;
+    m_triedVms.insert(peer->vm);
+    m_state.relayPeers.onStart(peer->vm);
+    DispatchGrant grant;
+    grant.relayVm = peer->vm;
+    grant.replica.id = "vm:" + peer->vm;
+    grant.replica.service = m_service;
+    grant.replica.address = Address{peer->host, m_state.settings.relays.port}.text();
+    grant.forecast = fromSeconds(kRelayForecastFraction * toSeconds(m_route->objective));
+    return grant;
+}
+
+Task<DispatchResult> RequestHandler::acquire()
+{
+    DispatchResult result;
+    if (shouldRelay())
+        result.grant = relayGrant();
+    if (result.grant)
+        co_return result;
+    m_ticket = m_state.dispatchQueue.makeTicket(requirements());
+    result = co_await m_state.dispatchQueue.acquire(m_ticket);
+    m_ticket.reset();
+    const bool hasNoPath = !result.grant && result.rejection == DispatchRejection::NoReplica
+        && m_state.paths.isLost(m_service);
+    if (hasNoPath)
+        result.rejection = DispatchRejection::NoPath;
+    co_return result;
+}
+
+void RequestHandler::endGrant(const DispatchGrant &grant)
+{
+    if (grant.isRelay())
+        m_state.relayPeers.onEnd(grant.relayVm);
+    else
+        m_state.dispatchQueue.end(grant.activeRequestId);
+}
+
+UpstreamAttempt::Request RequestHandler::relayRequest() const
+{
+    UpstreamAttempt::Request request;
+    static_cast<http::fields &>(request.base()) =
+        platform::relayFields(m_request.base(), deadline() - m_state.clock.now(),
+                              m_joiner ? m_joiner->lastId() : std::nullopt);
+    setRelayHead(request.base(), {m_table->version(), m_reachedAttempts});
+    request.version(m_request.version());
+    request.method_string(m_request.method_string());
+    request.target(m_request.target());
+    request.body() = m_request.body();
+    const bool hasBody = !m_request.body().empty() || m_request.has_content_length();
+    if (hasBody)
+        request.content_length(m_request.body().size());
+    return request;
+}
+
+std::uint32_t RequestHandler::reachedAttempts(UpstreamAttempt &attempt,
+                                              const DispatchGrant &grant) const
+{
+    const std::uint32_t reached = attempt.wasReached() ? 1 : 0;
+    if (!grant.isRelay() || attempt.status() == 0)
+        return reached;
+    return takeRelayedAttempts(attempt.fields()).value_or(reached);
+}
+
+platform::Fields RequestHandler::responseFields(const UpstreamAttempt &attempt) const
+{
+    platform::Fields fields = platform::callerFields(attempt.fields());
+    if (m_relay)
+        setRelayedAttempts(fields, m_reachedAttempts - m_relay->reachedAttempts);
+    return fields;
+}
+
+void RequestHandler::onRelayEnded(AttemptOutcome outcome, const UpstreamAttempt &attempt,
+                                  const DispatchGrant &grant)
+{
+    m_state.metrics.incrementCounter("relays", std::string(outcomeName(outcome)));
+    const bool mayHaveRun = outcome == AttemptOutcome::Failed || outcome == AttemptOutcome::Lost
+        || (outcome != AttemptOutcome::NotExecuted && outcome != AttemptOutcome::Completed
+            && attempt.wasReached());
+    m_possibleExecutions += mayHaveRun ? 1 : 0;
+    m_refusedRelays += outcome == AttemptOutcome::NotExecuted ? 1 : 0;
+    const bool isPeerSilent = attempt.status() == 0
+        && (outcome == AttemptOutcome::NotExecuted || outcome == AttemptOutcome::Lost);
+    if (isPeerSilent)
+        m_state.relayPeers.onFailure(grant.relayVm, m_state.clock.now());
+    if (outcome == AttemptOutcome::CallerDisconnected && !m_wasLogged)
+        log("caller-gone", "in-flight");
+    const bool isLogged =
+        outcome != AttemptOutcome::Completed && outcome != AttemptOutcome::CallerDisconnected;
+    if (isLogged)
+        logAttempt(outcome, attempt, grant);
+}
+
+} // namespace arbutuspier
--- a/src/gateway/requesthandlertimeout.cpp
+++ b/src/gateway/requesthandlertimeout.cpp
@@ -40,7 +40,7 @@
 bool RequestHandler::couldRetry() const
 {
     const std::uint32_t running = std::max(runningAttempts(), 1U);
-    return m_route->isRetryable() && m_possibleExecutions + running < m_route->maxAttempts;
+    return m_route->isRetryable() && m_possibleExecutions + running < maxExecutions();
 }
 
 TimePoint RequestHandler::firstEventDeadline(const DispatchGrant &grant) const
@@ -59,7 +59,7 @@
 {
     const TimePoint now = m_state.clock.now();
     const ServiceSpec *service = m_table->service(m_service);
-    if (!service || !service->engine || now >= deadline())
+    if (!service || !service->engine || now >= deadline() || grant.isRelay())
         return std::nullopt;
     const double slowdown = m_state.health.slowdown(grant.replica.incarnation());
     const PassState pass =
@@ -94,6 +94,8 @@
 
 bool RequestHandler::isReplicaGone(const UpstreamAttempt &attempt, const DispatchGrant &grant)
 {
+    if (grant.isRelay())
+        return !m_state.relayPeers.isResponsive(grant.relayVm);
     const ReplicaIncarnation incarnation = grant.replica.incarnation();
     if (!m_state.directory.wasRemovedOrReplaced(incarnation))
         return false;
@@ -157,6 +159,8 @@
 
 void RequestHandler::recordLateness(const UpstreamAttempt &attempt, const DispatchGrant &grant)
 {
+    if (grant.isRelay())
+        return;
     const TimePoint now = m_state.clock.now();
     m_state.health.onFailure(grant.replica.incarnation(), now);
     m_state.suspects.onLost(grant.replica, m_identity, attempt.progress(), attempt.sentAt());
--- a/src/gateway/suspecttracker.cpp
+++ b/src/gateway/suspecttracker.cpp
@@ -3,6 +3,7 @@
 #include "gateway/suspecttracker.h"
 
 #include "kernel/logline.h"
+#include "net/connectionprobe.h"
 #include "net/httpchannel.h"
 #include "platform/identityprobe.h"
 #include "settings/settings.h"
@@ -10,12 +11,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 
 #include <glog/logging.h>
 #include <xxhash.h>
 
-#include <array>
 #include <set>
 
 namespace arbutuspier {
@@ -26,9 +25,6 @@
 constexpr int kHeartbeatsUntilRemoval = 3;
 /// The store may carry out a write this long after the call, if the call got no response.
 constexpr Duration kMaxWriteDelay = std::chrono::seconds{6};
-constexpr Duration kProbeTimeout = std::chrono::milliseconds{250};
-/// A probe connection that is open for this long was accepted by a running process.
-constexpr Duration kProbeHoldTime = std::chrono::milliseconds{50};
 /// Longest time for which a retry waits for the result of a check.
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds{30};
 /// A network partition makes other replicas unreachable too within this time.
@@ -172,36 +168,13 @@
 
 namespace {
 
-enum class ProbeResult : std::uint8_t {
-    /// The address refused the connection or didn't accept it in time.
-    Unreachable,
-    /// The connection was accepted and closed at once.
-    ClosedAtOnce,
-    StaysOpen,
-};
-
-Task<ProbeResult> probe(asio::any_io_executor executor, const Address &address)
-{
-    beast::tcp_stream stream(executor);
-    stream.expires_after(kProbeTimeout);
-    const auto [connectError] = co_await stream.async_connect(endpointOf(address), kAwait);
-    if (connectError)
-        co_return ProbeResult::Unreachable;
-    std::array<char, 1> unexpected{};
-    stream.expires_after(kProbeHoldTime);
-    const auto [readError, size] =
-        co_await stream.async_read_some(asio::buffer(unexpected), kAwait);
-    const bool staysOpen = !readError || readError == beast::error::timeout;
-    co_return staysOpen ? ProbeResult::StaysOpen : ProbeResult::ClosedAtOnce;
-}
-
 /// A process that ends may still accept a connection and then close it, but so does a replica that
 /// has too many connections. Only a second connection tells these apart.
 Task<bool> isReachable(asio::any_io_executor executor, Address address)
 {
-    ProbeResult result = co_await probe(executor, address);
+    ProbeResult result = co_await probeConnection(executor, address);
     if (result == ProbeResult::ClosedAtOnce)
-        result = co_await probe(executor, address);
+        result = co_await probeConnection(executor, address);
     co_return result != ProbeResult::Unreachable;
 }
 
--- a/src/gateway/upstreamattempt.cpp
+++ b/src/gateway/upstreamattempt.cpp
@@ -83,6 +83,13 @@
         co_return false;
     m_connection = std::make_unique<UpstreamConnection>(m_executor);
     m_isNewConnection = true;
+    ErrorCode bindError;
+    if (!m_localHost.empty()) {
+        m_connection->stream.socket().open(Tcp::v4(), bindError);
+        m_connection->stream.socket().bind(endpointOf({m_localHost, 0}), bindError);
+    }
+    if (bindError)
+        co_return false;
     m_connection->stream.expires_after(timeout);
     const auto [error] = co_await m_connection->stream.async_connect(endpointOf(target), kAwait);
     if (error)
--- a/src/gateway/upstreamattempt.h
+++ b/src/gateway/upstreamattempt.h
@@ -39,6 +39,8 @@
                     ReplicaIncarnation incarnation);
     ~UpstreamAttempt();
 
+    /// New connections are opened from this IP address.
+    void setLocalHost(std::string host) { m_localHost = std::move(host); }
     /// Sends the request over a pooled connection, or a new one if there is none, and reads the
     /// response head. `isAtMostOnce` has the meaning it has in UpstreamPool::acquire.
     Task<SendResult> send(const Request &request, const std::string &address, bool isAtMostOnce,
@@ -61,6 +63,7 @@
     int status() const { return m_status; }
     const platform::ResponseHead &head() const { return m_head; }
     const platform::Fields &fields() const { return m_parser->get().base(); }
+    platform::Fields &fields() { return m_parser->get().base(); }
     bool usedNewConnection() const { return m_isNewConnection; }
     /// Whether there was a connection, so that the replica may have received the request.
     bool wasReached() const { return m_wasReached; }
@@ -86,6 +89,7 @@
     asio::any_io_executor m_executor;
     UpstreamPool &m_pool;
     ReplicaIncarnation m_incarnation;
+    std::string m_localHost;
     std::unique_ptr<UpstreamConnection> m_connection;
     std::shared_ptr<asio::steady_timer> m_timer;
     std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
--- /dev/null
+++ b/src/gateway/upstreampaths.cpp
@@ -0,0 +1,160 @@
+// Calm traffic causes no probes: a check starts only after several replicas were unreachable.
+#include "gateway/upstreampaths.h"
+
+#include "kernel/logline.h"
+#include "net/connectionprobe.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <glog/logging.h>
+
+namespace arbutuspier {
+
+namespace {
+
+/// Pause before the next probe of a path that is lost.
+constexpr Duration kMinProbeInterval = std::chrono::milliseconds{250};
+constexpr Duration kMaxProbeInterval = std::chrono::milliseconds{800};
+constexpr double kProbeIntervalGrowth = 1.3;
+
+} // namespace
+
+/// The probes of one check.
+struct UpstreamPaths::PathCheck
+{
+    PathCheck(asio::any_io_executor executor, std::size_t probes)
+        : pendingProbes(probes)
+        , endTimer(std::move(executor), TimePoint::max())
+    {
+    }
+
+    std::size_t pendingProbes;
+    bool wasAnyAccepted = false;
+    /// Never expires; cancelled when the outcome is known.
+    asio::steady_timer endTimer;
+};
+
+UpstreamPaths::UpstreamPaths(asio::any_io_executor executor, const Clock &clock,
+                             const UpstreamDirectory &directory, Random &random)
+    : m_executor(std::move(executor))
+    , m_clock(clock)
+    , m_directory(directory)
+    , m_random(random)
+{
+}
+
+UpstreamPath &UpstreamPaths::path(const std::string &service)
+{
+    return m_paths.try_emplace(service, UpstreamPathOptions{}).first->second;
+}
+
+void UpstreamPaths::onUnreachable(const ReplicaEntry &replica)
+{
+    const bool mustCheck =
+        path(replica.service).onUnreachable(replica.incarnation(), m_clock.now());
+    if (mustCheck)
+        asio::co_spawn(m_executor, check(replica.service), asio::detached);
+}
+
+void UpstreamPaths::onConnected(const ReplicaEntry &replica)
+{
+    const std::size_t replicaCount = m_directory.usable(replica.service).size();
+    const bool isBack =
+        path(replica.service).onConnected(replica.incarnation(), replicaCount, m_clock.now());
+    if (isBack)
+        announce(replica.service);
+}
+
+void UpstreamPaths::onResponse(const ReplicaEntry &replica)
+{
+    path(replica.service).onResponse(replica.incarnation(), m_clock.now());
+}
+
+bool UpstreamPaths::isLost(const std::string &service) const
+{
+    const auto found = m_paths.find(service);
+    return found != m_paths.end() && found->second.isLost();
+}
+
+std::vector<std::string> UpstreamPaths::lostServices() const
+{
+    std::vector<std::string> services;
+    for (const auto &[service, path] : m_paths) {
+        if (path.isLost())
+            services.push_back(service);
+    }
+    return services;
+}
+
+void UpstreamPaths::announce(const std::string &service)
+{
+    LOG(INFO) << LogLine(isLost(service) ? "upstream_path_lost" : "upstream_path_restored")
+                     .add("service", service)
+                     .add("replicas", m_directory.usable(service).size())
+                     .text();
+    if (onChange)
+        onChange(service);
+}
+
+Task<bool> UpstreamPaths::accepts(ReplicaEntry replica)
+{
+    Address address;
+    if (!parseAddress(replica.address, address))
+        co_return false;
+    co_return co_await probeConnection(m_executor, address) == ProbeResult::StaysOpen;
+}
+
+Task<void> UpstreamPaths::probeForCheck(std::shared_ptr<PathCheck> check, ReplicaEntry replica)
+{
+    const bool isAccepted = co_await accepts(replica);
+    if (isAccepted)
+        onConnected(replica);
+    check->wasAnyAccepted = check->wasAnyAccepted || isAccepted;
+    --check->pendingProbes;
+    if (isAccepted || check->pendingProbes == 0)
+        check->endTimer.cancel();
+}
+
+Task<void> UpstreamPaths::check(std::string service)
+{
+    const auto replicas = path(service).replicasToProbe(m_directory.usable(service));
+    const auto check = std::make_shared<PathCheck>(m_executor, replicas.size());
+    for (const ReplicaEntry &replica : replicas)
+        asio::co_spawn(m_executor, probeForCheck(check, replica), asio::detached);
+    while (check->pendingProbes > 0 && !check->wasAnyAccepted)
+        co_await check->endTimer.async_wait(kAwait);
+    // Without replicas there is nothing to reach.
+    const bool isLostNow =
+        !replicas.empty() && path(service).onCheckEnded(check->wasAnyAccepted, m_clock.now());
+    if (!isLostNow)
+        co_return;
+    announce(service);
+    co_await probeUntilBack(service);
+}
+
+Task<void> UpstreamPaths::probeUntilBack(std::string service)
+{
+    asio::steady_timer timer(m_executor);
+    Duration interval = kMinProbeInterval;
+    while (isLost(service)) {
+        timer.expires_after(jittered(m_random, interval));
+        co_await timer.async_wait(kAwait);
+        const auto replica = path(service).nextProbe(m_directory.usable(service));
+        if (!replica) {
+            path(service).reset();
+            announce(service);
+            co_return;
+        }
+        const bool isAccepted = co_await accepts(*replica);
+        if (isAccepted)
+            onConnected(*replica);
+        else
+            onUnreachable(*replica);
+        interval = isAccepted
+            ? kMinProbeInterval
+            : std::min(fromSeconds(kProbeIntervalGrowth * toSeconds(interval)), kMaxProbeInterval);
+    }
+}
+
+} // namespace arbutuspier
--- a/src/gateway/upstreampool.h
+++ b/src/gateway/upstreampool.h
@@ -67,6 +67,11 @@
     /// Closes connections that have been idle too long to be reused.
     void tick(TimePoint now);
     std::size_t idleCount() const;
+    /// Whether there is an idle connection to the replica.
+    bool hasIdle(const ReplicaIncarnation &incarnation) const
+    {
+        return m_idle.contains(incarnation);
+    }
 
     /// Returns how many idle connections to a replica may be kept; unlimited if not set.
     std::function<std::size_t(const ReplicaIncarnation &)> maxIdleConnections;
--- a/src/policy/replicahealth.cpp
+++ b/src/policy/replicahealth.cpp
@@ -44,6 +44,15 @@
     eject(record, now);
 }
 
+void ReplicaHealth::endEjection(const ReplicaIncarnation &incarnation)
+{
+    const auto found = m_records.find(incarnation);
+    if (found == m_records.end())
+        return;
+    found->second.consecutiveFailures = 0;
+    found->second.ejectedUntil = TimePoint{};
+}
+
 bool ReplicaHealth::isEjected(const ReplicaIncarnation &incarnation, TimePoint now) const
 {
     const auto found = m_records.find(incarnation);
--- a/tests/process/vm-without-path.sh
+++ b/tests/process/vm-without-path.sh
@@ -34,13 +34,14 @@
 }
 field() { sed -n "s/.* $1=\([0-9.]*\).*/\1/p"; } # name; reads a line of the report
 # Broken if cut gateways serve less than two thirds as often as the others, and more than 10 + 1 in 50 of all first tries fail
-# at them.
+# at them. The others have to serve nearly all of theirs, or the comparison would say nothing.
 serves_like_the_others() {
     awk '/^gateway=/ { for (i = 1; i <= NF; i++) { split($i, pair, "="); value[pair[1]] = pair[2] }
                        served[value["gateway"]] += value["served"]; sent[value["gateway"]] += value["sent"] }
          END { failed = sent["cut"] - served["cut"]
                is_seldom = served["cut"] * sent["other"] * 3 < 2 * served["other"] * sent["cut"]
-               exit (is_seldom && failed > 10 + (sent["cut"] + sent["other"]) / 50) || sent["cut"] < 20 }' "$work_dir/report"
+               is_broken_elsewhere = served["other"] * 50 < sent["other"] * 49 || sent["other"] < 20
+               exit is_broken_elsewhere || (is_seldom && failed > 10 + (sent["cut"] + sent["other"]) / 50) || sent["cut"] < 20 }' "$work_dir/report"
 }
 no_failure_after_the_first_seconds() { ! grep '^gateway=cut' "$work_dir/report" | field last_failure_s | awk '$1 > 3' | grep -q .; }
 all_served_afterwards() { awk '/^gateway=/ { for (i = 1; i <= NF; i++) { split($i, pair, "="); value[pair[1]] = pair[2] }
