gateway: Probe all replicas before a path is lost, and tell why a peer refuses

A check now probes up to 24 replicas, one that accepts is enough, a peer tries two and then refuses, and says whether it can't take relays at all or refuses just this request, which no other peer would take then.

--- a/include/arbutuspier/upstreampath.h
+++ b/include/arbutuspier/upstreampath.h
@@ -4,8 +4,8 @@
 // Only connections count. A response over a connection that is open already doesn't show that
 // another one could be opened, and silence doesn't show that none could. A few replicas that can't
 // be reached may be down: before the path counts as lost, the caller probes others, those first
-// that responded last. While it is lost, the caller probes one replica after the other, and the
-// path is back when two have accepted connections for some time.
+// that responded last. While it is lost, the caller goes on probing, and the path is back when
+// replicas have accepted connections for some time.
 #pragma once
 
 #include "arbutuspier/clock.h"
@@ -29,11 +29,12 @@
     Duration window = std::chrono::seconds{2};
     Duration checkInterval = std::chrono::milliseconds{500};
     /// Most replicas that one check probes.
-    std::size_t maxProbes = 4;
-    /// Different replicas that have to accept connections until a lost path is back.
-    std::size_t minAccepting = 2;
-    /// The path is back this long after the first of them accepted one. Doubled, up to the maximum,
-    /// each time that the path is lost within `stableTime` after it was back.
+    std::size_t maxProbes = 24;
+    /// Most replicas that are probed at a time while the path is lost.
+    std::size_t maxProbesWhileLost = 4;
+    /// The path is back when a replica accepts a connection this long after one did for the first
+    /// time. Doubled, up to the maximum, each time that the path is lost within `stableTime` after
+    /// it was back.
     Duration confirmTime = std::chrono::milliseconds{200};
     Duration maxConfirmTime = std::chrono::milliseconds{1600};
     Duration stableTime = std::chrono::seconds{10};
@@ -52,8 +53,7 @@
     /// to probe the replicas that `replicasToProbe` returns, and to call `onCheckEnded`.
     bool onUnreachable(const ReplicaIncarnation &incarnation, TimePoint now);
     /// A replica accepted a new connection. Returns true if the lost path is back by that.
-    bool onConnected(const ReplicaIncarnation &incarnation, std::size_t replicaCount,
-                     TimePoint now);
+    bool onConnected(const ReplicaIncarnation &incarnation, TimePoint now);
     /// A replica responded over any connection.
     void onResponse(const ReplicaIncarnation &incarnation, TimePoint now);
 
@@ -62,8 +62,9 @@
     std::vector<ReplicaEntry> replicasToProbe(std::span<const ReplicaEntry *const> replicas) const;
     /// All probes of a check have ended. Returns true if the path is lost by that.
     bool onCheckEnded(bool wasAnyAccepted, TimePoint now);
-    /// While the path is lost, the replica to probe next; empty if there is none.
-    std::optional<ReplicaEntry> nextProbe(std::span<const ReplicaEntry *const> replicas);
+    /// While the path is lost, the replicas to probe next: those that accepted a connection, then
+    /// others in turn. Empty if there are no replicas.
+    std::vector<ReplicaEntry> nextProbes(std::span<const ReplicaEntry *const> replicas);
 
     bool isLost() const { return m_lostSince.has_value(); }
     std::optional<TimePoint> lostSince() const { return m_lostSince; }
--- a/src/gateway/relayhead.cpp
+++ b/src/gateway/relayhead.cpp
@@ -13,6 +13,7 @@
 
 constexpr const char *kConfigVersion = "Relay-Config-Version";
 constexpr const char *kReachedAttempts = "Relay-Reached-Attempts";
+constexpr const char *kPeerUnable = "Relay-Peer-Unable";
 
 template <class Number>
 std::optional<Number> takeNumber(platform::Fields &fields, const char *name)
@@ -40,14 +41,18 @@
     return version && attempts ? std::optional(RelayHead{*version, *attempts}) : std::nullopt;
 }
 
-void setRelayedAttempts(platform::Fields &fields, std::uint32_t reachedAttempts)
+void setRelayReport(platform::Fields &fields, const RelayReport &report)
 {
-    fields.set(kReachedAttempts, std::to_string(reachedAttempts));
+    fields.set(kReachedAttempts, std::to_string(report.reachedAttempts));
+    if (report.isPeerUnable)
+        fields.set(kPeerUnable, "1");
 }
 
-std::optional<std::uint32_t> takeRelayedAttempts(platform::Fields &fields)
+std::optional<RelayReport> takeRelayReport(platform::Fields &fields)
 {
-    return takeNumber<std::uint32_t>(fields, kReachedAttempts);
+    const auto attempts = takeNumber<std::uint32_t>(fields, kReachedAttempts);
+    const bool isPeerUnable = fields.erase(kPeerUnable) != 0;
+    return attempts ? std::optional(RelayReport{*attempts, isPeerUnable}) : std::nullopt;
 }
 
 } // namespace arbutuspier
--- a/src/gateway/relayhead.h
+++ b/src/gateway/relayhead.h
@@ -22,10 +22,18 @@
 /// Reads the fields and removes them. Returns nullopt if one is missing or is no number.
 std::optional<RelayHead> takeRelayHead(platform::Fields &fields);
 
-/// Sets, in the head of a relayed response, how many attempts have reached a replica, without those
-/// that the relaying VM knows.
-void setRelayedAttempts(platform::Fields &fields, std::uint32_t reachedAttempts);
-/// Reads the number and removes it. Returns nullopt if there is none.
-std::optional<std::uint32_t> takeRelayedAttempts(platform::Fields &fields);
+/// What the VM that got a relayed request tells the one that relayed it, in the head of the
+/// response.
+struct RelayReport
+{
+    /// Attempts that have reached a replica, without those that the relaying VM knows of.
+    std::uint32_t reachedAttempts = 0;
+    /// The VM can't take relayed requests for this service now, whatever they are.
+    bool isPeerUnable = false;
+};
+
+void setRelayReport(platform::Fields &fields, const RelayReport &report);
+/// Reads the fields and removes them. Returns nullopt if there are none.
+std::optional<RelayReport> takeRelayReport(platform::Fields &fields);
 
 } // namespace arbutuspier
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -319,7 +319,7 @@
         return m_failedReservations < kMaxFailedReservations;
     const bool wasUnreachable = m_unreachableAttempts + m_refusedRelays > 0;
     if (outcome == AttemptOutcome::NotExecuted && wasUnreachable && m_reachedAttempts == 0)
-        return m_unreachableAttempts < kMaxUnreachableAttempts;
+        return mayTryElsewhere();
     const bool mayHaveExecuted = m_possibleExecutions > 0;
     if (mayHaveExecuted && !m_route->isRetryable())
         return false;
@@ -367,7 +367,7 @@
     platform::Fields fields;
     platform::setGatewayResponseFields(fields, m_head.requestId, retryAfter);
     if (m_relay) {
-        setRelayedAttempts(fields, m_reachedAttempts - m_relay->reachedAttempts);
+        setRelayReport(fields, relayReport());
         if (m_possibleExecutions == 0)
             platform::setNotExecuted(fields);
     }
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -125,6 +125,8 @@
     Task<void> awaitConfiguration();
     /// Whether the next attempt should be made by a peer.
     bool shouldRelay() const;
+    /// Whether another attempt may be made of a request that has reached no replica so far.
+    bool mayTryElsewhere() const;
     /// Chooses a peer for the next attempt; empty if there is none.
     std::optional<DispatchGrant> relayGrant();
     /// Waits for a peer or a replica.
@@ -133,8 +135,10 @@
     UpstreamAttempt::Request relayRequest() const;
     void onRelayEnded(AttemptOutcome outcome, const UpstreamAttempt &attempt,
                       const DispatchGrant &grant);
-    /// Attempts at a peer or a replica that have reached a replica.
-    std::uint32_t reachedAttempts(UpstreamAttempt &attempt, const DispatchGrant &grant) const;
+    /// Number of times that an attempt at a replica or a peer has reached a replica. Reads what a
+    /// peer reports beside it.
+    std::uint32_t reachedAttempts(UpstreamAttempt &attempt, const DispatchGrant &grant);
+    RelayReport relayReport() const;
     /// Fields of a replica's response for the caller, or for the peer that relays the request.
     platform::Fields responseFields(const UpstreamAttempt &attempt) const;
     /// Most attempts of the request that may be executed here. The peer that relays it makes the
@@ -265,6 +269,8 @@
     std::uint32_t m_unreachableAttempts = 0;
     /// Relays that peers refused or couldn't accept.
     std::uint32_t m_refusedRelays = 0;
+    /// A peer that could take relayed requests refused this one.
+    bool m_wasRefusedByPeer = false;
     /// Peers that the request was relayed to.
     std::set<std::string> m_triedVms;
     /// Attempts for which memory could not be reserved at all helpers.
--- a/src/gateway/requesthandlerrelay.cpp
+++ b/src/gateway/requesthandlerrelay.cpp
@@ -54,9 +54,12 @@
     }
     co_await awaitConfiguration();
     const bool isOlder = !m_table || m_table->version() < m_relay->configVersion;
-    if (isOlder)
-        co_await reject(kUnavailable, "older-configuration", kRetryElsewhere);
-    co_return isOlder;
+    if (!isOlder)
+        co_return false;
+    m_state.relayPeers.endAccepted();
+    m_isAcceptedRelay = false;
+    co_await reject(kUnavailable, "older-configuration", kRetryElsewhere);
+    co_return true;
 }
 
 bool RequestHandler::shouldRelay() const
@@ -68,9 +71,26 @@
     return canRelay && isPathLost;
 }
 
+bool RequestHandler::mayTryElsewhere() const
+{
+    // The VM that relayed the request can ask another peer.
+    if (m_relay)
+        return m_unreachableAttempts < kMaxUnreachableBeforeRelay;
+    // A peer knows the load of all replicas, so that another one would refuse the request too.
+    if (m_wasRefusedByPeer)
+        return false;
+    if (m_refusedRelays > 0)
+        return shouldRelay() && m_state.relayPeers.knowsPath(m_service, m_state.clock.now());
+    return m_unreachableAttempts < kMaxUnreachableAttempts;
+}
+
 std::optional<DispatchGrant> RequestHandler::relayGrant()
 {
-    const auto peer = m_state.relayPeers.choose(m_service, m_triedVms, m_state.clock.now());
+    const TimePoint now = m_state.clock.now();
+    auto peer = m_state.relayPeers.choose(m_service, m_triedVms, now);
+    // A peer that this request was relayed to before is better than none.
+    if (!peer)
+        peer = m_state.relayPeers.choose(m_service, {}, now);
     if (!peer)
         return std::nullopt;
     m_triedVms.insert(peer->vm);
@@ -126,20 +146,32 @@
     return request;
 }
 
-std::uint32_t RequestHandler::reachedAttempts(UpstreamAttempt &attempt,
-                                              const DispatchGrant &grant) const
+std::uint32_t RequestHandler::reachedAttempts(UpstreamAttempt &attempt, const DispatchGrant &grant)
 {
     const std::uint32_t reached = attempt.wasReached() ? 1 : 0;
     if (!grant.isRelay() || attempt.status() == 0)
         return reached;
-    return takeRelayedAttempts(attempt.fields()).value_or(reached);
+    const RelayReport report =
+        takeRelayReport(attempt.fields()).value_or(RelayReport{reached, false});
+    if (report.isPeerUnable)
+        m_state.relayPeers.onFailure(grant.relayVm, m_state.clock.now());
+    else if (attempt.head().isNotExecuted)
+        m_wasRefusedByPeer = true;
+    return report.reachedAttempts;
+}
+
+RelayReport RequestHandler::relayReport() const
+{
+    const bool isPathBroken =
+        m_state.paths.isLost(m_service) || m_unreachableAttempts >= kMaxUnreachableBeforeRelay;
+    return {m_reachedAttempts - m_relay->reachedAttempts, !m_isAcceptedRelay || isPathBroken};
 }
 
 platform::Fields RequestHandler::responseFields(const UpstreamAttempt &attempt) const
 {
     platform::Fields fields = platform::callerFields(attempt.fields());
     if (m_relay)
-        setRelayedAttempts(fields, m_reachedAttempts - m_relay->reachedAttempts);
+        setRelayReport(fields, relayReport());
     return fields;
 }
 
--- a/src/gateway/upstreampaths.cpp
+++ b/src/gateway/upstreampaths.cpp
@@ -20,16 +20,16 @@
 
 } // namespace
 
-/// The probes of one check.
-struct UpstreamPaths::PathCheck
+/// Probes that run at the same time.
+struct UpstreamPaths::Probes
 {
-    PathCheck(asio::any_io_executor executor, std::size_t probes)
-        : pendingProbes(probes)
+    Probes(asio::any_io_executor executor, std::size_t count)
+        : pending(count)
         , endTimer(std::move(executor), TimePoint::max())
     {
     }
 
-    std::size_t pendingProbes;
+    std::size_t pending;
     bool wasAnyAccepted = false;
     /// Never expires; cancelled when the outcome is known.
     asio::steady_timer endTimer;
@@ -59,9 +59,7 @@
 
 void UpstreamPaths::onConnected(const ReplicaEntry &replica)
 {
-    const std::size_t replicaCount = m_directory.usable(replica.service).size();
-    const bool isBack =
-        path(replica.service).onConnected(replica.incarnation(), replicaCount, m_clock.now());
+    const bool isBack = path(replica.service).onConnected(replica.incarnation(), m_clock.now());
     if (isBack)
         announce(replica.service);
 }
@@ -105,29 +103,37 @@
     co_return co_await probeConnection(m_executor, address) == ProbeResult::StaysOpen;
 }
 
-Task<void> UpstreamPaths::probeForCheck(std::shared_ptr<PathCheck> check, ReplicaEntry replica)
+Task<void> UpstreamPaths::probe(std::shared_ptr<Probes> probes, ReplicaEntry replica)
 {
     const bool isAccepted = co_await accepts(replica);
     if (isAccepted)
         onConnected(replica);
-    check->wasAnyAccepted = check->wasAnyAccepted || isAccepted;
-    --check->pendingProbes;
-    if (isAccepted || check->pendingProbes == 0)
-        check->endTimer.cancel();
+    else
+        path(replica.service).onUnreachable(replica.incarnation(), m_clock.now());
+    probes->wasAnyAccepted = probes->wasAnyAccepted || isAccepted;
+    --probes->pending;
+    if (isAccepted || probes->pending == 0)
+        probes->endTimer.cancel();
+}
+
+Task<bool> UpstreamPaths::isAnyAccepted(std::vector<ReplicaEntry> replicas)
+{
+    const auto probes = std::make_shared<Probes>(m_executor, replicas.size());
+    for (const ReplicaEntry &replica : replicas)
+        asio::co_spawn(m_executor, probe(probes, replica), asio::detached);
+    while (probes->pending > 0 && !probes->wasAnyAccepted)
+        co_await probes->endTimer.async_wait(kAwait);
+    co_return probes->wasAnyAccepted;
 }
 
 Task<void> UpstreamPaths::check(std::string service)
 {
     const auto replicas = path(service).replicasToProbe(m_directory.usable(service));
-    const auto check = std::make_shared<PathCheck>(m_executor, replicas.size());
-    for (const ReplicaEntry &replica : replicas)
-        asio::co_spawn(m_executor, probeForCheck(check, replica), asio::detached);
-    while (check->pendingProbes > 0 && !check->wasAnyAccepted)
-        co_await check->endTimer.async_wait(kAwait);
     // Without replicas there is nothing to reach.
-    const bool isLostNow =
-        !replicas.empty() && path(service).onCheckEnded(check->wasAnyAccepted, m_clock.now());
-    if (!isLostNow)
+    if (replicas.empty())
+        co_return;
+    const bool wasAnyAccepted = co_await isAnyAccepted(replicas);
+    if (!path(service).onCheckEnded(wasAnyAccepted, m_clock.now()))
         co_return;
     announce(service);
     co_await probeUntilBack(service);
@@ -140,18 +146,14 @@
     while (isLost(service)) {
         timer.expires_after(jittered(m_random, interval));
         co_await timer.async_wait(kAwait);
-        const auto replica = path(service).nextProbe(m_directory.usable(service));
-        if (!replica) {
+        const auto replicas = path(service).nextProbes(m_directory.usable(service));
+        if (replicas.empty()) {
             path(service).reset();
             announce(service);
             co_return;
         }
-        const bool isAccepted = co_await accepts(*replica);
-        if (isAccepted)
-            onConnected(*replica);
-        else
-            onUnreachable(*replica);
-        interval = isAccepted
+        const bool wasAnyAccepted = co_await isAnyAccepted(replicas);
+        interval = wasAnyAccepted
             ? kMinProbeInterval
             : std::min(fromSeconds(kProbeIntervalGrowth * toSeconds(interval)), kMaxProbeInterval);
     }
--- a/src/gateway/upstreampaths.h
+++ b/src/gateway/upstreampaths.h
@@ -37,10 +37,12 @@
     std::function<void(const std::string &service)> onChange;
 
 private:
-    struct PathCheck;
+    struct Probes;
 
     Task<void> check(std::string service);
-    Task<void> probeForCheck(std::shared_ptr<PathCheck> check, ReplicaEntry replica);
+    Task<void> probe(std::shared_ptr<Probes> probes, ReplicaEntry replica);
+    /// Probes the replicas at the same time, until one accepts or all have failed.
+    Task<bool> isAnyAccepted(std::vector<ReplicaEntry> replicas);
     Task<void> probeUntilBack(std::string service);
     Task<bool> accepts(ReplicaEntry replica);
     void announce(const std::string &service);
--- a/src/policy/upstreampath.cpp
+++ b/src/policy/upstreampath.cpp
@@ -19,8 +19,7 @@
     return true;
 }
 
-bool UpstreamPath::onConnected(const ReplicaIncarnation &incarnation, std::size_t replicaCount,
-                               TimePoint now)
+bool UpstreamPath::onConnected(const ReplicaIncarnation &incarnation, TimePoint now)
 {
     if (!isLost()) {
         m_unreachable.clear();
@@ -30,9 +29,7 @@
         m_acceptingSince = now;
     m_unreachable.erase(incarnation);
     m_accepting.insert(incarnation);
-    const std::size_t needed = std::min(m_options.minAccepting, replicaCount);
-    const bool isBack = m_accepting.size() >= needed && now >= m_acceptingSince + m_confirmTime;
-    if (!isBack)
+    if (now < m_acceptingSince + m_confirmTime)
         return false;
     reset();
     m_restoredAt = now;
@@ -85,11 +82,18 @@
     return true;
 }
 
-std::optional<ReplicaEntry> UpstreamPath::nextProbe(std::span<const ReplicaEntry *const> replicas)
+std::vector<ReplicaEntry> UpstreamPath::nextProbes(std::span<const ReplicaEntry *const> replicas)
 {
-    if (replicas.empty())
-        return std::nullopt;
-    return *replicas[m_nextProbe++ % replicas.size()];
+    std::vector<ReplicaEntry> probed;
+    for (const ReplicaEntry *replica : replicas) {
+        if (m_accepting.contains(replica->incarnation()) && probed.empty())
+            probed.push_back(*replica);
+    }
+    const std::size_t inTurn =
+        std::min(m_options.maxProbesWhileLost - probed.size(), replicas.size());
+    for (std::size_t i = 0; i < inTurn; ++i)
+        probed.push_back(*replicas[m_nextProbe++ % replicas.size()]);
+    return probed;
 }
 
 void UpstreamPath::reset()
