gateway: Bound the attempts at unreachable replicas after one was sent

What callers saw: in the incident, one call was tried 20 times within 13 ms at a replica that refused connections, after a first attempt had been sent over a kept connection and lost. Each of these took a retry from the budget that all requests share.

The limit of six unreachable attempts was read only while no attempt had reached a replica. It now holds for all. AVmWithoutAPath.spendsFewRetriesOnARequestThatWasSentBefore failed before: all retries of the budget were spent; at most seven now.

--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -320,6 +320,8 @@
     const bool wasUnreachable = m_unreachableAttempts + m_refusedRelays > 0;
     if (outcome == AttemptOutcome::NotExecuted && wasUnreachable && m_reachedAttempts == 0)
         return mayTryElsewhere();
+    if (m_unreachableAttempts >= kMaxUnreachableAttempts)
+        return false;
     const bool mayHaveExecuted = m_possibleExecutions > 0;
     if (mayHaveExecuted && !m_route->isRetryable())
         return false;
--- a/tests/gate/relaytest.cpp
+++ b/tests/gate/relaytest.cpp
@@ -239,6 +239,25 @@
     CHECK(!other.state.paths.isLost("assist"));
 }
 
+// Guards against a request that spends the retries of all others at replicas that can't be reached.
+TEST(AVmWithoutAPath, spendsFewRetriesOnARequestThatWasSentBefore)
+{
+    fixture.state.relayPeers.setPeers({});
+    for (const char *id : {"i-1", "i-2", "i-3"})
+        fixture.state.directory.applyChanges({{id, std::nullopt}}, fixture.clock.now());
+    fixture.addReplica("i-0", "assist", {crash()});
+    const auto retriesLeft = [&] {
+        FleetRetryBudget budget = fixture.state.retryBudget("assist");
+        int count = 0;
+        while (budget.trySpend(fixture.clock.now(), 1))
+            ++count;
+        return count;
+    };
+    const int before = retriesLeft();
+    call("/look/1");
+    CHECK(before - retriesLeft() <= 7);
+}
+
 TEST(AVmWithoutAPath, blamesNoReplicaAfterThePathIsBack)
 {
     addPeerReplica("i-9", {ReplicaStep{kAnswer}});
