gateway: Send a replica that asked for rest nothing until it is over

Nothing read the Retry-After of a replica's 503, and what comes nearest, an ejection, is an order of preference: an ejected replica is used when the others are full. If only resting replicas are left, the request is refused at once with the time at which the first has rested. Limits of all VMs, health and rests stay three classes: a limit is shared between VMs, an ejection yields to need, a rest does neither.

--- a/src/gateway/dispatchqueue.cpp
+++ b/src/gateway/dispatchqueue.cpp
@@ -20,7 +20,7 @@
                              std::string zone, const UpstreamDirectory &directory,
                              const FleetGroups &groups, FleetLoad &load,
                              const ReplicaHealth &health, const ZoneHealth &zones,
-                             ReplicaRequestLimits &limits)
+                             ReplicaRequestLimits &limits, const ReplicaRests &rests)
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_vm(std::move(vm))
@@ -31,6 +31,7 @@
     , m_health(health)
     , m_zones(zones)
     , m_limits(limits)
+    , m_rests(rests)
 {
 }
 
@@ -109,6 +110,10 @@
         if (isUnwanted)
             continue;
         const ReplicaIncarnation incarnation = entry->incarnation();
+        if (const auto restEnd = m_rests.restEnd(incarnation, now)) {
+            result.restEnd = std::min(result.restEnd.value_or(*restEnd), *restEnd);
+            continue;
+        }
         const TimePoint nextStart = m_limits.nextStart(incarnation, now);
         if (nextStart > now) {
             result.nextStart = std::min(result.nextStart.value_or(nextStart), nextStart);
@@ -133,6 +138,18 @@
     return result;
 }
 
+std::optional<TimePoint> DispatchQueue::allRestUntil(const std::string &service) const
+{
+    std::optional<TimePoint> first;
+    for (const ReplicaEntry *entry : usable(service)) {
+        const auto restEnd = m_rests.restEnd(entry->incarnation(), m_clock.now());
+        if (!restEnd)
+            return std::nullopt;
+        first = std::min(first.value_or(*restEnd), *restEnd);
+    }
+    return first;
+}
+
 Duration DispatchQueue::maxWait(const DispatchRequirements &requirements) const
 {
     const ServiceSpec *service = requirements.table->service(requirements.service);
@@ -172,6 +189,11 @@
     const std::vector<PlacementCandidate> &all = found.replicas;
     if (all.empty() && found.nextStart)
         return rejectIfLimitedForTooLong(ticket, found);
+    if (all.empty() && found.restEnd) {
+        ticket.result.retryAfter = *found.restEnd - m_clock.now();
+        reject(ticket, DispatchRejection::Resting);
+        return true;
+    }
     if (all.empty()) {
         reject(ticket, DispatchRejection::NoReplica);
         return true;
--- a/src/gateway/dispatchqueue.h
+++ b/src/gateway/dispatchqueue.h
@@ -7,6 +7,7 @@
 #include "arbutuspier/placementplan.h"
 #include "arbutuspier/replicahealth.h"
 #include "arbutuspier/replicarequestlimits.h"
+#include "arbutuspier/replicarests.h"
 #include "arbutuspier/routetable.h"
 #include "arbutuspier/upstreamdirectory.h"
 #include "arbutuspier/zonehealth.h"
@@ -81,6 +82,8 @@
     CannotMeetDeadline,
     /// All replicas limit their requests, and this VM's shares are used up for too long.
     RateLimited,
+    /// All replicas that are left have asked this VM for rest.
+    Resting,
     /// No connection to a replica can be opened, and no peer is known that has a path to them.
     NoPath,
     /// The request was cancelled while it waited, as its caller disconnected.
@@ -125,7 +128,7 @@
     DispatchQueue(asio::any_io_executor executor, const Clock &clock, std::string vm,
                   std::string zone, const UpstreamDirectory &directory, const FleetGroups &groups,
                   FleetLoad &load, const ReplicaHealth &health, const ZoneHealth &zones,
-                  ReplicaRequestLimits &limits);
+                  ReplicaRequestLimits &limits, const ReplicaRests &rests);
 
     /// Waits until the request is assigned to a replica or rejected. A grant must be ended with
     /// `end`.
@@ -140,6 +143,9 @@
     /// Assigns the waiting requests that now can be. Call it when capacity or replicas changed.
     void dispatchWaiting();
 
+    /// When the first replica of the service has rested; empty if one isn't resting.
+    std::optional<TimePoint> allRestUntil(const std::string &service) const;
+
     std::size_t waiting() const { return m_waiting.size(); }
     std::size_t running() const { return m_load.activeRequestsOf(m_vm).size(); }
     /// Called on each change of this VM's own active requests.
@@ -158,6 +164,8 @@
         std::optional<PlacementCandidate> probed;
         /// When the next of the replicas that are left out for their request limits may get one.
         std::optional<TimePoint> nextStart;
+        /// When the first of the replicas that are left out because they rest has rested.
+        std::optional<TimePoint> restEnd;
         /// This VM's shares of all those replicas, in requests a second.
         double limitedPerSecond = 0;
     };
@@ -191,6 +199,7 @@
     const ReplicaHealth &m_health;
     const ZoneHealth &m_zones;
     ReplicaRequestLimits &m_limits;
+    const ReplicaRests &m_rests;
     PlacementOptions m_options;
     /// Invariant: sorted by (priority, order); none has a result yet.
     std::list<std::shared_ptr<Ticket>> m_waiting;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -134,6 +134,8 @@
     metrics.setGauge("waiting", static_cast<double>(m_state.dispatchQueue.waiting()));
     metrics.setGauge("replicas", static_cast<double>(m_state.directory.size()));
     metrics.setGauge("limited_replicas", static_cast<double>(m_state.limits.limitedCount()));
+    metrics.setGauge("resting_replicas",
+                     static_cast<double>(m_state.rests.restingCount(m_clock.now())));
     metrics.setGauge("lost_paths", static_cast<double>(m_state.paths.lostServices().size()));
     metrics.setGauge("vms", static_cast<double>(m_state.vmCount()));
     metrics.setGauge("idle_connections", static_cast<double>(m_state.pool.idleCount()));
@@ -211,6 +213,7 @@
         m_state.pool.tick(now);
         m_state.suspects.tick();
         m_state.limits.tick(now);
+        m_state.rests.tick(now);
         m_state.dispatchQueue.dispatchWaiting();
         std::erase_if(m_callerConnections,
                       [](const auto &connection) { return connection.expired(); });
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -39,10 +39,11 @@
     , health({})
     , zones({})
     , limits(settings.vm, ReplicaRequestLimitOptions{}, seedOf(settings.vm, clock))
+    , rests({})
     , pool({})
     , suspects(executor, clock, metrics, settings.replicaHeartbeat)
     , dispatchQueue(executor, clock, settings.vm, settings.zone, directory, groups, load, health,
-                    zones, limits)
+                    zones, limits, rests)
     , random(seedOf(settings.vm, clock))
     , paths(executor, clock, directory, random)
 {
@@ -127,6 +128,23 @@
         limits.onResponse(incarnation, head.requestLimit, sentAt, clock.now());
 }
 
+void GatewayState::recordRest(const ReplicaIncarnation &incarnation,
+                              const platform::ResponseHead &head)
+{
+    if (!head.invalidRest.empty())
+        LOG(WARNING) << LogLine("rest_invalid")
+                            .add("replica", incarnation.id)
+                            .add("value", head.invalidRest)
+                            .text();
+    if (!head.rest || !rests.onRest(incarnation, *head.rest, clock.now()))
+        return;
+    metrics.incrementCounter("rests", "asked");
+    LOG(INFO) << LogLine("replica_rests")
+                     .add("replica", incarnation.id)
+                     .addSeconds("seconds", toSeconds(*head.rest))
+                     .text();
+}
+
 void GatewayState::logRequestLimit(const RequestLimitNotice &notice, std::string_view source) const
 {
     const bool hasEnded = !notice.perSecond;
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -6,6 +6,7 @@
 #include "arbutuspier/random.h"
 #include "arbutuspier/replicahealth.h"
 #include "arbutuspier/replicarequestlimits.h"
+#include "arbutuspier/replicarests.h"
 #include "arbutuspier/routetable.h"
 #include "arbutuspier/upstreamdirectory.h"
 #include "arbutuspier/zonehealth.h"
@@ -46,6 +47,8 @@
     /// `sentAt`, or that it named none. `isAuthentic` says that the replica itself responded.
     void recordRequestLimit(const ReplicaIncarnation &incarnation,
                             const platform::ResponseHead &head, bool isAuthentic, TimePoint sentAt);
+    /// Records that the replica asked this VM for rest in the head of a response, if it did.
+    void recordRest(const ReplicaIncarnation &incarnation, const platform::ResponseHead &head);
     void logRequestLimit(const RequestLimitNotice &notice, std::string_view source) const;
     /// Records that the replica refused a connection or didn't accept it in time.
     void recordUnreachable(const ReplicaEntry &replica);
@@ -95,6 +98,7 @@
     ReplicaHealth health;
     ZoneHealth zones;
     ReplicaRequestLimits limits;
+    ReplicaRests rests;
     UpstreamPool pool;
     GatewayMetrics metrics;
     SuspectTracker suspects;
--- a/src/gateway/memoryreservation.cpp
+++ b/src/gateway/memoryreservation.cpp
@@ -26,9 +26,18 @@
 /// limit frees the memory.
 constexpr int kReleaseAttempts = 3;
 
-/// Sends an order. Returns the status of the response, or zero if none came.
+/// In place of a status: the order was not sent, as the replica rests.
+constexpr int kWithheld = -1;
+
+/// Sends an order. Returns the status of the response, zero if none came, or `kWithheld`.
 Task<int> sendOrder(GatewayState &state, const ReplicaEntry &replica, platform::OrderRequest order)
 {
+    if (!state.rests.tryOrder(replica.incarnation(), state.clock.now())) {
+        // Its time limit ends the reservation.
+        state.metrics.incrementCounter("orders", "withheld");
+        LOG(INFO) << LogLine("order_withheld").add("replica", replica.id).text();
+        co_return kWithheld;
+    }
     UpstreamAttempt attempt(state.executor, state.pool, replica.incarnation());
     attempt.setSentAt(state.clock.now());
     attempt.expireAt(attempt.sentAt() + kOrderTimeout);
@@ -37,6 +46,7 @@
         "orders", sent == UpstreamAttempt::SendResult::GotHead ? "answered" : "lost");
     if (sent != UpstreamAttempt::SendResult::GotHead)
         co_return 0;
+    state.recordRest(replica.incarnation(), attempt.head());
     // Only a response to a request shows that a limit has ended.
     state.recordRequestLimit(replica.incarnation(), attempt.head(), false, attempt.sentAt());
     std::string body;
@@ -105,7 +115,7 @@
                          .add("reservation", reservation.id)
                          .add("replica", reservation.replica.id)
                          .add("tokens", reservation.tokens)
-                         .add("status", static_cast<std::uint64_t>(status))
+                         .add("status", std::to_string(status))
                          .text();
     }
     if (shared->pendingOrders > 0 && --shared->pendingOrders == 0)
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -61,6 +61,8 @@
         return "cannot-meet-deadline";
     case DispatchRejection::RateLimited:
         return "rate-limited";
+    case DispatchRejection::Resting:
+        return "resting";
     case DispatchRejection::NoPath:
         return "no-path";
     case DispatchRejection::Cancelled:
@@ -245,6 +247,9 @@
 
 Duration RequestHandler::retryAfter(const DispatchResult &result) const
 {
+    // Before that time, the request would be refused again.
+    if (result.rejection == DispatchRejection::Resting && result.retryAfter)
+        return *result.retryAfter;
     if (result.retryAfter)
         return std::min(*result.retryAfter, timeLeft() / kRetryDivisor);
     const bool hasNone = result.rejection == DispatchRejection::NoReplica
@@ -355,7 +360,9 @@
         co_return;
     }
     if (m_possibleExecutions == 0) {
-        co_await reject(kUnavailable, "upstream-refused", kRetryWhenFull);
+        const auto restEnd = m_state.dispatchQueue.allRestUntil(m_service);
+        const Duration retryAfter = restEnd ? *restEnd - m_state.clock.now() : kRetryWhenFull;
+        co_await reject(kUnavailable, "upstream-refused", retryAfter);
         co_return;
     }
     const bool isLate = m_state.clock.now() >= deadline();
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -98,12 +98,14 @@
         ++m_failedReservations;
         co_return AttemptOutcome::NotExecuted;
     }
-    // It may have left while memory was reserved.
-    const bool isUsable =
-        grant.isRelay() || m_state.directory.isUsable(grant.replica.incarnation());
+    // It may have left, or asked for rest, while memory was reserved.
+    const ReplicaIncarnation incarnation = grant.replica.incarnation();
+    const bool isUsable = grant.isRelay()
+        || (m_state.directory.isUsable(incarnation)
+            && !m_state.rests.isResting(incarnation, m_state.clock.now()));
     if (isQuarantined() || !isUsable)
         co_return AttemptOutcome::NotExecuted;
-    UpstreamAttempt attempt(m_state.executor, m_state.pool, grant.replica.incarnation());
+    UpstreamAttempt attempt(m_state.executor, m_state.pool, incarnation);
     m_currentAttempt = &attempt;
     m_currentReplica = grant.replica.id;
     setFirstEventDeadline(attempt, grant);
@@ -135,6 +137,8 @@
         m_state.metrics.incrementCounter("connections", m_service);
     if (attempt.usedNewConnection() && attempt.wasReached())
         m_state.paths.onConnected(grant.replica);
+    if (sent == UpstreamAttempt::SendResult::GotHead)
+        m_state.recordRest(grant.replica.incarnation(), attempt.head());
     if (sent == UpstreamAttempt::SendResult::GotHead)
         m_state.recordRequestLimit(grant.replica.incarnation(), attempt.head(),
                                    isValidResponse(attempt), attempt.sentAt());
