gateway: Take a replica for leaving when its own response says so

A replica that leaves now says so in all its answers, and nothing read that. The head of each response to the request that was sent, of calls, errors, refusals and streams, and of orders, now records the departure in the directory, where it holds for good, whatever a list says, and peers are told with the other departures.

--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -145,6 +145,18 @@
                      .text();
 }
 
+void GatewayState::recordLeaving(const ReplicaIncarnation &incarnation)
+{
+    // Peers get it with the departures that this VM has found.
+    if (!directory.applyDeparture({incarnation, true}))
+        return;
+    LOG(INFO) << LogLine("replica_leaving")
+                     .add("replica", incarnation.id)
+                     .add("draining", "yes")
+                     .add("source", "replica")
+                     .text();
+}
+
 void GatewayState::logRequestLimit(const RequestLimitNotice &notice, std::string_view source) const
 {
     const bool hasEnded = !notice.perSecond;
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -49,6 +49,8 @@
                             const platform::ResponseHead &head, bool isAuthentic, TimePoint sentAt);
     /// Records that the replica asked this VM for rest in the head of a response, if it did.
     void recordRest(const ReplicaIncarnation &incarnation, const platform::ResponseHead &head);
+    /// Records that the replica is leaving, as it said in the head of a response.
+    void recordLeaving(const ReplicaIncarnation &incarnation);
     void logRequestLimit(const RequestLimitNotice &notice, std::string_view source) const;
     /// Records that the replica refused a connection or didn't accept it in time.
     void recordUnreachable(const ReplicaEntry &replica);
--- a/src/gateway/memoryreservation.cpp
+++ b/src/gateway/memoryreservation.cpp
@@ -47,6 +47,8 @@
     if (sent != UpstreamAttempt::SendResult::GotHead)
         co_return 0;
     state.recordRest(replica.incarnation(), attempt.head());
+    if (attempt.head().isLeaving)
+        state.recordLeaving(replica.incarnation());
     // Only a response to a request shows that a limit has ended.
     state.recordRequestLimit(replica.incarnation(), attempt.head(), false, attempt.sentAt());
     std::string body;
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -75,6 +75,8 @@
     /// Sends the request and counts the attempt.
     Task<UpstreamAttempt::SendResult> send(UpstreamAttempt &attempt, const DispatchGrant &grant,
                                            const std::vector<std::string> &reservationIds);
+    /// Records what the replica says of itself in the head of its response.
+    void recordResponseHead(const UpstreamAttempt &attempt, const ReplicaIncarnation &incarnation);
     Task<AttemptOutcome> readFullResponse(UpstreamAttempt &attempt);
     Task<AttemptOutcome> readStream(UpstreamAttempt &attempt, const DispatchGrant &grant);
     /// Forwards events to the caller, after the response head before the first ones. False if the
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -138,13 +138,23 @@
     if (attempt.usedNewConnection() && attempt.wasReached())
         m_state.paths.onConnected(grant.replica);
     if (sent == UpstreamAttempt::SendResult::GotHead)
-        m_state.recordRest(grant.replica.incarnation(), attempt.head());
-    if (sent == UpstreamAttempt::SendResult::GotHead)
-        m_state.recordRequestLimit(grant.replica.incarnation(), attempt.head(),
-                                   isValidResponse(attempt), attempt.sentAt());
+        recordResponseHead(attempt, grant.replica.incarnation());
     co_return sent;
 }
 
+void RequestHandler::recordResponseHead(const UpstreamAttempt &attempt,
+                                        const ReplicaIncarnation &incarnation)
+{
+    const platform::ResponseHead &head = attempt.head();
+    // A response to another request may be that of another process.
+    if (head.requestId == m_head.requestId) {
+        m_state.recordRest(incarnation, head);
+        if (head.isLeaving)
+            m_state.recordLeaving(incarnation);
+    }
+    m_state.recordRequestLimit(incarnation, head, isValidResponse(attempt), attempt.sentAt());
+}
+
 Task<RequestHandler::AttemptOutcome> RequestHandler::readResponse(UpstreamAttempt::SendResult sent,
                                                                   UpstreamAttempt &attempt,
                                                                   const DispatchGrant &grant)
--- a/tests/gate/restingreplicatest.cpp
+++ b/tests/gate/restingreplicatest.cpp
@@ -111,6 +111,17 @@
     CHECK(!other.requests().empty());
 }
 
+// Guards against a response of another process that has the replica's address.
+TEST(AReplicaThatAsksForRest, isNotRestedForAResponseToAnotherRequest)
+{
+    ReplicaStep foreign{"HTTP/1.1 503 X\r\nX-Arbutuspier-Attempt-Id: other\r\nRetry-After: 3\r\n"
+                        "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n"};
+    fixture.addReplica("i-1", "desk", {foreign});
+    call("/look/1");
+    CHECK(!isResting("i-1"));
+    CHECK(fixture.state.directory.isUsable({"i-1", 1}));
+}
+
 TEST(AReplicaThatAsksForRest, keepsTheLongerOfTwoRests)
 {
     const ReplicaIncarnation replica{"i-1", 1};
