--- a/tests/process/vm-without-path.sh
+++ b/tests/process/vm-without-path.sh
@@ -73,6 +73,32 @@
     check "no answer belongs to another request" eval '! grep -q WRONG "$work_dir/report"'
 }
 
+# Gateway 2 is cut, and gateway 3, which takes a part of its requests, ends meanwhile.
+play_with_ending_peer() { # signal
+    local before
+    print_line "Links are reset at gateway 2, and gateway 3 gets SIG$1."
+    before=$(order_runs)
+    python3 tests/process/firsttries.py reset "$cut_seconds" "$(gateway_url 2)," "$(gateway_url 4)," "$(link_control 2)," \
+        >"$work_dir/report" &
+    local load=$!
+    sleep 4.5
+    kill "-$1" "${pids[gateway-3]}"
+    wait "$load"
+    sed 's/^/   /' "$work_dir/report"
+    check "callers of the cut gateway are served as those of the other" serves_like_the_others
+    check "all are served after the links are back" all_served_afterwards
+    check "no order runs twice, and none that was refused" no_order_runs_twice_or_after_a_refusal "$before" "$(order_runs)"
+    check "no answer belongs to another request" eval '! grep -q WRONG "$work_dir/report"'
+    until_true 100 eval '! is_running gateway-3'
+    start_gateway_behind_links 3
+    check "gateway 3 is ready again" until_true 60 gateway_is_ready 3
+    sleep 1
+}
+relay_port_is_closed_to_others() { # loopback address 1 is no gateway's
+    [ "$(curl -s -o /dev/null -m 2 -w '%{http_code}' "http://127.0.0.4:$((base_port + 14))/look/1" -H 'Host: f.example' \
+        -H "$auth_header" -H 'X-Arbutuspier-Attempt-Id: r1' -H 'Relay-Config-Version: 1' -H 'Relay-Reached-Attempts: 0')" = 000 ]
+}
+
 start_process store build/standin --role store --port $((base_port + 1)) \
     --views "$((base_port + 2)):100,$((base_port + 3)):200"
 for i in 1 2 3; do start_replica "$i" assist; done
@@ -94,6 +120,10 @@
     play "$state" 2
     play "$state" 2 3
 done
+play_with_ending_peer TERM
+check "no first try failed when the peer drained" eval 'grep "^gateway=cut" "$work_dir/report" | field failures | grep -qx 0'
+play_with_ending_peer KILL
+check "only gateways may relay" relay_port_is_closed_to_others
 check "no request was rejected for the crashes of cut replicas" eval '! grep -q "reason=quarantined" "$work_dir"/gateway-*.log'
 [ -z "${KEEP_LOGS:-}" ] || cp "$work_dir"/gateway-*.log "$work_dir"/links-*.log "$KEEP_LOGS"
 
