--- a/tests/gate/upstreampooltest.cpp
+++ b/tests/gate/upstreampooltest.cpp
@@ -1,8 +1,14 @@
 // How long and how many idle connections the pool keeps.
 #include "gateway/upstreampool.h"
 
+#include "net/httpchannel.h"
+
 #include <CppUTest/TestHarness.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 using namespace arbutuspier;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -45,3 +51,26 @@
     pool.tick(startTime + milliseconds{11'100});
     LONGS_EQUAL(1, pool.idleCount());
 }
+
+TEST_GROUP(AConnectionWithProbes){};
+
+// Guards against a TCP_USER_TIMEOUT, which would decide in place of the number of probes when a
+// silent connection fails.
+TEST(AConnectionWithProbes, hasNoOtherTimeout)
+{
+    asio::io_context context;
+    Tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    Tcp::socket socket(context);
+    socket.connect(acceptor.local_endpoint());
+    enableProbes(socket);
+    const auto option = [&](int name) {
+        unsigned value = 0;
+        socklen_t size = sizeof(value);
+        CHECK(::getsockopt(socket.native_handle(), IPPROTO_TCP, name, &value, &size) == 0);
+        return value;
+    };
+    LONGS_EQUAL(0, option(TCP_USER_TIMEOUT));
+    LONGS_EQUAL(1, option(TCP_KEEPIDLE));
+    LONGS_EQUAL(1, option(TCP_KEEPINTVL));
+    LONGS_EQUAL(2, option(TCP_KEEPCNT));
+}
