gateway: Rely on peers to read the store only as long as they do

With many readers a VM polls each 5 s in the mean, up to 8 s, and trusted that the others poll in between. VMs that are cut off learn of that only by a poll of their own, and the wait that was drawn before passes in any case. A VM now tells its peers of each poll of the replicas (one short datagram, only in fleets in which VMs poll less often because of each other), and one that has heard of no poll for 0.4 of the drain bound, up to a third longer by chance, polls itself. Such polls don't move its phase.

--- a/src/gateway/peermessenger.h
+++ b/src/gateway/peermessenger.h
@@ -39,6 +39,8 @@
     void broadcast(const RequestLimitNotice &notice);
     /// Tells peers to which services this VM has lost its paths.
     void broadcastLostPaths();
+    /// Tells peers that this VM has read the list of replicas.
+    void broadcastReplicasRead();
     /// Sends peers the departures of replicas that this VM has found since the last call.
     void broadcastDepartures();
     /// Sends peers these departures, and the status if it changed, for example by a new
--- a/src/gateway/peermessengernotices.cpp
+++ b/src/gateway/peermessengernotices.cpp
@@ -1,10 +1,12 @@
 // The part of PeerMessenger that exchanges notices in datagrams of their own: on parts of prompts,
-// request limits and lost paths. They have no sequence numbers, as they may be merged in any order.
+// request limits, lost paths and reads of the store. They have no sequence numbers, as they may be
+// merged in any order.
 #include "gateway/peermessenger.h"
 
 #include "gateway/cborfields.h"
 #include "gateway/lostpathscodec.h"
 #include "gateway/partnoticescodec.h"
+#include "gateway/replicasreadcodec.h"
 #include "gateway/requestlimitcodec.h"
 
 #include <algorithm>
@@ -65,6 +67,11 @@
     sendToAll(encodeLostPaths({m_state.settings.vm, m_state.paths.lostServices()}));
 }
 
+void PeerMessenger::broadcastReplicasRead()
+{
+    sendToAll(encodeReplicasRead());
+}
+
 void PeerMessenger::updateRelayPeers()
 {
     std::vector<RelayPeer> peers;
@@ -98,6 +105,10 @@
         m_state.suspects.merge(parts->notices);
         return true;
     }
+    if (isReplicasRead(bytes)) {
+        m_store.onPeerReadReplicas();
+        return true;
+    }
     if (const auto lost = decodeLostPaths(bytes)) {
         m_state.relayPeers.applyLostPaths(*lost, m_state.clock.now());
         return true;
--- /dev/null
+++ b/src/gateway/replicasreadcodec.cpp
@@ -0,0 +1,30 @@
+// One CBOR array: format, format version. Builds that don't know the format drop it.
+#include "gateway/replicasreadcodec.h"
+
+#include "gateway/cborfields.h"
+
+#include <cstdint>
+
+namespace arbutuspier {
+
+namespace {
+
+constexpr const char *kFormat = "replicas-read";
+/// To be incremented when a field changes its meaning.
+constexpr std::uint64_t kFormatVersion = 1;
+
+} // namespace
+
+std::string encodeReplicasRead()
+{
+    std::string bytes;
+    Json::to_cbor(Json::array({kFormat, kFormatVersion}), bytes);
+    return bytes;
+}
+
+bool isReplicasRead(std::string_view bytes)
+{
+    return parseCbor(bytes) == Json::array({kFormat, kFormatVersion});
+}
+
+} // namespace arbutuspier
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -26,6 +26,9 @@
 constexpr double kConfigWaitFraction = 0.6;
 /// Interval between polls of the replicas, as a fraction of the drain bound.
 constexpr double kReplicaPollFraction = 0.3;
+/// Age of the last poll of any VM after which a VM doesn't rely on the others, as a fraction of the
+/// drain bound.
+constexpr double kMaxReadAgeFraction = 0.4;
 /// Reports of unlisted VMs within this time are coalesced into one poll, as many may start at once.
 constexpr Duration kVmCoalesceDelay = std::chrono::seconds{2};
 constexpr Duration kVmPollInterval = std::chrono::seconds{8};
@@ -65,7 +68,7 @@
 SharedPollIntervalOptions replicaIntervalOptions(const GatewaySettings &settings)
 {
     return {scaled(kReplicaPollFraction, settings.drainBound), kReplicaFactorPerReader,
-            kMaxReplicaPollInterval};
+            kMaxReplicaPollInterval, scaled(kMaxReadAgeFraction, settings.drainBound)};
 }
 
 } // namespace
@@ -139,6 +142,18 @@
     }
 }
 
+Task<void> StoreWatcher::awaitReplicaPoll(TimePoint due)
+{
+    m_replicaSchedule.scheduleAt(due);
+    const auto nextPoll = [this] {
+        return std::min(m_replicaSchedule.due(), m_replicaInterval.staleAt());
+    };
+    while (m_state.clock.now() < nextPoll()) {
+        m_replicaTimer.expires_at(nextPoll());
+        co_await m_replicaTimer.async_wait(kAwait);
+    }
+}
+
 std::uint64_t StoreWatcher::calls() const
 {
     return m_configClient.calls() + m_replicaClient.calls() + m_vmClient.calls();
@@ -377,10 +392,11 @@
         if (isApplied) {
             failures = 0;
             isFullRead = false;
-            co_await awaitPoll(m_replicaSchedule, m_replicaTimer,
-                               m_replicaInterval.nextPoll(m_state.clock.now(),
-                                                          m_state.storeReaderCount(),
-                                                          m_state.random));
+            const std::size_t readers = m_state.storeReaderCount();
+            if (onReplicasRead && m_replicaInterval.reliesOnPeers(readers))
+                onReplicasRead();
+            co_await awaitReplicaPoll(
+                m_replicaInterval.nextPoll(polledAt, readers, m_state.random));
             continue;
         }
         const bool needsFullRead = !isFullRead && read.outcome == Outcome::HistoryTruncated;
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -39,6 +39,8 @@
     /// A peer saw the replicas change at this revision. Polls them soon if this VM has read only an
     /// earlier one.
     void onReplicasChanged(platform::StoreRevision revision);
+    /// A peer has read the list of replicas from the store.
+    void onPeerReadReplicas() { m_replicaInterval.onRead(m_state.clock.now()); }
     /// Records that a datagram of the VM arrived, so that its registration is kept.
     void onPeerMessage(const std::string &vm);
     /// A VM that is missing in the list of VMs sent a datagram. Polls the list soon.
@@ -66,6 +68,8 @@
     std::function<void()> onStoreRestored;
     std::function<void()> onConfiguration;
     std::function<void()> onReplicas;
+    /// Called when this VM has read the list of replicas and its peers rely on that.
+    std::function<void()> onReplicasRead;
 
 private:
     /// Timeout of a call to the store, beside the time for which a long poll waits.
@@ -80,6 +84,9 @@
     Task<void> sleepFor(asio::steady_timer &timer, Duration duration);
     /// Waits until `due`, or until a reported change or pollReplicasNow() makes a poll due earlier.
     Task<void> awaitPoll(PollSchedule &schedule, asio::steady_timer &timer, TimePoint due);
+    /// Waits for the next poll of the replicas: until `due`, a reported change, or the time from
+    /// which this VM can't rely on its peers.
+    Task<void> awaitReplicaPoll(TimePoint due);
     /// Applies a configuration if it is newer. One that can't be decoded is logged and ignored.
     void tryApplyConfiguration(const std::string &bytes, std::string_view source);
     void handleConfigurationRead(const platform::StoreRead &read);
--- a/tests/gate/sharedpollintervaltest.cpp
+++ b/tests/gate/sharedpollintervaltest.cpp
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <vector>
 
 using namespace arbutuspier;
@@ -17,7 +18,7 @@
 
 SharedPollIntervalOptions options()
 {
-    return {milliseconds{900}, 0.22, std::chrono::seconds{8}};
+    return {milliseconds{900}, 0.22, std::chrono::seconds{8}, milliseconds{1200}};
 }
 
 } // namespace
@@ -80,6 +81,104 @@
     CHECK(pollInterval.nextPoll(kStart + milliseconds{1}, kReaders, random) == nextPoll);
 }
 
+TEST_GROUP(AFleetThatSharesThePolls)
+{
+    /// Polls that don't succeed end after this time.
+    static constexpr Duration kCallTimeout = milliseconds{800};
+
+    struct Vm
+    {
+        SharedPollInterval interval{options()};
+        TimePoint due = kStart;
+        bool isCut = false;
+        std::size_t readers = kReaders;
+    };
+
+    /// All VMs but the first `survivors` lose the store at the same moment, and `after` that a
+    /// change is written. Returns how long it takes until one of the others has read it.
+    static Duration timeUntilRead(unsigned seed, std::size_t survivors, Duration after)
+    {
+        Random random(seed);
+        std::vector<Vm> vms(kReaders);
+        const TimePoint cutAt = kStart + std::chrono::seconds{30};
+        const TimePoint changedAt = cutAt + after;
+        std::vector<TimePoint> saysLostAt(kReaders, TimePoint::max());
+        for (TimePoint now = kStart;; now += milliseconds{5}) {
+            for (std::size_t i = 0; i < vms.size(); ++i) {
+                Vm &vm = vms[i];
+                const bool isCut = i >= survivors && now >= cutAt;
+                if (now < std::min(vm.due, vm.interval.staleAt()))
+                    continue;
+                if (isCut) {
+                    saysLostAt[i] = std::min(saysLostAt[i], now + kCallTimeout);
+                    vm.due = TimePoint::max();
+                    vm.interval.onRead(now + std::chrono::hours{1});
+                    continue;
+                }
+                if (now >= changedAt)
+                    return now - changedAt;
+                vm.readers = static_cast<std::size_t>(std::count_if(
+                    saysLostAt.begin(), saysLostAt.end(), [&](TimePoint at) { return at > now; }));
+                vm.due = vm.interval.nextPoll(now, vm.readers, random);
+                for (Vm &other : vms)
+                    other.interval.onRead(now);
+            }
+        }
+    }
+
+    static void checkReadsInTime(std::size_t survivors)
+    {
+        for (unsigned seed = 1; seed <= 200; ++seed) {
+            Random random(seed);
+            const Duration after = milliseconds{random() % 2000};
+            CHECK(timeUntilRead(seed, survivors, after) < kDrainBound * 2 / 3);
+        }
+    }
+};
+
+// Guards against a VM that waits for peers which have lost the store
+// (docs/incidents/requests-after-a-departure.md).
+TEST(AFleetThatSharesThePolls, readsInTimeIfAllButOneLoseTheStore)
+{
+    checkReadsInTime(1);
+}
+
+TEST(AFleetThatSharesThePolls, readsInTimeIfAllButTwoLoseTheStore)
+{
+    checkReadsInTime(2);
+}
+
+TEST(AFleetThatSharesThePolls, readsInTimeIfAZoneKeepsTheStore)
+{
+    checkReadsInTime(kReaders / 3);
+}
+
+TEST(AFleetThatSharesThePolls, pollsNoMoreOftenOnACalmDay)
+{
+    const auto pollsOf = [](SharedPollIntervalOptions used) {
+        Random random(7);
+        std::vector<Vm> vms(kReaders);
+        for (Vm &vm : vms)
+            vm.interval = SharedPollInterval(used);
+        int polls = 0;
+        for (TimePoint now = kStart; now < kStart + std::chrono::minutes{20};
+             now += milliseconds{5}) {
+            for (Vm &vm : vms) {
+                if (now < std::min(vm.due, vm.interval.staleAt()))
+                    continue;
+                ++polls;
+                vm.due = vm.interval.nextPoll(now, kReaders, random);
+                for (Vm &other : vms)
+                    other.interval.onRead(now);
+            }
+        }
+        return polls;
+    };
+    SharedPollIntervalOptions alone = options();
+    alone.maxReadAge.reset();
+    CHECK(pollsOf(options()) <= pollsOf(alone) * 1.02);
+}
+
 TEST_GROUP(PollSchedule)
 {
     PollSchedule schedule{milliseconds{300}};
