--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -135,6 +135,8 @@
     Task<DispatchResult> acquire();
     void endGrant(const DispatchGrant &grant);
     UpstreamAttempt::Request relayRequest() const;
+    /// The caller's request with other fields.
+    UpstreamAttempt::Request callerRequest(platform::Fields fields) const;
     void onRelayEnded(AttemptOutcome outcome, const UpstreamAttempt &attempt,
                       const DispatchGrant &grant);
     /// Number of times that an attempt at a replica or a peer has reached a replica. Reads what a
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -45,8 +45,13 @@
         head.lastEventId = m_joiner->lastId();
     for (std::size_t i = 0; i < grant.helpers.size(); ++i)
         head.helpers.push_back({grant.helpers[i].replica.address, reservationIds[i]});
+    return callerRequest(platform::upstreamFields(m_request.base(), head));
+}
+
+UpstreamAttempt::Request RequestHandler::callerRequest(platform::Fields fields) const
+{
     UpstreamAttempt::Request request;
-    static_cast<http::fields &>(request.base()) = platform::upstreamFields(m_request.base(), head);
+    static_cast<http::fields &>(request.base()) = std::move(fields);
     request.version(m_request.version());
     request.method_string(m_request.method_string());
     request.target(m_request.target());
--- a/src/gateway/requesthandlerrelay.cpp
+++ b/src/gateway/requesthandlerrelay.cpp
@@ -5,16 +5,10 @@
 // the caller sent the request to decides on all others. A relayed request is never relayed again.
 #include "gateway/requesthandler.h"
 
-#include "kernel/logline.h"
-
-#include <glog/logging.h>
-
 #include <algorithm>
 
 namespace arbutuspier {
 
-namespace http = boost::beast::http;
-
 namespace {
 
 constexpr int kUnavailable = 503;
@@ -131,19 +125,11 @@
 
 UpstreamAttempt::Request RequestHandler::relayRequest() const
 {
-    UpstreamAttempt::Request request;
-    static_cast<http::fields &>(request.base()) =
+    platform::Fields fields =
         platform::relayFields(m_request.base(), deadline() - m_state.clock.now(),
                               m_joiner ? m_joiner->lastId() : std::nullopt);
-    setRelayHead(request.base(), {m_table->version(), m_reachedAttempts});
-    request.version(m_request.version());
-    request.method_string(m_request.method_string());
-    request.target(m_request.target());
-    request.body() = m_request.body();
-    const bool hasBody = !m_request.body().empty() || m_request.has_content_length();
-    if (hasBody)
-        request.content_length(m_request.body().size());
-    return request;
+    setRelayHead(fields, {m_table->version(), m_reachedAttempts});
+    return callerRequest(std::move(fields));
 }
 
 std::uint32_t RequestHandler::reachedAttempts(UpstreamAttempt &attempt, const DispatchGrant &grant)
--- a/tools/standin/storeserver.cpp
+++ b/tools/standin/storeserver.cpp
@@ -1,11 +1,11 @@
 // Implements those calls of the metadata store that the gateway uses.
 #include "storeserver.h"
 
+#include "platform/base64.h"
 #include "platform/tablenames.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/beast/core/detail/base64.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -33,35 +33,19 @@
     return std::string(rest.substr(0, rest.find('&')));
 }
 
-std::string decodeBase64(const std::string &text)
-{
-    namespace base64 = boost::beast::detail::base64;
-    std::string bytes(base64::decoded_size(text.size()), '\0');
-    bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
-    return bytes;
-}
-
-std::string encodeBase64(const std::string &bytes)
-{
-    namespace base64 = boost::beast::detail::base64;
-    std::string text(base64::encoded_size(bytes.size()), '\0');
-    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
-    return text;
-}
-
 /// Adds the offset to the port of a replica's address. Other rows are returned as they are.
 std::string withPortOffset(const std::string &table, const std::string &data,
                            std::uint16_t portOffset)
 {
     if (portOffset == 0 || table != platform::kReplicaTable)
         return data;
-    Json entry = Json::parse(decodeBase64(data), nullptr, false);
+    Json entry = Json::parse(platform::decodeBase64(data), nullptr, false);
     Address address;
     if (!entry.is_object() || !parseAddress(entry.value("address", ""), address))
         return data;
     address.port = static_cast<std::uint16_t>(address.port + portOffset);
     entry["address"] = address.text();
-    return encodeBase64(entry.dump());
+    return platform::encodeBase64(entry.dump());
 }
 
 Json encodeRow(const std::pair<std::string, std::string> &key, const std::string &data,
