gateway: Rest a peer only for relays that it refused

A peer that had found two replicas unreachable, and then served the request at a third, was taken for one that can take no relays for half a second, as its report says so with any response. With few peers left, that refused requests which the peer would have served. The report now counts in refusals only.

--- a/src/gateway/relayhead.h
+++ b/src/gateway/relayhead.h
@@ -28,7 +28,8 @@
 {
     /// Attempts that have reached a replica, without those that the relaying VM knows of.
     std::uint32_t reachedAttempts = 0;
-    /// The VM can't take relayed requests for this service now, whatever they are.
+    /// If the request was refused: the VM can't take relayed requests for this service now,
+    /// whatever they are.
     bool isPeerUnable = false;
 };
 
--- a/src/gateway/requesthandlerrelay.cpp
+++ b/src/gateway/requesthandlerrelay.cpp
@@ -139,9 +139,10 @@
         return reached;
     const RelayReport report =
         takeRelayReport(attempt.fields()).value_or(RelayReport{reached, false});
-    if (report.isPeerUnable)
+    const bool isRefused = attempt.head().isNotExecuted;
+    if (isRefused && report.isPeerUnable)
         m_state.relayPeers.onFailure(grant.relayVm, m_state.clock.now());
-    else if (attempt.head().isNotExecuted)
+    else if (isRefused)
         m_wasRefusedByPeer = true;
     return report.reachedAttempts;
 }
--- a/tests/gate/relaytest.cpp
+++ b/tests/gate/relaytest.cpp
@@ -221,6 +221,21 @@
     CHECK(call("/order/1").find("503") != std::string::npos);
 }
 
+TEST(AVmWithoutAPath, goesOnWithAPeerThatFoundSomeReplicasUnreachable)
+{
+    for (const char *id : {"i-4", "i-5", "i-6"})
+        addPeerReplica(id, {ReplicaStep{kAnswer}}).close();
+    ScriptedReplica &replica = addPeerReplica("i-9", {ReplicaStep{kAnswer}});
+    losePath();
+    const TimePoint end = fixture.clock.now() + std::chrono::seconds{2};
+    while (replica.requests().empty() && fixture.clock.now() < end) {
+        call("/look/1");
+        fixture.runFor(milliseconds{100});
+    }
+    CHECK(call("/look/2").find("200 OK") != std::string::npos);
+    CHECK(call("/look/3").find("200 OK") != std::string::npos);
+}
+
 // Guards against requests that go round between VMs.
 TEST(AVmWithoutAPath, takesNoRelayedRequests)
 {
