gateway: Try the replicas that are left if a peer can't help

After two unreachable replicas the request was relayed; the peer found two unreachable as well and refused; and the first VM then gave up, although its path was not lost and one replica was left.

While the path is not lost, one relay is tried, and after its refusal the request goes on at the replicas, within six unreachable ones as before.

--- a/src/gateway/requesthandlerrelay.cpp
+++ b/src/gateway/requesthandlerrelay.cpp
@@ -58,11 +58,11 @@
 
 bool RequestHandler::shouldRelay() const
 {
-    const bool canRelay =
-        !m_relay && m_state.settings.relays.port != 0 && m_refusedRelays < kMaxRefusedRelays;
-    const bool isPathLost =
-        m_state.paths.isLost(m_service) || m_unreachableAttempts >= kMaxUnreachableBeforeRelay;
-    return canRelay && isPathLost;
+    if (m_relay || m_state.settings.relays.port == 0)
+        return false;
+    if (m_state.paths.isLost(m_service))
+        return m_refusedRelays < kMaxRefusedRelays;
+    return m_unreachableAttempts >= kMaxUnreachableBeforeRelay && m_refusedRelays == 0;
 }
 
 bool RequestHandler::mayTryElsewhere() const
@@ -73,7 +73,7 @@
     // A peer knows the load of all replicas, so that another one would refuse the request too.
     if (m_wasRefusedByPeer)
         return false;
-    if (m_refusedRelays > 0)
+    if (m_refusedRelays > 0 && m_state.paths.isLost(m_service))
         return shouldRelay() && m_state.relayPeers.knowsPath(m_service, m_state.clock.now());
     return m_unreachableAttempts < kMaxUnreachableAttempts;
 }
--- a/tests/gate/relaytest.cpp
+++ b/tests/gate/relaytest.cpp
@@ -236,6 +236,21 @@
     CHECK(call("/look/3").find("200 OK") != std::string::npos);
 }
 
+// Guards against a request that is given up though a replica is left that it wasn't tried at.
+TEST(AVmWithoutAPath, triesTheReplicasThatAreLeftIfThePeerFindsNone)
+{
+    for (const char *id : {"i-4", "i-5", "i-6"})
+        addPeerReplica(id, {ReplicaStep{kAnswer}}).close();
+    fixture.addReplica("i-7", "assist", {ReplicaStep{kAnswer}}).close();
+    for (const char *id : {"i-10", "i-11", "i-12", "i-13", "i-14", "i-15"}) {
+        fixture.addReplica(id, "assist", {ReplicaStep{kAnswer}});
+        CHECK(call("/look/1").find("200 OK") != std::string::npos);
+        fixture.state.directory.applyChanges({{id, std::nullopt}}, fixture.clock.now());
+        fixture.state.health = ReplicaHealth{{}};
+        fixture.runFor(milliseconds{600});
+    }
+}
+
 // Guards against requests that go round between VMs.
 TEST(AVmWithoutAPath, takesNoRelayedRequests)
 {
