--- a/include/arbutuspier/upstreampath.h
+++ b/include/arbutuspier/upstreampath.h
@@ -66,9 +66,8 @@
     /// others in turn. Empty if there are no replicas.
     std::vector<ReplicaEntry> nextProbes(std::span<const ReplicaEntry *const> replicas);
 
-    bool isLost() const { return m_lostSince.has_value(); }
-    std::optional<TimePoint> lostSince() const { return m_lostSince; }
-    /// No replica is known any more: nothing can be said about the path.
+    bool isLost() const { return m_isLost; }
+    /// The path doesn't count as lost any more, and what was seen of it is forgotten.
     void reset();
 
 private:
@@ -76,7 +75,7 @@
     /// Replicas that were unreachable, and when.
     std::map<ReplicaIncarnation, TimePoint> m_unreachable;
     std::map<ReplicaIncarnation, TimePoint> m_lastResponse;
-    std::optional<TimePoint> m_lostSince;
+    bool m_isLost = false;
     std::optional<TimePoint> m_restoredAt;
     std::optional<TimePoint> m_lastCheckAt;
     Duration m_confirmTime;
--- a/src/policy/upstreampath.cpp
+++ b/src/policy/upstreampath.cpp
@@ -78,7 +78,7 @@
     m_confirmTime =
         isUnstable ? std::min(2 * m_confirmTime, m_options.maxConfirmTime) : m_options.confirmTime;
     m_accepting.clear();
-    m_lostSince = now;
+    m_isLost = true;
     return true;
 }
 
@@ -98,7 +98,7 @@
 
 void UpstreamPath::reset()
 {
-    m_lostSince.reset();
+    m_isLost = false;
     m_unreachable.clear();
     m_accepting.clear();
 }
