--- a/src/gateway/peermessenger.cpp
+++ b/src/gateway/peermessenger.cpp
@@ -320,8 +320,6 @@
         sendFullState(from);
     if (reaction.mustRequestFullState)
         requestFullState(from);
-    if (reaction.hasStatus)
-        updateRelayPeers();
     if (reaction.hasStatus)
         handleStatus(*datagram.status, from);
     if (!reaction.isAccepted)
@@ -332,6 +330,7 @@
 
 void PeerMessenger::handleStatus(const PeerStatus &status, const Udp::endpoint &from)
 {
+    updateRelayPeers();
     m_store.onReplicasChanged(status.replicaRevision);
     if (m_isFetchingSnapshot || !m_store.needsSnapshot(status))
         return;
--- a/src/gateway/peermessenger.h
+++ b/src/gateway/peermessenger.h
@@ -72,7 +72,7 @@
     /// as the notices may be merged in any order and more than once.
     void sendPartNotices(const PartNotices &notices);
     void sendLimitNotices(const std::vector<RequestLimitNotice> &notices);
-    /// Tells the list of peers that may take relayed requests.
+    /// Updates the list of peers that may take relayed requests.
     void updateRelayPeers();
     /// Sends the recent notices again.
     void repeatNotices(TimePoint now);
