gateway: Try two replicas of a peer also for a request that was sent before

A peer that can't reach its replicas either is to refuse a relayed request after two of them, so that the first VM can ask another one. The limit was read only while no attempt of the request had reached a replica at all, those before the relay included: a request whose stream broke with the path was tried at up to six replicas, each a retry of the budget.

AVmWithoutAPath.triesTwoReplicasOfAPeerForARequestThatWasSentBefore: four replicas tried before (the budget ended it), two now. Found by reading.

--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -319,11 +319,11 @@
         return false;
     if (isQuarantined())
         return false;
-    if (outcome == AttemptOutcome::NotExecuted && m_reachedAttempts == 0
-        && m_failedReservations > 0)
+    const bool hasReachedNone =
+        outcome == AttemptOutcome::NotExecuted && reachedAttemptsHere() == 0;
+    if (hasReachedNone && m_failedReservations > 0)
         return m_failedReservations < kMaxFailedReservations;
-    const bool wasUnreachable = m_unreachableAttempts + m_refusedRelays > 0;
-    if (outcome == AttemptOutcome::NotExecuted && wasUnreachable && m_reachedAttempts == 0)
+    if (hasReachedNone && m_unreachableAttempts + m_refusedRelays > 0)
         return mayTryElsewhere();
     if (m_unreachableAttempts >= kMaxUnreachableAttempts)
         return false;
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -142,6 +142,9 @@
     /// Number of times that an attempt at a replica or a peer has reached a replica. Reads what a
     /// peer reports beside it.
     std::uint32_t reachedAttempts(UpstreamAttempt &attempt, const DispatchGrant &grant);
+    /// Attempts that have reached a replica, without those before the request was relayed to this
+    /// VM.
+    std::uint32_t reachedAttemptsHere() const;
     RelayReport relayReport() const;
     /// Fields of a replica's response for the caller, or for the peer that relays the request.
     platform::Fields responseFields(const UpstreamAttempt &attempt) const;
--- a/src/gateway/requesthandlerrelay.cpp
+++ b/src/gateway/requesthandlerrelay.cpp
@@ -147,11 +147,16 @@
     return report.reachedAttempts;
 }
 
+std::uint32_t RequestHandler::reachedAttemptsHere() const
+{
+    return m_relay ? m_reachedAttempts - m_relay->reachedAttempts : m_reachedAttempts;
+}
+
 RelayReport RequestHandler::relayReport() const
 {
     const bool isPathBroken =
         m_state.paths.isLost(m_service) || m_unreachableAttempts >= kMaxUnreachableBeforeRelay;
-    return {m_reachedAttempts - m_relay->reachedAttempts, !m_isAcceptedRelay || isPathBroken};
+    return {reachedAttemptsHere(), !m_isAcceptedRelay || isPathBroken};
 }
 
 platform::Fields RequestHandler::responseFields(const UpstreamAttempt &attempt) const
--- a/tests/gate/gatewayfixture.h
+++ b/tests/gate/gatewayfixture.h
@@ -257,10 +257,16 @@
     /// Sends bytes to the gateway on a new connection and returns all that it responds until it
     /// closes the connection.
     std::string call(std::string request)
+    {
+        return callAt(m_acceptor.local_endpoint().port(), std::move(request));
+    }
+
+    /// As `call`, at another port of the loopback interface.
+    std::string callAt(std::uint16_t port, std::string request)
     {
         std::string response;
         bool isDone = false;
-        asio::co_spawn(context, sendAndReceive(std::move(request), response, isDone),
+        asio::co_spawn(context, sendAndReceive(port, std::move(request), response, isDone),
                        asio::detached);
         while (!isDone)
             context.run_one();
@@ -281,7 +287,8 @@
         m_started.push_back(std::make_unique<StartedCall>());
         StartedCall &started = *m_started.back();
         asio::co_spawn(context,
-                       sendAndReceive(std::move(request), started.response, started.isDone),
+                       sendAndReceive(m_acceptor.local_endpoint().port(), std::move(request),
+                                      started.response, started.isDone),
                        asio::detached);
     }
 
@@ -363,10 +370,11 @@
         }
     }
 
-    Task<void> sendAndReceive(std::string request, std::string &response, bool &isDone)
+    Task<void> sendAndReceive(std::uint16_t port, std::string request, std::string &response,
+                              bool &isDone)
     {
         Tcp::socket socket(context);
-        co_await socket.async_connect(m_acceptor.local_endpoint(), kAwait);
+        co_await socket.async_connect({asio::ip::make_address("127.0.0.1"), port}, kAwait);
         co_await asio::async_write(socket, asio::buffer(request), kAwait);
         co_await receive(socket, response, isDone);
     }
--- a/tests/gate/relaytest.cpp
+++ b/tests/gate/relaytest.cpp
@@ -1,8 +1,12 @@
 // Sends requests to a VM without a path to the replicas, which relays them to a peer.
 #include "gatewayfixture.h"
 
+#include "gateway/relayhead.h"
+
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using namespace arbutuspier;
 using namespace arbutuspier::gatetest;
 using std::chrono::milliseconds;
@@ -36,10 +40,12 @@
 class PeerGateway
 {
 public:
-    explicit PeerGateway(asio::io_context &context, const Clock &clock)
+    /// Listens on a free port if `port` is zero.
+    PeerGateway(asio::io_context &context, const Clock &clock, const char *host = "127.0.0.1",
+                std::uint16_t port = 0)
         : state(context.get_executor(), settings, clock)
         , m_context(context)
-        , m_acceptor(context, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , m_acceptor(context, Tcp::endpoint(asio::ip::make_address(host), port))
     {
         state.applyConfiguration(*platform::decodeConfiguration(kConfig), "test");
         asio::co_spawn(context, accept(), asio::detached);
@@ -86,6 +92,12 @@
 
     /// A replica that only the peer reaches.
     ScriptedReplica &addPeerReplica(const std::string &id, std::vector<ReplicaStep> steps)
+    {
+        return addReplicaOf(peer, id, std::move(steps));
+    }
+
+    ScriptedReplica &addReplicaOf(PeerGateway & vm, const std::string &id,
+                                  std::vector<ReplicaStep> steps)
     {
         m_replicas.push_back(std::make_unique<ScriptedReplica>(
             fixture.context, std::make_shared<Script>(std::move(steps))));
@@ -95,7 +107,7 @@
         entry.address = m_replicas.back()->address();
         entry.slots = 6;
         entry.startedAtMs = 1;
-        peer.state.directory.applyChanges({{id, entry}}, fixture.clock.now());
+        vm.state.directory.applyChanges({{id, entry}}, fixture.clock.now());
         return *m_replicas.back();
     }
 
@@ -104,6 +116,18 @@
         return fixture.call(GatewayFixture::request("POST", path, kKey, "x"));
     }
 
+    /// Sends the request to the peer as another VM would relay it.
+    void relayToPeer(const char *path, const RelayHead &head)
+    {
+        platform::Fields fields;
+        setRelayHead(fields, head);
+        std::string headers = kKey;
+        for (const auto &field : fields)
+            headers +=
+                std::string(field.name_string()) + ": " + std::string(field.value()) + "\r\n";
+        fixture.callAt(peer.port(), GatewayFixture::request("POST", path, headers, "x"));
+    }
+
     void losePath()
     {
         call("/look/first");
@@ -269,6 +293,22 @@
     CHECK(!other.state.paths.isLost("assist"));
 }
 
+// Guards against a peer that tries more replicas of a request that was sent before.
+TEST(AVmWithoutAPath, triesTwoReplicasOfAPeerForARequestThatWasSentBefore)
+{
+    const std::vector<const char *> ids{"i-4", "i-5", "i-6", "i-7", "i-8", "i-9"};
+    for (const char *id : ids)
+        addPeerReplica(id, {ReplicaStep{kAnswer}}).close();
+    RelayHead sentBefore;
+    sentBefore.configVersion = 3;
+    sentBefore.reachedAttempts = 1;
+    relayToPeer("/look/1", sentBefore);
+    const auto wasUnreachable = [&](const char *id) {
+        return peer.state.health.isEjected({id, 1}, fixture.clock.now());
+    };
+    LONGS_EQUAL(2, std::count_if(ids.begin(), ids.end(), wasUnreachable));
+}
+
 // Guards against a request that spends the retries of all others at replicas that can't be reached.
 TEST(AVmWithoutAPath, spendsFewRetriesOnARequestThatWasSentBefore)
 {
