gateway: Pass on when a peer can serve a request that it refused

What callers saw: a VM without a path told them to come back after 0.3 s, whatever the peer had said that refused the relayed request. If all replicas had asked that peer for rest, they came back in vain; and the request was not tried at another peer, whose replicas may not have asked it for any.

The time of the peer's refusal is kept, the shortest of several, and goes to the caller. A peer before nothing but resting replicas now reports that it can't take relays for now, so that another one is asked.

AVmWithoutAPath.passesOnWhenThePeersReplicasHaveRested (0.3 s before, for a rest of 2.5 s) and isServedByAnotherPeerIfAllReplicasRestAtOne (503 before).

--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -255,7 +255,7 @@
     const bool hasNone = result.rejection == DispatchRejection::NoReplica
         || result.rejection == DispatchRejection::NoPath;
     if (hasNone)
-        return kRetryWhenNoReplica;
+        return m_peerRetryAfter.value_or(kRetryWhenNoReplica);
     const ServiceSpec *service = m_table->service(m_service);
     const bool isLarge =
         service && service->engine && m_head.promptTokens > service->engine->memoryTokens;
@@ -362,7 +362,7 @@
     if (m_possibleExecutions == 0) {
         const auto restEnd = m_state.dispatchQueue.allRestUntil(m_service);
         const Duration retryAfter = restEnd ? *restEnd - m_state.clock.now() : kRetryWhenFull;
-        co_await reject(kUnavailable, "upstream-refused", retryAfter);
+        co_await reject(kUnavailable, "upstream-refused", m_peerRetryAfter.value_or(retryAfter));
         co_return;
     }
     const bool isLate = m_state.clock.now() >= deadline();
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -142,6 +142,8 @@
     /// Number of times that an attempt at a replica or a peer has reached a replica. Reads what a
     /// peer reports beside it.
     std::uint32_t reachedAttempts(UpstreamAttempt &attempt, const DispatchGrant &grant);
+    void recordRefusedRelay(const RelayReport &report, const platform::ResponseHead &head,
+                            const DispatchGrant &grant);
     /// Attempts that have reached a replica, without those before the request was relayed to this
     /// VM.
     std::uint32_t reachedAttemptsHere() const;
@@ -278,6 +280,8 @@
     std::uint32_t m_refusedRelays = 0;
     /// A peer that could take relayed requests refused this one.
     bool m_wasRefusedByPeer = false;
+    /// Shortest time after which a peer that refused the request expects to serve it.
+    std::optional<Duration> m_peerRetryAfter;
     /// Peers that the request was relayed to.
     std::set<std::string> m_triedVms;
     /// Attempts for which memory could not be reserved at all helpers.
--- a/src/gateway/requesthandlerrelay.cpp
+++ b/src/gateway/requesthandlerrelay.cpp
@@ -139,12 +139,21 @@
         return reached;
     const RelayReport report =
         takeRelayReport(attempt.fields()).value_or(RelayReport{reached, false});
-    const bool isRefused = attempt.head().isNotExecuted;
-    if (isRefused && report.isPeerUnable)
+    if (attempt.head().isNotExecuted)
+        recordRefusedRelay(report, attempt.head(), grant);
+    return report.reachedAttempts;
+}
+
+void RequestHandler::recordRefusedRelay(const RelayReport &report,
+                                        const platform::ResponseHead &head,
+                                        const DispatchGrant &grant)
+{
+    if (report.isPeerUnable)
         m_state.relayPeers.onFailure(grant.relayVm, m_state.clock.now());
-    else if (isRefused)
+    else
         m_wasRefusedByPeer = true;
-    return report.reachedAttempts;
+    if (head.rest)
+        m_peerRetryAfter = std::min(m_peerRetryAfter.value_or(*head.rest), *head.rest);
 }
 
 std::uint32_t RequestHandler::reachedAttemptsHere() const
@@ -156,7 +165,9 @@
 {
     const bool isPathBroken =
         m_state.paths.isLost(m_service) || m_unreachableAttempts >= kMaxUnreachableBeforeRelay;
-    return {reachedAttemptsHere(), !m_isAcceptedRelay || isPathBroken};
+    // Replicas ask each VM for rest by itself.
+    const bool mustAllRest = m_state.dispatchQueue.allRestUntil(m_service).has_value();
+    return {reachedAttemptsHere(), !m_isAcceptedRelay || isPathBroken || mustAllRest};
 }
 
 platform::Fields RequestHandler::responseFields(const UpstreamAttempt &attempt) const
--- a/tests/gate/relaytest.cpp
+++ b/tests/gate/relaytest.cpp
@@ -22,6 +22,9 @@
 constexpr const char *kKey = "Authorization: Bearer saw-key\r\n";
 const std::string kAnswer = "HTTP/1.1 200 OK\r\nX-Arbutuspier-Attempt-Id: %ID\r\n"
                             "X-Arbutuspier-Response-Signature: sig\r\nContent-Length: 2\r\n\r\nok";
+const std::string kRest = "HTTP/1.1 503 Service Unavailable\r\nX-Arbutuspier-Attempt-Id: %ID\r\n"
+                          "X-Arbutuspier-Not-Executed: 1\r\nRetry-After: 2.5\r\n"
+                          "Content-Length: 0\r\n\r\n";
 const std::string kError = "HTTP/1.1 500 Internal Server Error\r\nX-Arbutuspier-Attempt-Id: %ID\r\n"
                            "X-Arbutuspier-Response-Signature: sig\r\nContent-Length: 0\r\n\r\n";
 const std::string kStreamHead =
@@ -293,6 +296,38 @@
     CHECK(!other.state.paths.isLost("assist"));
 }
 
+// Guards against callers that come back in vain, as the time at which a peer can serve them is
+// lost.
+TEST(AVmWithoutAPath, passesOnWhenThePeersReplicasHaveRested)
+{
+    addPeerReplica("i-9", {ReplicaStep{kRest}});
+    losePath();
+    fixture.runFor(milliseconds{600});
+    const std::string response = call("/order/1");
+    CHECK(response.find("503") != std::string::npos);
+    const std::size_t at = response.find("Retry-After: ");
+    CHECK(at != std::string::npos);
+    DOUBLES_EQUAL(2.0, std::stod(response.substr(at + std::string("Retry-After: ").size())), 0.5);
+}
+
+// Guards against a refusal while a peer is left whose replicas have asked it for no rest.
+TEST(AVmWithoutAPath, isServedByAnotherPeerIfAllReplicasRestAtOne)
+{
+    ScriptedReplica &resting = addPeerReplica("i-9", {ReplicaStep{kRest}});
+    losePath();
+    PeerGateway other{fixture.context, fixture.clock, "127.0.0.2", peer.port()};
+    ScriptedReplica &replica = addReplicaOf(other, "i-8", {ReplicaStep{kAnswer}});
+    fixture.runFor(milliseconds{600});
+    fixture.state.relayPeers.setPeers({{"peer", "127.0.0.1"}, {"other", "127.0.0.2"}});
+    for (const char *path : {"/look/1", "/look/2", "/order/3", "/order/4"}) {
+        CHECK(call(path).find("200 OK") != std::string::npos);
+        fixture.runFor(milliseconds{600});
+    }
+    LONGS_EQUAL(1, resting.requests().size());
+    LONGS_EQUAL(4, replica.requests().size());
+    other.close();
+}
+
 // Guards against a peer that tries more replicas of a request that was sent before.
 TEST(AVmWithoutAPath, triesTwoReplicasOfAPeerForARequestThatWasSentBefore)
 {
