--- a/src/gateway/peermessenger.cpp
+++ b/src/gateway/peermessenger.cpp
@@ -330,7 +330,6 @@
 
 void PeerMessenger::handleStatus(const PeerStatus &status, const Udp::endpoint &from)
 {
-    updateRelayPeers();
     m_store.onReplicasChanged(status.replicaRevision);
     if (m_isFetchingSnapshot || !m_store.needsSnapshot(status))
         return;
