coordination: Agree on the part to blame if one request had other prompts

What callers could see: VMs that had the same notices disagreed on whether a part of a prompt is quarantined, so that a request was rejected at some of them for good. Cause: if requests with one fingerprint lost the same replica with different prompts, the parts were kept in the order in which the notices came, and the position in the prompt decides between parts with the same evidence. Such parts are now sorted by id, whatever the order of merging.

--- a/include/arbutuspier/promptpartquarantine.h
+++ b/include/arbutuspier/promptpartquarantine.h
@@ -175,6 +175,8 @@
 private:
     struct Crash
     {
+        /// Each in the order of the prompt; by id if requests with this fingerprint had different
+        /// prompts.
         std::map<Fingerprint, std::vector<PartExposure>> requests;
         bool isRetracted = false;
         TimePoint updatedAt{};
--- a/src/coordination/promptpartquarantine.cpp
+++ b/src/coordination/promptpartquarantine.cpp
@@ -15,6 +15,23 @@
 /// Number of levels from which a part is written to the store.
 constexpr std::size_t kMinSuspectLevels = 2;
 
+bool isSameSequence(std::span<const PartExposure> a, std::span<const PartExposure> b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](const auto &x, const auto &y) { return x.part == y.part; });
+}
+
+/// Prompts of one request that differ have no order in common; they are sorted by id, so that the
+/// order of merging doesn't show. Returns true if that changed the order.
+bool sortParts(std::vector<PartExposure> &exposures)
+{
+    const auto isBefore = [](const auto &a, const auto &b) { return a.part < b.part; };
+    if (std::is_sorted(exposures.begin(), exposures.end(), isBefore))
+        return false;
+    std::sort(exposures.begin(), exposures.end(), isBefore);
+    return true;
+}
+
 template <class Map>
 void eraseOldest(Map &map)
 {
@@ -105,6 +122,8 @@
         same->level = std::max(same->level, exposure.level);
         same->hasSucceeded = same->hasSucceeded || exposure.hasSucceeded;
     }
+    if (!isSameSequence(known, evidence.parts))
+        isNew = sortParts(known) || isNew;
     // Which requests are kept must not depend on the order of merging.
     if (crash.requests.size() > m_options.maxRequestsPerCrash) {
         const auto last = std::prev(crash.requests.end());
--- a/tests/gate/promptpartquarantinetest.cpp
+++ b/tests/gate/promptpartquarantinetest.cpp
@@ -228,6 +228,33 @@
     LONGS_EQUAL(10, quarantine.notices(10).evidence.size());
 }
 
+// Guards against VMs that disagree on requests with one fingerprint and different prompts.
+TEST(APromptPartQuarantine, blamesTheSamePartWhateverTheOrderOfARequestsParts)
+{
+    const auto exposures = [](std::uint32_t level, std::vector<PromptPartId> parts) {
+        std::vector<PartExposure> result;
+        for (PromptPartId part : parts)
+            result.push_back({part, level, false});
+        return result;
+    };
+    std::vector<PartEvidence> items;
+    for (std::uint32_t level = 1; level <= 4; ++level) {
+        items.push_back({level, Fingerprint{level}, exposures(level, {kCrashing, kOther})});
+        items.push_back({level, Fingerprint{level}, exposures(level, {kOther, kCrashing})});
+    }
+    PromptPartQuarantine forwards{{}};
+    for (const PartEvidence &item : items)
+        forwards.merge({{item}, {}}, now);
+    std::reverse(items.begin(), items.end());
+    PromptPartQuarantine backwards{{}};
+    for (const PartEvidence &item : items)
+        backwards.merge({{item}, {}}, now);
+    for (PromptPartId part : {kCrashing, kOther})
+        CHECK_EQUAL(forwards.quarantinedPart({{}, {part}}).isValid(),
+                    backwards.quarantinedPart({{}, {part}}).isValid());
+    CHECK(forwards.quarantinedPart({{}, {kCrashing, kOther}}).isValid());
+}
+
 // Guards against VMs that disagree for good, as notices reach them in different orders.
 TEST(APromptPartQuarantine, agreesWhateverTheOrderOfTheNotices)
 {
@@ -238,10 +265,13 @@
         sent = {};
         for (std::uint64_t i = 1; i <= 30; ++i) {
             std::vector<PromptPartId> parts{kShared, PromptPartId{2 + random() % 4}};
-            if (random() % 4 == 0)
+            if (random() % 4 == 0) {
                 succeed(parts);
-            else
-                crash(random() % 20, random() % 12, parts);
+            } else {
+                const std::uint64_t digest = random() % 20;
+                const std::uint64_t request = random() % 12;
+                crash(digest, request, parts);
+            }
             if (random() % 10 == 0)
                 append(sent, quarantine.retract(random() % 20, now));
         }
