--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -40,6 +40,7 @@
     , zones({})
     , limits(settings.vm, ReplicaRequestLimitOptions{}, seedOf(settings.vm, clock))
     , rests({})
+    , heartbeats(settings.replicaHeartbeat)
     , pool({})
     , suspects(executor, clock, metrics, settings.replicaHeartbeat)
     , dispatchQueue(executor, clock, settings.vm, settings.zone, directory, groups, load, health,
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -5,6 +5,7 @@
 #include "arbutuspier/fleetretrybudget.h"
 #include "arbutuspier/random.h"
 #include "arbutuspier/replicahealth.h"
+#include "arbutuspier/replicaheartbeats.h"
 #include "arbutuspier/replicarequestlimits.h"
 #include "arbutuspier/replicarests.h"
 #include "arbutuspier/routetable.h"
@@ -101,6 +102,7 @@
     ZoneHealth zones;
     ReplicaRequestLimits limits;
     ReplicaRests rests;
+    ReplicaHeartbeats heartbeats;
     UpstreamPool pool;
     GatewayMetrics metrics;
     SuspectTracker suspects;
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -217,8 +217,9 @@
     void setFirstEventDeadline(UpstreamAttempt &attempt, const DispatchGrant &grant);
     /// Whether a check found the replica unreachable after the attempt was sent.
     bool isUnreachable(const UpstreamAttempt &attempt, const DispatchGrant &grant) const;
-    /// Whether the replica was removed from the directory and is unreachable. Starts a check if it
-    /// isn't known yet whether it can be reached.
+    /// Whether the replica was removed from the directory, or is silent there while it holds memory
+    /// at helpers, and is unreachable. Starts a check if it isn't known yet whether it can be
+    /// reached.
     bool isReplicaGone(const UpstreamAttempt &attempt, const DispatchGrant &grant);
     /// Whether the replica was removed from the directory and should have finished its prefill.
     bool isLateAndRemoved(const DispatchGrant &grant) const;
--- a/src/gateway/requesthandlertimeout.cpp
+++ b/src/gateway/requesthandlertimeout.cpp
@@ -97,7 +97,11 @@
     if (grant.isRelay())
         return !m_state.relayPeers.isResponsive(grant.relayVm);
     const ReplicaIncarnation incarnation = grant.replica.incarnation();
-    if (!m_state.directory.wasRemovedOrReplaced(incarnation))
+    // Memory at helpers has to be released sooner than the list drops a replica.
+    const bool holdsMemory = !grant.helpers.empty();
+    const bool mayHaveEnded = m_state.directory.wasRemovedOrReplaced(incarnation)
+        || (holdsMemory && m_state.heartbeats.isOverdue(incarnation));
+    if (!mayHaveEnded)
         return false;
     // Some replicas leave without notice and still serve for a while; only one that can't be
     // reached either has ended.
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -317,9 +317,11 @@
         return;
     for (std::size_t i = 0; i < rows.size(); ++i) {
         const bool isNewer = rows[i].version > m_replicaRevision;
-        if (isNewer && decoded[i].entry)
-            m_state.suspects.onHeartbeat(decoded[i].entry->incarnation(),
-                                         *m_replicaRevisionPolledAt);
+        if (!isNewer || !decoded[i].entry)
+            continue;
+        const ReplicaIncarnation incarnation = decoded[i].entry->incarnation();
+        m_state.suspects.onHeartbeat(incarnation, *m_replicaRevisionPolledAt);
+        m_state.heartbeats.onHeartbeat(incarnation, m_state.clock.now());
     }
 }
 
@@ -344,6 +346,7 @@
         rows.push_back(std::move(decoded));
     }
     recordHeartbeats(read.rows, rows);
+    m_state.heartbeats.onPoll(polledAt);
     m_replicaRevision = read.revision;
     m_replicaRevisionPolledAt = polledAt;
     m_state.directory.setReachable(now);
--- a/tests/gate/requesthandlertest.cpp
+++ b/tests/gate/requesthandlertest.cpp
@@ -429,6 +429,88 @@
     CHECK(fixture.clock.now() - start < kPrefillTime);
 }
 
+TEST_GROUP_BASE(ASplitPromptWhoseReplicaIsSilent, TEST_GROUP_CppUTestGroupAStream)
+{
+    static constexpr Duration kPollInterval = std::chrono::milliseconds{300};
+    std::vector<const ScriptedReplica *> engines;
+
+    /// Three engines, each of which runs this for a prompt and confirms all orders.
+    void addEngines(const ReplicaStep &step)
+    {
+        for (const char *id : {"a", "b", "c"})
+            engines.push_back(&fixture.addReplica(
+                id, "engine", std::make_shared<Script>([step](const ReplicaRequest &request) {
+                    return isOrder(request) ? ReplicaStep{fullResponse(200, "{}")} : step;
+                })));
+        asio::co_spawn(fixture.context, poll(), asio::detached);
+    }
+    /// Finds heartbeats of the engines that have got no prompt.
+    Task<void> poll()
+    {
+        asio::steady_timer timer(fixture.context);
+        const std::vector<const char *> ids{"a", "b", "c"};
+        while (true) {
+            for (std::size_t i = 0; i < ids.size(); ++i) {
+                if (!hasPrompt(*engines[i]))
+                    fixture.state.heartbeats.onHeartbeat({ids[i], 1}, fixture.clock.now());
+            }
+            fixture.state.heartbeats.onPoll(fixture.clock.now());
+            timer.expires_after(kPollInterval);
+            co_await timer.async_wait(kAwait);
+        }
+    }
+    static bool isOrder(const ReplicaRequest &request)
+    {
+        return request.target() == "/order";
+    }
+    static bool hasPrompt(const ScriptedReplica &engine)
+    {
+        return !std::all_of(engine.requests().begin(), engine.requests().end(), isOrder);
+    }
+    std::size_t releases() const
+    {
+        std::size_t count = 0;
+        for (const ScriptedReplica *engine : engines) {
+            for (const ReplicaRequest &request : engine->requests())
+                count += request.body().find("release") != std::string::npos ? 1 : 0;
+        }
+        return count;
+    }
+    /// A prompt that no engine has the memory for alone.
+    std::string callWithLargePrompt()
+    {
+        return fixture.call(GatewayFixture::request(
+            "POST", "/prompt/1", "X-Arbutuspier-Token-Usage: 406077,100\r\n", "prompt"));
+    }
+};
+
+// Guards against memory that stays reserved at helpers until the list drops a replica without
+// power.
+TEST(ASplitPromptWhoseReplicaIsSilent, releasesItsMemoryOnceTheReplicaIsKnownToHaveEnded)
+{
+    addEngines(silentCrash());
+    const TimePoint start = fixture.clock.now();
+    callWithLargePrompt();
+    fixture.runFor(std::chrono::milliseconds{50});
+    CHECK(releases() > 0);
+    CHECK(fixture.clock.now() - start < std::chrono::milliseconds{3200});
+}
+
+// A sound replica may be silent, also in the list, and still be serving.
+TEST(ASplitPromptWhoseReplicaIsSilent, keepsItsMemoryIfTheReplicaCanBeReached)
+{
+    ReplicaStep late{""};
+    late.pause = std::chrono::milliseconds{4500};
+    late.afterPause = stream(0, 3);
+    addEngines(late);
+    const std::string response = callWithLargePrompt();
+    LONGS_EQUAL(200, statusOf(response));
+    CHECK(contains(response, event(3)));
+    LONGS_EQUAL(1, std::count_if(engines.begin(), engines.end(), [](const auto *engine) {
+                    return hasPrompt(*engine);
+                }));
+}
+
 TEST_GROUP_BASE(AStreamWhoseReplicaHasLeftTheList, TEST_GROUP_CppUTestGroupAStream)
 {
     static constexpr Duration kPrefillTime = std::chrono::milliseconds{4800};
