--- a/tests/gate/relaypeerstest.cpp
+++ b/tests/gate/relaypeerstest.cpp
@@ -1,7 +1,8 @@
-// Tests which peer a VM without a path chooses, and the notices on lost paths.
+// Tests which peer a VM without a path chooses, and the notices on lost paths and read lists.
 #include "gateway/relaypeers.h"
 #include "gateway/lostpathscodec.h"
 #include "gateway/relayhead.h"
+#include "gateway/replicasreadcodec.h"
 #include "gateway/requestlimitcodec.h"
 
 #include <CppUTest/TestHarness.h>
@@ -101,6 +102,19 @@
         CHECK(!decodeLostPaths(std::string_view(bytes).substr(0, size)));
 }
 
+TEST_GROUP(ANoticeOfAReadList){};
+
+TEST(ANoticeOfAReadList, isToldFromOtherDatagrams)
+{
+    const std::string bytes = encodeReplicasRead();
+    CHECK(isReplicasRead(bytes));
+    CHECK(!isReplicasRead(encodeLostPaths({"edge-1", {}})));
+    CHECK(!decodeLostPaths(bytes));
+    CHECK(!decodeRequestLimits(bytes));
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+        CHECK(!isReplicasRead(std::string_view(bytes).substr(0, size)));
+}
+
 TEST_GROUP(TheHeadOfARelayedRequest){};
 
 TEST(TheHeadOfARelayedRequest, isTakenOutOfTheFields)
