gateway: Name no time to a peer whose relay can't be taken

What callers would see: a VM without a path tells them to come back after 0.02 s if the peers that it asked drain, are full or have an older configuration. That time was meant for the VM that relays, which can ask another peer at once; since it is passed on. Such refusals have no time now, and the caller gets that of the first VM.

--- a/src/gateway/requesthandlerrelay.cpp
+++ b/src/gateway/requesthandlerrelay.cpp
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr int kUnavailable = 503;
-/// Sent to a peer, which can ask another VM at once.
-constexpr Duration kRetryElsewhere = std::chrono::milliseconds{20};
 constexpr Duration kMaxConfigurationWait = std::chrono::milliseconds{300};
 constexpr Duration kConfigurationCheckInterval = std::chrono::milliseconds{15};
 /// Forecast of the time to first event over a peer, as a fraction of the route's objective.
@@ -37,13 +35,14 @@
 
 Task<bool> RequestHandler::rejectRelay()
 {
+    // Without a time, as the peer can ask another VM at once and its caller can't.
     if (m_state.isDraining()) {
-        co_await reject(kUnavailable, "draining", kRetryElsewhere);
+        co_await reject(kUnavailable, "draining", std::nullopt);
         co_return true;
     }
     m_isAcceptedRelay = m_state.relayPeers.tryAccept();
     if (!m_isAcceptedRelay) {
-        co_await reject(kUnavailable, "no-room", kRetryElsewhere);
+        co_await reject(kUnavailable, "no-room", std::nullopt);
         co_return true;
     }
     co_await awaitConfiguration();
@@ -52,7 +51,7 @@
         co_return false;
     m_state.relayPeers.endAccepted();
     m_isAcceptedRelay = false;
-    co_await reject(kUnavailable, "older-configuration", kRetryElsewhere);
+    co_await reject(kUnavailable, "older-configuration", std::nullopt);
     co_return true;
 }
 
--- a/tests/gate/relaytest.cpp
+++ b/tests/gate/relaytest.cpp
@@ -310,6 +310,17 @@
     DOUBLES_EQUAL(2.0, std::stod(response.substr(at + std::string("Retry-After: ").size())), 0.5);
 }
 
+// Guards against callers that come back at once, as the first VM could ask another peer at once.
+TEST(AVmWithoutAPath, tellsItsOwnTimeIfThePeerCannotTakeRelays)
+{
+    losePath();
+    fixture.runFor(milliseconds{600});
+    peer.state.beginDrain();
+    const std::string response = call("/order/1");
+    CHECK(response.find("503") != std::string::npos);
+    STRCMP_CONTAINS("Retry-After: 0.300", response.c_str());
+}
+
 // Guards against a refusal while a peer is left whose replicas have asked it for no rest.
 TEST(AVmWithoutAPath, isServedByAnotherPeerIfAllReplicasRestAtOne)
 {
