tests: Wait for the replicas of a small service, not for their old entries

Cause, from the log of a failed run: the replicas crash at 232.338 s, and start again 2.6 to 3.0 s later. At 233.42 s, before the entries of the crashed ones lapse, all gateways still list three replicas, which the script took for replicas that serve again. Its twelve calls end with 503 within 20 ms, as nothing listens at the three addresses; the list is empty from 233.59 s on. No gateway could have answered any of them.

The script now waits until the replicas accept connections and are listed, and checks that this happens in each round.

--- a/tests/process/small-service.sh
+++ b/tests/process/small-service.sh
@@ -20,6 +20,7 @@
 
 trap stop_fleet EXIT
 request_count=0
+unavailable_rounds=0
 send_call() { # gateway number, API key, body; prints the HTTP status
     request_count=$((request_count + 1))
     curl -s -m 3 -o /dev/null -w '%{http_code}\n' "http://127.0.0.$1:$((base_port + 10))/look/7" -H 'Host: f.example' \
@@ -53,6 +54,15 @@
     local i
     for i in $gateways; do gateway_lists_replicas "$i" "$replica_count" || return 1; done
 }
+replica_accepts() { # number
+    (exec 3<>"/dev/tcp/127.0.0.1/$((base_port + 20 + $1))") 2>/dev/null
+}
+# The list alone doesn't show this: it has the entries of crashed replicas until they lapse.
+all_replicas_serve() {
+    local i
+    for i in $(seq "$replica_count"); do replica_accepts "$i" || return 1; done
+    all_gateways_list_replicas
+}
 # The call comes at all gateways at once, twice at each.
 send_crashing_calls() {
     local i
@@ -87,10 +97,11 @@
     put_config "$version" '{"name":"carvers","apiKeys":["saw-key"]},{"name":"cutters","apiKeys":["block-key-'"$version"'"]}'
     sleep 1
     send_crashing_calls
-    until_true 50 all_gateways_list_replicas
+    until_true 100 all_replicas_serve || unavailable_rounds=$((unavailable_rounds + 1))
     send_sound_calls "$work_dir/after"
 done
 print_line "   $(crash_count) crashes, $(late_sends) late sends, statuses of the call: $(sort "$work_dir/crashing-statuses" | uniq -c | tr -s ' \n' ' ')"
+check "replicas serve again each time" test "$unavailable_rounds" = 0
 check "the call crashes all replicas" is_at_most "$counted_crashes" "$(crash_count)"
 check "it reaches replicas at most $max_late_sends times more" is_at_most "$(late_sends)" "$max_late_sends"
 print_line "   sound calls after the crashes: $(wc -l <"$work_dir/after"), answered: $(count_of 200 "$work_dir/after")"
