gateway: Check the paths to all services when one of them is lost

What callers of a cut VM saw: calls of a service with few requests waited at replicas that couldn't be reached, up to their deadlines, though the VM had found its path to another service lost before. Each service found its loss out by its own requests.

When the path to a service is lost, replicas of the others are probed at once. Services that can be reached stay as they are.

AVmWithoutAPath.checksThePathsToOtherServicesToo fails without the change.

--- a/include/arbutuspier/upstreamdirectory.h
+++ b/include/arbutuspier/upstreamdirectory.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -111,6 +112,8 @@
 
     /// Entries of one service whose replicas may get new requests.
     std::vector<const ReplicaEntry *> usable(std::string_view service) const;
+    /// Services of all entries.
+    std::set<std::string> services() const;
     const ReplicaEntry *find(std::string_view id) const;
     bool isUsable(const ReplicaIncarnation &incarnation) const;
     /// True if the incarnation is missing from the list and wasn't seen draining, or if a later
--- a/include/arbutuspier/upstreampath.h
+++ b/include/arbutuspier/upstreampath.h
@@ -52,6 +52,9 @@
     /// A replica refused a connection or didn't accept it in time. Returns true if the caller has
     /// to probe the replicas that `replicasToProbe` returns, and to call `onCheckEnded`.
     bool onUnreachable(const ReplicaIncarnation &incarnation, TimePoint now);
+    /// The path to other replicas was lost. Returns true if the caller has to begin a check, as for
+    /// `onUnreachable`.
+    bool onOtherPathLost(TimePoint now) { return tryBeginCheck(now); }
     /// A replica accepted a new connection. Returns true if the lost path is back by that.
     bool onConnected(const ReplicaIncarnation &incarnation, TimePoint now);
     /// A replica responded over any connection.
@@ -71,6 +74,9 @@
     void reset();
 
 private:
+    /// Whether a check is due. It counts as begun then.
+    bool tryBeginCheck(TimePoint now);
+
     UpstreamPathOptions m_options;
     /// Replicas that were unreachable, and when.
     std::map<ReplicaIncarnation, TimePoint> m_unreachable;
--- a/src/coordination/upstreamdirectory.cpp
+++ b/src/coordination/upstreamdirectory.cpp
@@ -154,6 +154,14 @@
     return result;
 }
 
+std::set<std::string> UpstreamDirectory::services() const
+{
+    std::set<std::string> result;
+    for (const auto &[id, tracked] : m_entries)
+        result.insert(tracked.entry.service);
+    return result;
+}
+
 std::vector<ReplicaEntry> UpstreamDirectory::entries() const
 {
     std::vector<ReplicaEntry> result;
--- a/src/gateway/upstreampaths.cpp
+++ b/src/gateway/upstreampaths.cpp
@@ -136,9 +136,19 @@
     if (!path(service).onCheckEnded(wasAnyAccepted, m_clock.now()))
         co_return;
     announce(service);
+    checkOtherServices(service);
     co_await probeUntilBack(service);
 }
 
+void UpstreamPaths::checkOtherServices(const std::string &lost)
+{
+    for (const std::string &service : m_directory.services()) {
+        const bool mustCheck = service != lost && path(service).onOtherPathLost(m_clock.now());
+        if (mustCheck)
+            asio::co_spawn(m_executor, check(service), asio::detached);
+    }
+}
+
 Task<void> UpstreamPaths::probeUntilBack(std::string service)
 {
     asio::steady_timer timer(m_executor);
--- a/src/gateway/upstreampaths.h
+++ b/src/gateway/upstreampaths.h
@@ -39,7 +39,11 @@
 private:
     struct Probes;
 
+    /// Probes replicas of the service, and others until the path is back if it is lost.
     Task<void> check(std::string service);
+    /// The path to one service was lost, and a VM often loses all of them at once: checks those to
+    /// the others before requests wait there.
+    void checkOtherServices(const std::string &lost);
     Task<void> probe(std::shared_ptr<Probes> probes, ReplicaEntry replica);
     /// Probes the replicas at the same time, until one accepts or all have failed.
     Task<bool> isAnyAccepted(std::vector<ReplicaEntry> replicas);
--- a/src/policy/upstreampath.cpp
+++ b/src/policy/upstreampath.cpp
@@ -12,8 +12,13 @@
     m_unreachable[incarnation] = now;
     std::erase_if(m_unreachable,
                   [&](const auto &entry) { return entry.second + m_options.window < now; });
+    return m_unreachable.size() >= m_options.minUnreachable && tryBeginCheck(now);
+}
+
+bool UpstreamPath::tryBeginCheck(TimePoint now)
+{
     const bool isCheckDue = !m_lastCheckAt || now >= *m_lastCheckAt + m_options.checkInterval;
-    if (isLost() || m_unreachable.size() < m_options.minUnreachable || !isCheckDue)
+    if (isLost() || !isCheckDue)
         return false;
     m_lastCheckAt = now;
     return true;
--- a/tests/gate/relaytest.cpp
+++ b/tests/gate/relaytest.cpp
@@ -157,6 +157,19 @@
     CHECK(std::stoi(std::string(sent["X-Arbutuspier-Deadline-Ms"])) <= 9000);
 }
 
+// Guards against calls that wait at replicas that can't be reached, though the VM knows that it has
+// lost its paths to the others.
+TEST(AVmWithoutAPath, checksThePathsToOtherServicesToo)
+{
+    for (const char *id : {"i-21", "i-22"})
+        fixture.addReplica(id, "orders", {ReplicaStep{kAnswer}}).close();
+    for (const char *id : {"i-31", "i-32"})
+        fixture.addReplica(id, "drawings", {ReplicaStep{kAnswer}});
+    losePath();
+    CHECK(fixture.state.paths.isLost("orders"));
+    CHECK(!fixture.state.paths.isLost("drawings"));
+}
+
 TEST(AVmWithoutAPath, tellsTheCallerNothingOfTheRelay)
 {
     addPeerReplica("i-9", {ReplicaStep{kAnswer}});
--- a/tests/gate/upstreampathtest.cpp
+++ b/tests/gate/upstreampathtest.cpp
@@ -49,6 +49,14 @@
     CHECK(!path.onUnreachable(incarnation("c"), now + milliseconds{10}));
 }
 
+TEST(AnUpstreamPath, isCheckedOnceWhenAnotherPathIsLost)
+{
+    CHECK(path.onOtherPathLost(now));
+    CHECK(!path.onOtherPathLost(now + milliseconds{10}));
+    path.onCheckEnded(false, now + milliseconds{20});
+    CHECK(!path.onOtherPathLost(now + std::chrono::seconds{1}));
+}
+
 TEST(AnUpstreamPath, isNotCheckedIfAReplicaAcceptedAConnectionInBetween)
 {
     path.onUnreachable(incarnation("a"), now);
