gateway: Count questions to a resting replica like orders

A replica that had asked a VM for rest and then vanished from the list was still asked whether it runs (identity_probe), up to once a second and attempt: requests that it wanted none of. At most two control requests, orders and questions together, are sent in one rest now; otherwise the replica is taken to run, as after a question without an answer.

AReplicaThatAsksForRest.isAskedAtMostTwiceWhetherItStillRuns: 5 without the change, 2 with it.

--- a/include/arbutuspier/replicarests.h
+++ b/include/arbutuspier/replicarests.h
@@ -18,8 +18,9 @@
 {
     /// A longer rest is cut to this.
     Duration maxRest = std::chrono::hours{1};
-    /// Orders on reserved memory that a replica may get within one rest.
-    std::uint32_t maxOrders = 2;
+    /// Control requests that a replica may get within one rest: orders on reserved memory, and
+    /// questions whether it still runs.
+    std::uint32_t maxControlRequests = 2;
 };
 
 class ReplicaRests
@@ -39,9 +40,9 @@
     {
         return restEnd(incarnation, now).has_value();
     }
-    /// Counts an order to the replica. False if it must not be sent, as the replica rests and has
-    /// got as many as it may.
-    bool tryOrder(const ReplicaIncarnation &incarnation, TimePoint now);
+    /// Counts a control request to the replica. False if it must not be sent, as the replica rests
+    /// and has got as many as it may.
+    bool tryControlRequest(const ReplicaIncarnation &incarnation, TimePoint now);
     std::size_t restingCount(TimePoint now) const;
     void tick(TimePoint now);
 
@@ -49,7 +50,7 @@
     struct Rest
     {
         TimePoint end{};
-        std::uint32_t orders = 0;
+        std::uint32_t controlRequests = 0;
     };
 
     ReplicaRestOptions m_options;
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -57,6 +57,9 @@
     suspects.wasRemoved = [this](const ReplicaIncarnation &incarnation) {
         return directory.wasRemovedOrReplaced(incarnation);
     };
+    suspects.tryAsk = [this](const ReplicaIncarnation &incarnation) {
+        return rests.tryControlRequest(incarnation, this->clock.now());
+    };
     suspects.isEngine = [this](const ReplicaEntry &replica) {
         const ServiceSpec *service = m_routes ? m_routes->service(replica.service) : nullptr;
         return service && service->engine;
--- a/src/gateway/memoryreservation.cpp
+++ b/src/gateway/memoryreservation.cpp
@@ -32,7 +32,7 @@
 /// Sends an order. Returns the status of the response, zero if none came, or `kWithheld`.
 Task<int> sendOrder(GatewayState &state, const ReplicaEntry &replica, platform::OrderRequest order)
 {
-    if (!state.rests.tryOrder(replica.incarnation(), state.clock.now())) {
+    if (!state.rests.tryControlRequest(replica.incarnation(), state.clock.now())) {
         // Its time limit ends the reservation.
         state.metrics.incrementCounter("orders", "withheld");
         LOG(INFO) << LogLine("order_withheld").add("replica", replica.id).text();
--- a/src/gateway/suspecttracker.cpp
+++ b/src/gateway/suspecttracker.cpp
@@ -182,11 +182,14 @@
 
 Task<bool> SuspectTracker::isAnotherProcess(const ReplicaEntry &replica, const Address &address)
 {
-    if (!wasRemoved || !wasRemoved(replica.incarnation()))
+    const ReplicaIncarnation incarnation = replica.incarnation();
+    if (!wasRemoved || !wasRemoved(incarnation))
+        co_return false;
+    if (tryAsk && !tryAsk(incarnation))
         co_return false;
     const HttpReply reply =
         co_await callOnce(address, platform::identityRequest(replica.id, kProbeTimeout));
-    const auto identity = platform::decodeIdentity(reply, replica.incarnation());
+    const auto identity = platform::decodeIdentity(reply, incarnation);
     const bool isOther = identity == platform::ReplicaIdentity::Other
         || (identity == platform::ReplicaIdentity::NoEngine && isEngine && isEngine(replica));
     LOG(INFO) << LogLine("identity_probe")
--- a/src/gateway/suspecttracker.h
+++ b/src/gateway/suspecttracker.h
@@ -93,6 +93,8 @@
     /// Whether the list has no entry of the incarnation any more, so that another process may have
     /// its address.
     std::function<bool(const ReplicaIncarnation &)> wasRemoved;
+    /// Counts a question to a replica that may want none now; false if it must not be asked.
+    std::function<bool(const ReplicaIncarnation &)> tryAsk;
     /// Whether the replica is of a service whose replicas are engines.
     std::function<bool(const ReplicaEntry &)> isEngine;
     /// Called for a replica that a check found unreachable.
--- a/src/policy/replicarests.cpp
+++ b/src/policy/replicarests.cpp
@@ -1,5 +1,5 @@
-// Orders are counted over all rests that follow each other without a pause, which is the stricter
-// way.
+// Control requests are counted over all rests that follow each other without a pause, which is the
+// stricter way.
 #include "arbutuspier/replicarests.h"
 
 #include <algorithm>
@@ -24,11 +24,11 @@
     return isResting ? std::optional(found->second.end) : std::nullopt;
 }
 
-bool ReplicaRests::tryOrder(const ReplicaIncarnation &incarnation, TimePoint now)
+bool ReplicaRests::tryControlRequest(const ReplicaIncarnation &incarnation, TimePoint now)
 {
     if (!isResting(incarnation, now))
         return true;
-    return ++m_rests[incarnation].orders <= m_options.maxOrders;
+    return ++m_rests[incarnation].controlRequests <= m_options.maxControlRequests;
 }
 
 std::size_t ReplicaRests::restingCount(TimePoint now) const
--- a/tests/gate/restingreplicatest.cpp
+++ b/tests/gate/restingreplicatest.cpp
@@ -145,18 +145,38 @@
     CHECK(!rests.isResting(replica, now + std::chrono::minutes{61}));
 }
 
-TEST(AReplicaThatAsksForRest, getsAtMostTwoOrdersOnItsMemory)
+TEST(AReplicaThatAsksForRest, getsAtMostTwoControlRequests)
 {
     const ReplicaIncarnation replica{"i-1", 1};
     const TimePoint now{seconds{100}};
     ReplicaRests rests{{}};
     for (int i = 0; i < 5; ++i)
-        CHECK(rests.tryOrder(replica, now));
+        CHECK(rests.tryControlRequest(replica, now));
     rests.onRest(replica, seconds{3}, now);
-    CHECK(rests.tryOrder(replica, now + seconds{1}));
-    CHECK(rests.tryOrder(replica, now + seconds{2}));
-    CHECK(!rests.tryOrder(replica, now + seconds{2}));
-    CHECK(rests.tryOrder(replica, now + seconds{3}));
+    CHECK(rests.tryControlRequest(replica, now + seconds{1}));
+    CHECK(rests.tryControlRequest(replica, now + seconds{2}));
+    CHECK(!rests.tryControlRequest(replica, now + seconds{2}));
+    CHECK(rests.tryControlRequest(replica, now + seconds{3}));
+}
+
+// Guards against questions to a replica that wants none, when it has left the list.
+TEST(AReplicaThatAsksForRest, isAskedAtMostTwiceWhetherItStillRuns)
+{
+    ScriptedReplica &replica =
+        fixture.addReplica("i-1", "desk", {{"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"}});
+    const ReplicaEntry entry = *fixture.state.directory.find("i-1");
+    fixture.state.directory.applyChanges({{"i-1", std::nullopt}}, fixture.clock.now());
+    const auto askFiveTimes = [&] {
+        for (int i = 0; i < 5; ++i) {
+            fixture.state.suspects.startCheck(entry);
+            fixture.runFor(milliseconds{100});
+        }
+        return replica.requests().size();
+    };
+    fixture.state.rests.onRest(entry.incarnation(), seconds{30}, fixture.clock.now());
+    LONGS_EQUAL(2, askFiveTimes());
+    fixture.state.rests.tick(fixture.clock.now() + seconds{30});
+    LONGS_EQUAL(7, askFiveTimes());
 }
 
 TEST(AReplicaThatAsksForRest, statesItInSeconds)
