gateway: Blame no request for replicas that only a cut made unreachable

What callers saw: a request of which three copies are in flight at three replicas, as their VM is cut off, is refused as quarantined by every VM for ten seconds. Each replica that the VM can't reach counts as a crash, and heartbeats take that back only once no late write can be the cause.

A VM that has lost its paths to all services, at least two, is cut off: a request that crashes all replicas of its service leaves the others reachable. It takes back the crashes of unreachable replicas that it counted in the two seconds before, tells the peers, and counts none until a path is back. Replicas that the list drops count as before.

AVmWithoutAPath.blamesNoRequestThatWasInFlightAtTheCut fails without the change (503 instead of 200); blamesARequestThatCrashedAllReplicasOfOneService holds before and after.

--- a/include/arbutuspier/crashdetector.h
+++ b/include/arbutuspier/crashdetector.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace arbutuspier {
 
@@ -63,6 +64,10 @@
     /// recorded as crashed before that, which was a mistake that the caller has to correct.
     bool onHeartbeat(const ReplicaIncarnation &incarnation, TimePoint writtenAfter);
 
+    /// Forgets the crashes counted at `since` or later of incarnations that couldn't be reached,
+    /// and returns these: it has turned out that nothing could be reached.
+    std::vector<ReplicaIncarnation> forgetUnreachable(TimePoint since);
+
 private:
     void expire(TimePoint now);
 
--- a/include/arbutuspier/upstreamdirectory.h
+++ b/include/arbutuspier/upstreamdirectory.h
@@ -112,7 +112,7 @@
 
     /// Entries of one service whose replicas may get new requests.
     std::vector<const ReplicaEntry *> usable(std::string_view service) const;
-    /// Services of all entries.
+    /// Services with replicas that may get new requests.
     std::set<std::string> services() const;
     const ReplicaEntry *find(std::string_view id) const;
     bool isUsable(const ReplicaIncarnation &incarnation) const;
@@ -149,6 +149,7 @@
     void onEntryMissing(const std::string &id, TimePoint now);
     void recordDeparture(const Departure &departure);
     void removeOldestDeparture();
+    bool isUsable(const ReplicaEntry &entry) const;
     bool hasDeparted(const ReplicaIncarnation &incarnation) const
     {
         return m_departed.count(incarnation) != 0;
--- a/src/coordination/crashdetector.cpp
+++ b/src/coordination/crashdetector.cpp
@@ -59,4 +59,16 @@
     return true;
 }
 
+std::vector<ReplicaIncarnation> CrashDetector::forgetUnreachable(TimePoint since)
+{
+    std::vector<ReplicaIncarnation> forgotten;
+    for (const auto &[incarnation, crash] : m_crashed) {
+        if (crash.unreachableSince && crash.countedAt >= since)
+            forgotten.push_back(incarnation);
+    }
+    for (const ReplicaIncarnation &incarnation : forgotten)
+        m_crashed.erase(incarnation);
+    return forgotten;
+}
+
 } // namespace arbutuspier
--- a/src/coordination/upstreamdirectory.cpp
+++ b/src/coordination/upstreamdirectory.cpp
@@ -146,10 +146,8 @@
 {
     std::vector<const ReplicaEntry *> result;
     for (const auto &[id, tracked] : m_entries) {
-        const ReplicaEntry &entry = tracked.entry;
-        if (entry.service == service && entry.state == ReplicaState::Ready
-            && !hasDeparted(entry.incarnation()))
-            result.push_back(&entry);
+        if (tracked.entry.service == service && isUsable(tracked.entry))
+            result.push_back(&tracked.entry);
     }
     return result;
 }
@@ -157,8 +155,10 @@
 std::set<std::string> UpstreamDirectory::services() const
 {
     std::set<std::string> result;
-    for (const auto &[id, tracked] : m_entries)
-        result.insert(tracked.entry.service);
+    for (const auto &[id, tracked] : m_entries) {
+        if (isUsable(tracked.entry))
+            result.insert(tracked.entry.service);
+    }
     return result;
 }
 
@@ -189,8 +189,12 @@
 bool UpstreamDirectory::isUsable(const ReplicaIncarnation &incarnation) const
 {
     const ReplicaEntry *entry = find(incarnation.id);
-    return entry && entry->startedAtMs == incarnation.startedAtMs
-        && entry->state == ReplicaState::Ready && !hasDeparted(incarnation);
+    return entry && entry->startedAtMs == incarnation.startedAtMs && isUsable(*entry);
+}
+
+bool UpstreamDirectory::isUsable(const ReplicaEntry &entry) const
+{
+    return entry.state == ReplicaState::Ready && !hasDeparted(entry.incarnation());
 }
 
 bool UpstreamDirectory::wasRemovedOrReplaced(const ReplicaIncarnation &incarnation) const
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -192,6 +192,7 @@
             zones.onResponse(replica->zone);
         }
     }
+    suspects.setCutOff(paths.areAllLost());
     if (onPathsChanged)
         onPathsChanged();
     dispatchQueue.dispatchWaiting();
--- a/src/gateway/suspecttracker.cpp
+++ b/src/gateway/suspecttracker.cpp
@@ -29,6 +29,9 @@
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds{30};
 /// A network partition makes other replicas unreachable too within this time.
 constexpr Duration kPartitionDetectionTime = std::chrono::milliseconds{250};
+/// Crashes that were counted this long before the VM was known to be cut off belong to the cut:
+/// two attempts have to time out, and replicas to be probed, until that is known.
+constexpr Duration kCutDetectionTime = std::chrono::seconds{2};
 
 UpstreamId upstreamId(const ReplicaIncarnation &incarnation)
 {
@@ -204,6 +207,7 @@
 Task<void> SuspectTracker::checkForCrash(ReplicaEntry replica)
 {
     const ReplicaIncarnation incarnation = replica.incarnation();
+    const TimePoint begunAt = m_clock.now();
     Address address;
     if (!parseAddress(replica.address, address)) {
         endCheck(incarnation, "no-address");
@@ -217,10 +221,18 @@
     }
     if (onReplicaDown)
         onReplicaDown(replica);
+    if (wasCutOff(begunAt)) {
+        endCheck(incarnation, "cut-off");
+        co_return;
+    }
     recordCrash(incarnation, CrashEvidence::Unreachable, CrashState::Unconfirmed);
     m_checking.at(incarnation)->expires_after(Duration::zero());
     asio::steady_timer timer(m_executor, kPartitionDetectionTime);
     co_await timer.async_wait(kAwait);
+    if (wasCutOff(begunAt)) {
+        endCheck(incarnation, "cut-off");
+        co_return;
+    }
     const bool isConfirmed = m_crashDetector.mayHaveCrashed(incarnation, m_clock.now());
     endCheck(incarnation, isConfirmed ? "confirmed" : "unconfirmed");
     recordCrash(incarnation, CrashEvidence::Unreachable,
@@ -355,11 +367,29 @@
 
 void SuspectTracker::onHeartbeat(const ReplicaIncarnation &incarnation, TimePoint writtenAfter)
 {
-    if (!m_crashDetector.onHeartbeat(incarnation, writtenAfter))
+    if (m_crashDetector.onHeartbeat(incarnation, writtenAfter))
+        retractCrash(incarnation, "heartbeat");
+}
+
+void SuspectTracker::setCutOff(bool isCutOff)
+{
+    if (isCutOff == m_isCutOff)
         return;
+    m_isCutOff = isCutOff;
+    const TimePoint now = m_clock.now();
+    if (!isCutOff) {
+        m_cutOffEndedAt = now;
+        return;
+    }
+    for (const auto &incarnation : m_crashDetector.forgetUnreachable(now - kCutDetectionTime))
+        retractCrash(incarnation, "cut-off");
+}
+
+void SuspectTracker::retractCrash(const ReplicaIncarnation &incarnation, std::string_view cause)
+{
     const std::vector<SuspectNotice> retracted =
         m_quarantine.retract(upstreamId(incarnation), incarnationOf(incarnation));
-    publish(retracted, "heartbeat", incarnation);
+    publish(retracted, cause, incarnation);
     std::set<std::uint64_t> crashes{
         Quarantine::crashDigest(upstreamId(incarnation), incarnationOf(incarnation))};
     for (const SuspectNotice &notice : retracted)
--- a/src/gateway/suspecttracker.h
+++ b/src/gateway/suspecttracker.h
@@ -69,6 +69,9 @@
     /// A replica refused a connection or didn't accept it in time. If attempts there got no
     /// response, this checks whether it crashed.
     void onUnreachable(const ReplicaEntry &replica);
+    /// This VM has lost its paths to the replicas of all services, or has one back. A replica that
+    /// it can't reach meanwhile, or couldn't shortly before, doesn't count as crashed.
+    void setCutOff(bool isCutOff);
     /// The list of replicas changed. One that was removed from it may have crashed.
     void onDirectoryChanged(const UpstreamDirectory &directory);
     /// A replica responded.
@@ -109,6 +112,10 @@
                      CrashState state);
     void countCrash(const ReplicaIncarnation &incarnation, const UnansweredAttempt &attempt,
                     CrashState state);
+    /// Takes the crash back for all requests that were suspected of it.
+    void retractCrash(const ReplicaIncarnation &incarnation, std::string_view cause);
+    /// Whether this VM was cut off at `since` or later.
+    bool wasCutOff(TimePoint since) const { return m_isCutOff || m_cutOffEndedAt >= since; }
     /// Checks by a connection whether a replica crashed. If it can't be reached, the crash is
     /// unconfirmed at first, and confirmed unless several others can't be reached either.
     Task<void> checkForCrash(ReplicaEntry replica);
@@ -129,6 +136,8 @@
     UnansweredAttempts m_unanswered;
     /// Replicas that a check is running for. The timer expires at its first result.
     std::map<ReplicaIncarnation, std::shared_ptr<asio::steady_timer>> m_checking;
+    bool m_isCutOff = false;
+    TimePoint m_cutOffEndedAt{};
     Quarantine m_quarantine;
     PromptPartQuarantine m_promptParts;
 };
--- a/src/gateway/upstreampaths.cpp
+++ b/src/gateway/upstreampaths.cpp
@@ -9,6 +9,8 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace arbutuspier {
 
 namespace {
@@ -75,6 +77,14 @@
     return found != m_paths.end() && found->second.isLost();
 }
 
+bool UpstreamPaths::areAllLost() const
+{
+    const std::set<std::string> services = m_directory.services();
+    return services.size() > 1
+        && std::all_of(services.begin(), services.end(),
+                       [this](const std::string &service) { return isLost(service); });
+}
+
 std::vector<std::string> UpstreamPaths::lostServices() const
 {
     std::vector<std::string> services;
--- a/src/gateway/upstreampaths.h
+++ b/src/gateway/upstreampaths.h
@@ -30,6 +30,9 @@
 
     /// Whether this VM can open no connection to any replica of the service.
     bool isLost(const std::string &service) const;
+    /// Whether the paths to all services that have replicas are lost, and these are several: the
+    /// replicas of one service may have crashed.
+    bool areAllLost() const;
     /// The services whose paths are lost.
     std::vector<std::string> lostServices() const;
 
--- a/tests/gate/crashdetectortest.cpp
+++ b/tests/gate/crashdetectortest.cpp
@@ -75,6 +75,20 @@
     CHECK(detector.onHeartbeat({"a", 1}, kNow + std::chrono::seconds{10}));
 }
 
+TEST(ACrashDetector, forgetsWhatCouldNotBeReachedWhenNothingCould)
+{
+    const auto seconds = [](int count) { return std::chrono::seconds{count}; };
+    detector.recordCrash({"before", 1}, CrashEvidence::Unreachable, kNow);
+    detector.recordCrash({"removed", 1}, CrashEvidence::Removed, kNow + seconds(3));
+    detector.recordCrash({"cut", 1}, CrashEvidence::Unreachable, kNow + seconds(3));
+    const auto forgotten = detector.forgetUnreachable(kNow + seconds(2));
+    LONGS_EQUAL(1, forgotten.size());
+    CHECK(forgotten[0].id == "cut");
+    CHECK(!detector.crashedAt({"cut", 1}));
+    CHECK(detector.crashedAt({"before", 1}).has_value());
+    CHECK(detector.crashedAt({"removed", 1}).has_value());
+}
+
 TEST(ACrashDetector, knowsSinceWhenACrashedReplicaWasUnreachable)
 {
     detector.recordCrash({"a", 1}, CrashEvidence::Removed, kNow);
--- a/tests/gate/relaytest.cpp
+++ b/tests/gate/relaytest.cpp
@@ -138,6 +138,22 @@
         CHECK(fixture.state.paths.isLost("assist"));
     }
 
+    /// Three equal calls are in flight as the connections of their replicas are reset.
+    void cutThreeCalls()
+    {
+        for (const char *id : {"i-1", "i-2", "i-3"})
+            fixture.state.directory.applyChanges({{id, std::nullopt}}, fixture.clock.now());
+        addPeerReplica("i-9", {ReplicaStep{kAnswer}});
+        ReplicaStep cut = crash();
+        cut.delay = milliseconds{100};
+        for (const char *id : {"i-41", "i-42", "i-43"})
+            fixture.addReplica(id, "assist", {cut});
+        for (int i = 0; i < 3; ++i)
+            fixture.start(GatewayFixture::request("POST", "/look/1", kKey, "x"));
+        fixture.runFor(milliseconds{600});
+        CHECK(fixture.state.paths.isLost("assist"));
+    }
+
     std::vector<std::unique_ptr<ScriptedReplica>> m_replicas;
 };
 
@@ -170,6 +186,32 @@
     CHECK(!fixture.state.paths.isLost("drawings"));
 }
 
+// Guards against harmless requests that are rejected for the crashes of replicas that a VM can't
+// reach (docs/incidents/vm-without-a-path-to-replicas.md).
+TEST(AVmWithoutAPath, blamesNoRequestThatWasInFlightAtTheCut)
+{
+    for (const char *id : {"i-21", "i-22"})
+        fixture.addReplica(id, "orders", {ReplicaStep{kAnswer}}).close();
+    cutThreeCalls();
+    CHECK(fixture.state.paths.isLost("orders"));
+    CHECK(call("/look/1").find("200 OK") != std::string::npos);
+    // Its caller leaves only now, and the replica still can't be reached.
+    const RequestIdentity late{Fingerprint{7}, {}};
+    const ReplicaEntry replica = *fixture.state.directory.find("i-41");
+    fixture.state.suspects.onLost(replica, late, AttemptProgress::NoOutput, fixture.clock.now());
+    fixture.runFor(milliseconds{400});
+    CHECK(fixture.state.suspects.quarantine().noticesOf(late.fingerprint).empty());
+}
+
+// A request that crashes all replicas of a service makes no other service unreachable.
+TEST(AVmWithoutAPath, blamesARequestThatCrashedAllReplicasOfOneService)
+{
+    for (const char *id : {"i-21", "i-22"})
+        fixture.addReplica(id, "orders", {ReplicaStep{kAnswer}});
+    cutThreeCalls();
+    CHECK(call("/look/1").find("503") != std::string::npos);
+}
+
 TEST(AVmWithoutAPath, tellsTheCallerNothingOfTheRelay)
 {
     addPeerReplica("i-9", {ReplicaStep{kAnswer}});
