--- a/tests/process/vm-without-path.sh
+++ b/tests/process/vm-without-path.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs three gateways before five replicas on loopback. The links of one gateway to all replicas, then of two, are
+# Runs three gateways before eight replicas on loopback. The links of one gateway to all replicas, then of two, are
 # partitioned in three ways. Callers of these gateways must be served about as often as those of the others.
 # Ends with "path tests: N held, N not held".
 set -uo pipefail
@@ -10,10 +10,12 @@
 trap stop_fleet EXIT
 
 cut_seconds=${CUT_SECONDS:-6}
-replicas=5
-start_replica() { # number, service
-    start_process "replica-$1" build/standin --role replica --port $((base_port + 20 + $1)) --id "i-$1" \
-        --service "$2" --store_port $((base_port + 1)) --events 5
+replicas=8
+start_replica() { # number, service, more flags of the simulator
+    local number=$1 service=$2
+    shift 2
+    start_process "replica-$number" build/standin --role replica --port $((base_port + 20 + number)) --id "i-$number" \
+        --service "$service" --store_port $((base_port + 1)) --events 5 "$@"
 }
 # The links of gateway N lead from port offset (N - 1) * 100 to the replicas, and the gateway reads its replicas' addresses at
 # a port of the store that says so.
@@ -94,6 +96,26 @@
     check "gateway 3 is ready again" until_true 60 gateway_is_ready 3
     sleep 1
 }
+set_links() { # gateway number, state
+    curl -s -o /dev/null -X PUT --data "$2" "$(link_control "$1")/state"
+}
+equal_stream() { # gateway number; prints the HTTP status
+    curl -s -o /dev/null -m 5 -w '%{http_code}\n' "$(gateway_url "$1")/draw/1" -H 'Host: f.example' -H "$auth_header" \
+        -H "X-Arbutuspier-Attempt-Id: e$1-$RANDOM$RANDOM" -H 'X-Arbutuspier-Deadline-Ms: 4000' \
+        -H 'X-Arbutuspier-Token-Usage: 100,100' -d 'the same prompt'
+}
+# Several of the streams are in flight at each replica as the links of gateway 2 are reset.
+play_with_equal_streams() {
+    local i
+    print_line "Equal streams are in flight at all replicas as the links of gateway 2 are reset."
+    for i in $(seq 12); do equal_stream 2 >/dev/null & done
+    sleep 0.2
+    set_links 2 reset
+    sleep 0.5
+    for i in 2 3 4; do check "gateway $i serves one more of them" test "$(equal_stream "$i")" = 200; done
+    set_links 2 connected
+    sleep 1
+}
 relay_port_is_closed_to_others() { # loopback address 1 is no gateway's
     [ "$(curl -s -o /dev/null -m 2 -w '%{http_code}' "http://127.0.0.4:$((base_port + 14))/look/1" -H 'Host: f.example' \
         -H "$auth_header" -H 'X-Arbutuspier-Attempt-Id: r1' -H 'Relay-Config-Version: 1' -H 'Relay-Reached-Attempts: 0')" = 000 ]
@@ -103,14 +125,16 @@
     --views "$((base_port + 2)):100,$((base_port + 3)):200"
 for i in 1 2 3; do start_replica "$i" assist; done
 for i in 4 5; do start_replica "$i" orders; done
+for i in 6 7 8; do start_replica "$i" drawings --prefill_ms 400; done
 for i in 2 3; do start_links "$i"; done
 for i in 2 3; do start_gateway_behind_links "$i"; done
 start_gateway 4
 put_gateway_config '{"version":1,"routes":[
  {"host":"f.example","prefix":"/look/","routeKind":"idempotent","timeoutMs":4000,"goalMs":500,"service":"assist","maxAttempts":2},
  {"host":"f.example","prefix":"/order/","routeKind":"non_idempotent","timeoutMs":4000,"goalMs":500,"service":"orders","maxAttempts":1},
- {"host":"f.example","prefix":"/ask/","routeKind":"streaming","timeoutMs":4000,"goalMs":500,"service":"assist","maxAttempts":2,"resumable":true,"gapTargetMs":300}],
- "services":[{"name":"assist","maxConnections":100},{"name":"orders","maxConnections":100}],
+ {"host":"f.example","prefix":"/ask/","routeKind":"streaming","timeoutMs":4000,"goalMs":500,"service":"assist","maxAttempts":2,"resumable":true,"gapTargetMs":300},
+ {"host":"f.example","prefix":"/draw/","routeKind":"streaming","timeoutMs":4000,"goalMs":1000,"service":"drawings","maxAttempts":2,"resumable":true,"gapTargetMs":300}],
+ "services":[{"name":"assist","maxConnections":100},{"name":"orders","maxConnections":100},{"name":"drawings","maxConnections":100}],
  "tenants":[{"name":"carvers","apiKeys":["saw-key"]}]}'
 for i in 2 3 4; do check "gateway $i becomes ready" until_true 60 gateway_is_ready "$i"; done
 check "all gateways list the replicas" until_true 60 all_replicas_listed
@@ -123,6 +147,7 @@
 play_with_ending_peer TERM
 check "no first try failed when the peer drained" eval 'grep "^gateway=cut" "$work_dir/report" | field failures | grep -qx 0'
 play_with_ending_peer KILL
+play_with_equal_streams
 check "only gateways may relay" relay_port_is_closed_to_others
 check "no request was rejected for the crashes of cut replicas" eval '! grep -q "reason=quarantined" "$work_dir"/gateway-*.log'
 [ -z "${KEEP_LOGS:-}" ] || cp "$work_dir"/gateway-*.log "$work_dir"/links-*.log "$KEEP_LOGS"
