--- a/tests/gate/answerwithoutlengthtest.cpp
+++ b/tests/gate/answerwithoutlengthtest.cpp
@@ -1,6 +1,7 @@
 // Responses of replicas that have neither a length nor chunks: they end with their connection, and
 // only its orderly end, at the end of an event for a stream, makes them complete.
 #include "gatewayfixture.h"
+#include "responsetext.h"
 
 #include "gateway/requesthandler.h"
 
@@ -33,11 +34,6 @@
         + std::string(extra) + "\r\n";
 }
 
-std::string event(int id)
-{
-    return "id: " + std::to_string(id) + "\ndata: x\n\n";
-}
-
 std::string events(int from, int to)
 {
     std::string text;
@@ -68,16 +64,6 @@
     return step;
 }
 
-int statusOf(const std::string &response)
-{
-    return response.size() > 12 ? std::stoi(response.substr(9, 3)) : 0;
-}
-
-bool contains(std::string_view text, std::string_view part)
-{
-    return text.find(part) != std::string_view::npos;
-}
-
 std::string bodyOf(const std::string &response)
 {
     const auto at = response.find(kHeadEnd);
--- a/tests/gate/limitedreplicatest.cpp
+++ b/tests/gate/limitedreplicatest.cpp
@@ -1,5 +1,6 @@
 // Requests of one gateway before replicas that name a request limit in their answers.
 #include "gatewayfixture.h"
+#include "responsetext.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -50,10 +51,6 @@
     {
         return fixture.call(GatewayFixture::request("GET", path));
     }
-    static bool isAnswered(const std::string &response)
-    {
-        return response.find(" 200 ") != std::string::npos;
-    }
 };
 
 // Guards against a replica that gets its part of all requests although it named a limit.
--- a/tests/gate/relaytest.cpp
+++ b/tests/gate/relaytest.cpp
@@ -1,5 +1,6 @@
 // Sends requests to a VM without a path to the replicas, which relays them to a peer.
 #include "gatewayfixture.h"
+#include "responsetext.h"
 
 #include "gateway/relayhead.h"
 
@@ -31,12 +32,6 @@
     "HTTP/1.1 200 OK\r\nX-Arbutuspier-Attempt-Id: %ID\r\nX-Arbutuspier-Response-Signature: sig\r\n"
     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-std::string event(int id)
-{
-    const std::string text = "id: " + std::to_string(id) + "\ndata: x\n\n";
-    return "f\r\n" + text + "\r\n";
-}
-
 const std::string kEnd = "0\r\n\r\n";
 
 /// A peer in the same process. It shares nothing with the VM but the thread.
@@ -259,8 +254,8 @@
 {
     ScriptedReplica &replica =
         addPeerReplica("i-9",
-                       {ReplicaStep{kStreamHead + event(0) + event(1), false, true},
-                        ReplicaStep{kStreamHead + event(2) + kEnd}});
+                       {ReplicaStep{kStreamHead + chunk(event(0)) + chunk(event(1)), false, true},
+                        ReplicaStep{kStreamHead + chunk(event(2)) + kEnd}});
     const std::string response = fixture.call(GatewayFixture::request("POST", "/ask/1", kKey, "x"));
     for (const char *id : {"id: 0\n", "id: 1\n", "id: 2\n"})
         CHECK(response.find(id) != std::string::npos);
--- a/tests/gate/requesthandlertest.cpp
+++ b/tests/gate/requesthandlertest.cpp
@@ -1,12 +1,11 @@
 // Handling of one caller request when replicas succeed, refuse, fail, disconnect or don't respond.
 #include "gatewayfixture.h"
+#include "responsetext.h"
 
 #include "gateway/requesthandler.h"
 
 #include <CppUTest/TestHarness.h>
 
-#include <sstream>
-
 using namespace arbutuspier;
 using namespace arbutuspier::gatetest;
 
@@ -47,18 +46,6 @@
            "Content-Length: 0\r\n\r\n";
 }
 
-std::string chunk(const std::string &text)
-{
-    std::ostringstream out;
-    out << std::hex << text.size() << "\r\n" << text << "\r\n";
-    return out.str();
-}
-
-std::string event(int id)
-{
-    return "id: " + std::to_string(id) + "\ndata: x\n\n";
-}
-
 std::string streamHead()
 {
     return "HTTP/1.1 200 OK\r\nX-Arbutuspier-Attempt-Id: %ID\r\n"
@@ -73,16 +60,6 @@
     return text + "0\r\n\r\n";
 }
 
-int statusOf(const std::string &response)
-{
-    return response.size() > 12 ? std::stoi(response.substr(9, 3)) : 0;
-}
-
-bool contains(const std::string &text, const std::string &part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 } // namespace
 
 TEST_GROUP(ACall)
--- a/tests/gate/restingreplicatest.cpp
+++ b/tests/gate/restingreplicatest.cpp
@@ -1,5 +1,6 @@
 // Requests of one gateway before replicas that turn requests away and ask for rest.
 #include "gatewayfixture.h"
+#include "responsetext.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -29,11 +30,6 @@
     "HTTP/1.1 200 OK\r\nX-Arbutuspier-Attempt-Id: %ID\r\nX-Arbutuspier-Response-Signature: s1\r\n"
     "Content-Length: 4\r\n\r\ndone"};
 
-bool isAnswered(const std::string &response)
-{
-    return response.find(" 200 ") != std::string::npos;
-}
-
 } // namespace
 
 TEST_GROUP(AReplicaThatAsksForRest)
--- a/tests/gate/silentreplicatest.cpp
+++ b/tests/gate/silentreplicatest.cpp
@@ -1,10 +1,9 @@
 // Handling of one caller request whose replica falls silent for a while, or for good.
 #include "gatewayfixture.h"
+#include "responsetext.h"
 
 #include <CppUTest/TestHarness.h>
 
-#include <sstream>
-
 using namespace arbutuspier;
 using namespace arbutuspier::gatetest;
 
@@ -40,18 +39,6 @@
         + std::string(body);
 }
 
-std::string chunk(const std::string &text)
-{
-    std::ostringstream out;
-    out << std::hex << text.size() << "\r\n" << text << "\r\n";
-    return out.str();
-}
-
-std::string event(int id)
-{
-    return "id: " + std::to_string(id) + "\ndata: x\n\n";
-}
-
 std::string events(int from, int to)
 {
     std::string text;
@@ -97,11 +84,6 @@
     return {streamHead() + events(from, 4) + kEnd};
 }
 
-int statusOf(const std::string &response)
-{
-    return response.size() > 12 ? std::stoi(response.substr(9, 3)) : 0;
-}
-
 /// The events of a complete stream; empty if it isn't complete.
 std::string eventsOf(const std::string &response)
 {
