gateway: Probe few replicas of the other services first

When all replicas of a service crash, every VM checks the paths to the other services: with 24 probes each, 35 VMs could use up the connections that a plain service accepts (110 a replica on a grown site), and take a full service for one that can't be reached. Three are probed first, one of each zone, and the others only if none accepts.

--- a/src/gateway/suspecttracker.cpp
+++ b/src/gateway/suspecttracker.cpp
@@ -30,7 +30,7 @@
 /// A network partition makes other replicas unreachable too within this time.
 constexpr Duration kPartitionDetectionTime = std::chrono::milliseconds{250};
 /// Crashes that were counted this long before the VM was known to be cut off belong to the cut: two
-/// replicas have to be unreachable within two seconds, and others to be probed twice, until then.
+/// replicas have to be unreachable within two seconds, and others to be probed, until then.
 constexpr Duration kCutDetectionTime = std::chrono::seconds{3};
 
 UpstreamId upstreamId(const ReplicaIncarnation &incarnation)
--- a/src/gateway/upstreampaths.cpp
+++ b/src/gateway/upstreampaths.cpp
@@ -19,6 +19,8 @@
 constexpr Duration kMinProbeInterval = std::chrono::milliseconds{250};
 constexpr Duration kMaxProbeInterval = std::chrono::milliseconds{800};
 constexpr double kProbeIntervalGrowth = 1.3;
+/// Replicas of another service that are probed first, as it can mostly be reached.
+constexpr std::size_t kFirstProbes = 3;
 
 } // namespace
 
@@ -155,10 +157,20 @@
     for (const std::string &service : m_directory.services()) {
         const bool mustCheck = service != lost && path(service).onOtherPathLost(m_clock.now());
         if (mustCheck)
-            asio::co_spawn(m_executor, check(service), asio::detached);
+            asio::co_spawn(m_executor, checkOther(service), asio::detached);
     }
 }
 
+Task<void> UpstreamPaths::checkOther(std::string service)
+{
+    auto replicas = path(service).replicasToProbe(m_directory.usable(service));
+    if (replicas.size() > kFirstProbes)
+        replicas.erase(replicas.begin() + kFirstProbes, replicas.end());
+    const bool wasAnyAccepted = co_await isAnyAccepted(std::move(replicas));
+    if (!wasAnyAccepted)
+        co_await check(service);
+}
+
 Task<void> UpstreamPaths::probeUntilBack(std::string service)
 {
     asio::steady_timer timer(m_executor);
--- a/src/gateway/upstreampaths.h
+++ b/src/gateway/upstreampaths.h
@@ -47,6 +47,8 @@
     /// The path to one service was lost, and a VM often loses all of them at once: checks those to
     /// the others before requests wait there.
     void checkOtherServices(const std::string &lost);
+    /// As `check`, but probes few replicas first.
+    Task<void> checkOther(std::string service);
     Task<void> probe(std::shared_ptr<Probes> probes, ReplicaEntry replica);
     /// Probes the replicas at the same time, until one accepts or all have failed.
     Task<bool> isAnyAccepted(std::vector<ReplicaEntry> replicas);
--- a/tests/gate/relaytest.cpp
+++ b/tests/gate/relaytest.cpp
@@ -174,11 +174,16 @@
 {
     for (const char *id : {"i-21", "i-22"})
         fixture.addReplica(id, "orders", {ReplicaStep{kAnswer}}).close();
-    for (const char *id : {"i-31", "i-32"})
-        fixture.addReplica(id, "drawings", {ReplicaStep{kAnswer}});
+    std::vector<ScriptedReplica *> reachable;
+    for (const char *id : {"i-31", "i-32", "i-33", "i-34", "i-35"})
+        reachable.push_back(&fixture.addReplica(id, "drawings", {ReplicaStep{kAnswer}}));
     losePath();
     CHECK(fixture.state.paths.isLost("orders"));
     CHECK(!fixture.state.paths.isLost("drawings"));
+    int connections = 0;
+    for (const ScriptedReplica *replica : reachable)
+        connections += replica->connections();
+    CHECK(connections <= 3);
 }
 
 // Guards against harmless requests that are rejected for the crashes of replicas that a VM can't
