--- a/tests/gate/relaytest.cpp
+++ b/tests/gate/relaytest.cpp
@@ -195,7 +195,7 @@
     cutThreeCalls();
     CHECK(fixture.state.paths.isLost("orders"));
     CHECK(call("/look/1").find("200 OK") != std::string::npos);
-    // Its caller leaves only now, and the replica still can't be reached.
+    // Another attempt there is found lost only now, and the replica still can't be reached.
     const RequestIdentity late{Fingerprint{7}, {}};
     const ReplicaEntry replica = *fixture.state.directory.find("i-41");
     fixture.state.suspects.onLost(replica, late, AttemptProgress::NoOutput, fixture.clock.now());
