gateway: Tell a VM that can serve nothing from one that is cut off

GatewayState::isCutOff() meant that neither this VM nor a peer has a path, and SuspectTracker::setCutOff() that this VM has none. The first is canServeNothing() now.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -110,7 +110,7 @@
 bool Gateway::isReady() const
 {
     return m_state.routes() && m_storeWatcher.hasReplicas() && m_suspectTable.wasRead()
-        && !m_state.isDraining() && !m_state.isCutOff();
+        && !m_state.isDraining() && !m_state.canServeNothing();
 }
 
 StatusResponse Gateway::readinessResponse(std::string_view path) const
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -198,7 +198,7 @@
     dispatchQueue.dispatchWaiting();
 }
 
-bool GatewayState::isCutOff() const
+bool GatewayState::canServeNothing() const
 {
     if (!m_routes || m_routes->configuration().services.empty())
         return false;
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -82,7 +82,7 @@
 
     /// Whether this VM can serve no service of the configuration: it has a path to none of them,
     /// and knows no peer that has.
-    bool isCutOff() const;
+    bool canServeNothing() const;
 
     bool isDraining() const { return m_drainDeadline.has_value(); }
     /// Deadline of everything in flight; empty unless the VM drains.
--- a/tests/gate/relaytest.cpp
+++ b/tests/gate/relaytest.cpp
@@ -227,7 +227,7 @@
     CHECK(response.find("503") != std::string::npos);
     CHECK(response.find("Retry-After: 0.500") != std::string::npos);
     CHECK(fixture.clock.now() - start < milliseconds{200});
-    CHECK(fixture.state.isCutOff());
+    CHECK(fixture.state.canServeNothing());
 }
 
 TEST(AVmWithoutAPath, doesNotSayNotRunOfACallThatMayHaveRun)
