--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -167,6 +167,45 @@
             writer.close()
 
 
+class StoreLink:
+    """A gateway's path to the store. While it is cut, nothing passes in either direction."""
+
+    def __init__(self, store_address):
+        self.store_address = store_address
+        self.open = asyncio.Event()
+        self.open.set()
+
+    async def start(self, host):
+        self.server = await asyncio.start_server(self.serve, host, 0)
+        self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
+
+    async def cut_for(self, seconds):
+        self.open.clear()
+        await asyncio.sleep(seconds)
+        self.open.set()
+
+    async def pass_on(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                await self.open.wait()
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        finally:
+            writer.close()
+
+    async def serve(self, reader, writer):
+        await self.open.wait()
+        host, port = self.store_address.split(":")
+        try:
+            store_reader, store_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(self.pass_on(reader, store_writer), self.pass_on(store_reader, writer))
+
+
 class Call:
     """One request as it arrived at a replica."""
 
@@ -387,11 +426,12 @@
     def put_config(self, config):
         self.store.put_bytes("op", "config", json.dumps(config).encode())
 
-    async def start_gateways(self, count):
+    async def start_gateways(self, count, store_addresses=None):
         hosts = [f"127.0.2.{i + 1}" for i in range(count)]
         shared = [free_port(hosts[0]) for _ in range(3)]
         for i in range(count):
-            gateway = Gateway(i + 1, self.store.address, hosts[:3], self.work_dir)
+            address = store_addresses[i] if store_addresses else self.store.address
+            gateway = Gateway(i + 1, address, hosts[:3], self.work_dir)
             self.gateways.append(gateway)
             await gateway.start(shared)
         for _ in range(100):
