gateway: Send nothing to replicas of evacuated zones

ZoneEvacuations keeps a record for each zone, of which the one with the higher store revision holds, whatever the order of reads and notices. UpstreamDirectory leaves out the replicas of evacuated zones, so that all that sends obeys; requests are checked again between grant and sending, new reservations and identity probes are withheld. Readers of the store tell the others by a named datagram, which the full state contains too; a VM knows the zones before it applies its first configuration. A service whose replicas are all in evacuated zones rejects at once.

--- a/include/arbutuspier/upstreamdirectory.h
+++ b/include/arbutuspier/upstreamdirectory.h
@@ -122,12 +122,23 @@
     /// Removes missing entries once the grace period is over.
     void tick(TimePoint now);
 
+    /// Replicas of these zones may get no new requests from now on. Their entries are still
+    /// tracked, and what runs there may end.
+    void setEvacuatedZones(std::set<std::string> zones);
+    bool isEvacuated(const ReplicaEntry &entry) const
+    {
+        return m_evacuatedZones.contains(entry.zone);
+    }
+    /// Whether the service has no usable replica and would have one if no zone were evacuated.
+    bool areAllEvacuated(std::string_view service) const;
     /// Entries of one service whose replicas may get new requests.
     std::vector<const ReplicaEntry *> usable(std::string_view service) const;
     /// Services with replicas that may get new requests.
     std::set<std::string> services() const;
     const ReplicaEntry *find(std::string_view id) const;
     bool isUsable(const ReplicaIncarnation &incarnation) const;
+    /// As isUsable(), but true in an evacuated zone too, where requests may still run.
+    bool isServing(const ReplicaIncarnation &incarnation) const;
     /// True if the incarnation is missing from the list and wasn't seen draining, or if a later
     /// incarnation has its id.
     bool wasRemovedOrReplaced(const ReplicaIncarnation &incarnation) const;
@@ -163,6 +174,8 @@
     void onEntryMissing(const std::string &id, TimePoint now);
     void recordDeparture(const Departure &departure);
     void removeOldestDeparture();
+    /// Whether the replica serves, be its zone evacuated or not.
+    bool isServing(const ReplicaEntry &entry) const;
     bool isUsable(const ReplicaEntry &entry) const;
     bool hasDeparted(const ReplicaIncarnation &incarnation) const
     {
@@ -172,6 +185,7 @@
     DirectoryOptions m_options;
     std::map<std::string, TrackedEntry, std::less<>> m_entries;
     std::map<ReplicaIncarnation, DepartureRecord> m_departed;
+    std::set<std::string> m_evacuatedZones;
     std::vector<Departure> m_newDepartures;
     std::uint64_t m_departureCount = 0;
     std::uint64_t m_revision = 0;
--- a/src/coordination/upstreamdirectory.cpp
+++ b/src/coordination/upstreamdirectory.cpp
@@ -218,11 +218,43 @@
     return entry && entry->startedAtMs == incarnation.startedAtMs && isUsable(*entry);
 }
 
-bool UpstreamDirectory::isUsable(const ReplicaEntry &entry) const
+bool UpstreamDirectory::isServing(const ReplicaIncarnation &incarnation) const
+{
+    const ReplicaEntry *entry = find(incarnation.id);
+    return entry && entry->startedAtMs == incarnation.startedAtMs && isServing(*entry);
+}
+
+bool UpstreamDirectory::isServing(const ReplicaEntry &entry) const
 {
     return entry.state == ReplicaState::Ready && !hasDeparted(entry.incarnation());
 }
 
+bool UpstreamDirectory::isUsable(const ReplicaEntry &entry) const
+{
+    return isServing(entry) && !isEvacuated(entry);
+}
+
+void UpstreamDirectory::setEvacuatedZones(std::set<std::string> zones)
+{
+    if (zones == m_evacuatedZones)
+        return;
+    m_evacuatedZones = std::move(zones);
+    ++m_revision;
+}
+
+bool UpstreamDirectory::areAllEvacuated(std::string_view service) const
+{
+    bool hasServing = false;
+    for (const auto &[id, tracked] : m_entries) {
+        if (tracked.entry.service != service || !isServing(tracked.entry))
+            continue;
+        if (!isEvacuated(tracked.entry))
+            return false;
+        hasServing = true;
+    }
+    return hasServing;
+}
+
 bool UpstreamDirectory::wasRemovedOrReplaced(const ReplicaIncarnation &incarnation) const
 {
     const auto departed = m_departed.find(incarnation);
--- a/src/gateway/dispatchqueue.cpp
+++ b/src/gateway/dispatchqueue.cpp
@@ -210,7 +210,8 @@
         return true;
     }
     if (all.empty()) {
-        reject(ticket, DispatchRejection::NoReplica);
+        const bool areEvacuated = m_directory.areAllEvacuated(ticket.requirements.service);
+        reject(ticket, areEvacuated ? DispatchRejection::Evacuated : DispatchRejection::NoReplica);
         return true;
     }
     const bool hasEngine = service && service->engine;
--- a/src/gateway/dispatchqueue.h
+++ b/src/gateway/dispatchqueue.h
@@ -87,6 +87,8 @@
     RateLimited,
     /// All replicas that are left have asked this VM for rest.
     Resting,
+    /// All replicas of the service are in evacuated zones.
+    Evacuated,
     /// No connection to a replica can be opened, and no peer is known that has a path to them.
     NoPath,
     /// This VM drains, and stops before the request is expected to end.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -80,6 +80,7 @@
     };
     m_storeWatcher.onStoreRestored = [this] { m_suspectTable.onStoreRestored(); };
     m_storeWatcher.onConfiguration = [this] { m_messenger.broadcastChanges(); };
+    m_storeWatcher.onEvacuationsRead = [this] { m_messenger.broadcastEvacuations(); };
     m_storeWatcher.onReplicasRead = [this](const ReplicaNotice &notice) {
         m_messenger.broadcastReplicasRead(notice);
     };
@@ -140,6 +141,10 @@
     metrics.setGauge("limited_replicas", static_cast<double>(m_state.limits.limitedCount()));
     metrics.setGauge("resting_replicas",
                      static_cast<double>(m_state.rests.restingCount(m_clock.now())));
+    metrics.setGauge("evacuated_zones",
+                     static_cast<double>(m_state.evacuations.evacuated().size()));
+    if (const auto age = m_state.evacuations.age(m_clock.now()))
+        metrics.setGauge("evacuations_age_seconds", toSeconds(*age));
     metrics.setGauge("lost_paths", static_cast<double>(m_state.paths.lostServices().size()));
     metrics.setGauge("vms", static_cast<double>(m_state.vmCount()));
     metrics.setGauge("response_bytes", static_cast<double>(m_state.responseMemory.used()));
@@ -204,7 +209,7 @@
                      .addSeconds("boot_gap", toSeconds(bootGap))
                      .text();
     m_state.pool.clear();
-    m_storeWatcher.pollReplicasNow();
+    m_storeWatcher.onResumed();
 }
 
 Task<void> Gateway::tick()
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -38,6 +38,7 @@
     , clock(clockToUse)
     , executor(std::move(executorToUse))
     , directory({})
+    , evacuations({})
     , groups(settings.vm, FleetGroupsOptions{})
     , health({})
     , zones({})
@@ -63,7 +64,7 @@
         return directory.wasRemovedOrReplaced(incarnation);
     };
     suspects.tryAsk = [this](const ReplicaIncarnation &incarnation) {
-        return rests.tryControlRequest(incarnation, this->clock.now());
+        return !isEvacuated(incarnation) && rests.tryControlRequest(incarnation, this->clock.now());
     };
     suspects.isEngine = [this](const ReplicaEntry &replica) {
         const ServiceSpec *service = m_routes ? m_routes->service(replica.service) : nullptr;
@@ -114,6 +115,32 @@
     return true;
 }
 
+void GatewayState::applyEvacuations(const std::vector<ZoneEvacuation> &changed,
+                                    std::string_view source)
+{
+    if (changed.empty())
+        return;
+    for (const ZoneEvacuation &zone : changed) {
+        metrics.incrementCounter("zone_changes", zone.isEvacuated ? "evacuated" : "returned");
+        LOG(INFO) << LogLine(zone.isEvacuated ? "zone_evacuated" : "zone_returned")
+                         .add("zone", zone.zone)
+                         .add("source", source)
+                         .add("era", zone.revision.era)
+                         .add("store_revision", zone.revision.number)
+                         .text();
+        if (!zone.isEvacuated && onZoneReturned)
+            onZoneReturned(zone.zone);
+    }
+    directory.setEvacuatedZones(evacuations.evacuated());
+    dispatchQueue.dispatchWaiting();
+}
+
+bool GatewayState::isEvacuated(const ReplicaIncarnation &incarnation) const
+{
+    const ReplicaEntry *entry = directory.find(incarnation.id);
+    return entry && directory.isEvacuated(*entry);
+}
+
 void GatewayState::recordResponse(const ReplicaEntry &replica)
 {
     zones.onResponse(replica.zone);
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -11,6 +11,7 @@
 #include "arbutuspier/routedurations.h"
 #include "arbutuspier/routetable.h"
 #include "arbutuspier/upstreamdirectory.h"
+#include "arbutuspier/zoneevacuations.h"
 #include "arbutuspier/zonehealth.h"
 #include "gateway/dispatchqueue.h"
 #include "gateway/gatewaymetrics.h"
@@ -49,6 +50,14 @@
     /// The active configuration; null until one is known.
     const std::shared_ptr<const RouteTable> &routes() const { return m_routes; }
 
+    /// Called when an evacuated zone has returned, before its replicas get requests again.
+    std::function<void(const std::string &zone)> onZoneReturned;
+    /// Applies changes of `evacuations`: requests that wait are placed anew. `source` is the store
+    /// or the peer.
+    void applyEvacuations(const std::vector<ZoneEvacuation> &changed, std::string_view source);
+    /// Whether the zone of the replica is evacuated, so that only what runs there may end.
+    bool isEvacuated(const ReplicaIncarnation &incarnation) const;
+
     /// Records that a replica responded.
     void recordResponse(const ReplicaEntry &replica);
     /// Records the request limit that a replica named in the head of a response to a request of
@@ -111,6 +120,7 @@
     const Clock &clock;
     asio::any_io_executor executor;
     UpstreamDirectory directory;
+    ZoneEvacuations evacuations;
     FleetGroups groups;
     FleetLoad load;
     ReplicaHealth health;
--- a/src/gateway/memoryreservation.cpp
+++ b/src/gateway/memoryreservation.cpp
@@ -26,7 +26,7 @@
 /// limit frees the memory.
 constexpr int kReleaseAttempts = 3;
 
-/// In place of a status: the order was not sent, as the replica rests.
+/// In place of a status: the order was not sent, as the replica rests or its zone is evacuated.
 constexpr int kWithheld = -1;
 
 /// Sends an order. Returns the status of the response, zero if none came, or `kWithheld`.
@@ -105,10 +105,14 @@
 Task<void> MemoryReservation::reserve(std::shared_ptr<SharedState> shared, std::size_t partIndex)
 {
     const ReservationPart &reservation = shared->parts[partIndex];
-    const int status =
-        co_await sendOrder(shared->state, reservation.replica,
-                           platform::reserveOrder(reservation.replica, reservation.id,
-                                                  reservation.tokens, kReservationTimeLimit));
+    // In an evacuated zone, memory is held only for what runs there already.
+    const bool isWithheld =
+        !shared->isReserved[partIndex] && shared->state.directory.isEvacuated(reservation.replica);
+    const int status = isWithheld
+        ? kWithheld
+        : co_await sendOrder(shared->state, reservation.replica,
+                             platform::reserveOrder(reservation.replica, reservation.id,
+                                                    reservation.tokens, kReservationTimeLimit));
     shared->isReserved[partIndex] =
         platform::decodeReserveStatus(status) == platform::ReserveOutcome::Reserved;
     if (!shared->isReserved[partIndex]) {
--- a/src/gateway/peermessenger.cpp
+++ b/src/gateway/peermessenger.cpp
@@ -310,6 +310,9 @@
     const PartNotices notices = m_state.suspects.promptParts().notices(kMaxPartItems);
     if (!notices.empty())
         send(encodePartRow({{}, notices}), to);
+    // Also if there is none: a VM that starts has to know that.
+    if (m_state.evacuations.isKnown())
+        send(encodedEvacuations(), to);
 }
 
 void PeerMessenger::logTraffic()
@@ -507,6 +510,8 @@
     co_await timer.async_wait(kAwait);
     const Udp::endpoint endpoint = m_snapshotSource;
     m_snapshotSources = 0;
+    // A VM serves once it has a configuration.
+    co_await awaitEvacuations(endpoint);
     HttpRequest request;
     request.target = std::string(kSnapshotPath);
     request.timeout = kFetchTimeout;
--- a/src/gateway/peermessenger.h
+++ b/src/gateway/peermessenger.h
@@ -46,6 +46,8 @@
     void broadcastLostPaths();
     /// Tells peers that this VM has read the list of replicas, and what was new.
     void broadcastReplicasRead(const ReplicaNotice &notice);
+    /// Tells peers which zones are evacuated, as this VM has read that they changed.
+    void broadcastEvacuations();
     /// Sends peers the departures of replicas that this VM has found since the last call.
     void broadcastDepartures();
     /// Sends peers these departures, and the status if it changed, for example by a new
@@ -97,6 +99,12 @@
     /// Applies a datagram that consists of notices of one kind. Returns false if it is another.
     bool handleNotices(std::string_view bytes);
     void applyLimits(const std::vector<RequestLimitNotice> &notices);
+    std::string encodedEvacuations() const;
+    /// Sends the evacuated zones again if that is due.
+    void repeatEvacuations(TimePoint now);
+    /// Waits until this VM knows which zones are evacuated. Gives up if no peer tells, as one of an
+    /// older build doesn't.
+    Task<void> awaitEvacuations(Udp::endpoint peer);
     void send(const std::string &bytes, const Udp::endpoint &to);
     void logTraffic();
     void dropUnresponsivePeers(TimePoint now);
@@ -116,6 +124,9 @@
     RepeatedNotices<RequestLimitNotice> m_recentLimits;
     PartNotices m_partOutbox;
     RepeatedNotices<PartNotices> m_recentPartNotices;
+    /// Each heartbeat repeats the evacuated zones until then.
+    TimePoint m_repeatEvacuationsUntil{};
+    TimePoint m_nextEvacuationsAt{};
     /// Empty if no flush is scheduled.
     std::optional<TimePoint> m_flushAt;
     TimePoint m_lastBroadcastAt{};
--- a/src/gateway/peermessengernotices.cpp
+++ b/src/gateway/peermessengernotices.cpp
@@ -10,12 +10,30 @@
 #include "gateway/replicanoticecodec.h"
 #include "gateway/replicasreadcodec.h"
 #include "gateway/requestlimitcodec.h"
+#include "gateway/zoneevacuationcodec.h"
+#include "kernel/logline.h"
+
+#include <glog/logging.h>
 
 #include <algorithm>
 #include <utility>
 
 namespace arbutuspier {
 
+namespace {
+
+/// Time for which the evacuated zones are sent with each heartbeat after a change, as datagrams may
+/// be lost.
+constexpr Duration kEvacuationRepeatTime = std::chrono::seconds{3};
+/// Interval at which readers send them again while a zone is evacuated.
+constexpr Duration kEvacuationInterval = std::chrono::seconds{3};
+/// Longest time for which a VM that has no configuration waits for a peer to tell which zones are
+/// evacuated, and the interval at which it asks.
+constexpr Duration kMaxEvacuationWait = std::chrono::seconds{1};
+constexpr Duration kEvacuationRequestInterval = std::chrono::milliseconds{100};
+
+} // namespace
+
 void PeerMessenger::broadcast(const SuspectNotice &notice)
 {
     m_outbox.suspects.push_back(notice);
@@ -129,6 +147,11 @@
         m_builds.onAnnouncement(*announcement, m_state.clock.now());
         return true;
     }
+    if (const auto evacuations = decodeZoneEvacuations(bytes)) {
+        const auto changed = m_state.evacuations.merge(*evacuations, m_state.clock.now());
+        m_state.applyEvacuations(changed, "peer");
+        return true;
+    }
     const auto limits = decodeRequestLimits(bytes);
     if (limits)
         applyLimits(*limits);
@@ -152,6 +175,45 @@
         append(parts, recent);
     sendPartNotices(parts);
     sendLimitNotices(m_recentLimits.current(now));
+    repeatEvacuations(now);
+}
+
+std::string PeerMessenger::encodedEvacuations() const
+{
+    return encodeZoneEvacuations(m_state.evacuations.notice(m_state.clock.now()));
+}
+
+void PeerMessenger::broadcastEvacuations()
+{
+    const TimePoint now = m_state.clock.now();
+    m_repeatEvacuationsUntil = now + kEvacuationRepeatTime;
+    m_nextEvacuationsAt = now + kEvacuationInterval;
+    sendToAll(encodedEvacuations());
+}
+
+void PeerMessenger::repeatEvacuations(TimePoint now)
+{
+    const bool isRecent = now < m_repeatEvacuationsUntil;
+    const bool isDue = m_state.isStoreReader() && now >= m_nextEvacuationsAt
+        && !m_state.evacuations.evacuated().empty();
+    if (!isRecent && !isDue)
+        return;
+    m_nextEvacuationsAt = now + kEvacuationInterval;
+    sendToAll(encodedEvacuations());
+}
+
+Task<void> PeerMessenger::awaitEvacuations(Udp::endpoint peer)
+{
+    asio::steady_timer timer(m_context);
+    const TimePoint end = m_state.clock.now() + kMaxEvacuationWait;
+    while (!m_state.evacuations.isKnown() && m_state.clock.now() < end) {
+        requestFullState(peer);
+        timer.expires_after(kEvacuationRequestInterval);
+        co_await timer.async_wait(kAwait);
+    }
+    if (!m_state.evacuations.isKnown())
+        LOG(WARNING)
+            << LogLine("evacuations_unknown").add("peer", peer.address().to_string()).text();
 }
 
 } // namespace arbutuspier
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -63,6 +63,8 @@
         return "rate-limited";
     case DispatchRejection::Resting:
         return "resting";
+    case DispatchRejection::Evacuated:
+        return "evacuated";
     case DispatchRejection::NoPath:
         return "no-path";
     case DispatchRejection::Draining:
@@ -261,6 +263,8 @@
     // Before that time, the request would be refused again.
     if (result.rejection == DispatchRejection::Resting && result.retryAfter)
         return *result.retryAfter;
+    if (result.rejection == DispatchRejection::Evacuated)
+        return m_state.evacuations.retryAfter(m_state.clock.now());
     if (result.retryAfter)
         return std::min(*result.retryAfter, timeLeft() / kRetryDivisor);
     const bool hasNone = result.rejection == DispatchRejection::NoReplica
@@ -291,6 +295,8 @@
                 co_await respondWithFailure();
                 co_return;
             }
+            if (result.rejection == DispatchRejection::Evacuated)
+                m_state.metrics.incrementCounter("evacuated_requests", "rejected");
             co_await reject(kUnavailable, reasonOf(result.rejection), retryAfter(result));
             co_return;
         }
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -124,6 +124,8 @@
 
     /// Reserves the helpers' memory that the grant asks for. False if a helper didn't confirm.
     Task<bool> reserveMemory(const DispatchGrant &grant, ReservedMemory &reserved);
+    /// Whether the zone of the replica or of a helper was evacuated since the grant.
+    bool wasEvacuated(const DispatchGrant &grant) const;
     Task<AttemptOutcome> readResponse(UpstreamAttempt::SendResult sent, UpstreamAttempt &attempt,
                                       const DispatchGrant &grant);
     /// Updates the replica's load and slowdown factor when the first event of an attempt came.
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -87,6 +87,17 @@
     co_return reserved.reservation != nullptr;
 }
 
+bool RequestHandler::wasEvacuated(const DispatchGrant &grant) const
+{
+    const auto isInEvacuatedZone = [this](const HelperAssignment &helper) {
+        return m_state.directory.isEvacuated(helper.replica);
+    };
+    if (grant.isRelay())
+        return false;
+    return m_state.directory.isEvacuated(grant.replica)
+        || std::any_of(grant.helpers.begin(), grant.helpers.end(), isInEvacuatedZone);
+}
+
 Task<RequestHandler::AttemptOutcome> RequestHandler::attempt(const DispatchGrant &grant)
 {
     if (m_caller.isDisconnected()) {
@@ -108,6 +119,12 @@
     const bool isUsable = grant.isRelay()
         || (m_state.directory.isUsable(incarnation)
             && !m_state.rests.isResting(incarnation, m_state.clock.now()));
+    if (wasEvacuated(grant)) {
+        // It is placed anew, as after a reservation that was refused.
+        ++m_failedReservations;
+        m_state.metrics.incrementCounter("evacuated_requests", "placed-anew");
+        co_return AttemptOutcome::NotExecuted;
+    }
     if (isQuarantined() || !isUsable)
         co_return AttemptOutcome::NotExecuted;
     UpstreamAttempt attempt(m_state.executor, m_state.pool, incarnation);
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -1,4 +1,4 @@
-// The configuration is read by long polling, as it changes seldom.
+// The operator's rows are read by long polling, as they change seldom.
 #include "gateway/storewatcher.h"
 
 #include "arbutuspier/backoff.h"
@@ -103,6 +103,12 @@
     m_replicaTimer.cancel();
 }
 
+void StoreWatcher::onResumed()
+{
+    m_mustReadOperatorRows = true;
+    pollReplicasNow();
+}
+
 void StoreWatcher::onPeerMessage(const std::string &vm)
 {
     m_roster.onMessageFrom(vm, m_state.clock.now());
@@ -144,7 +150,7 @@
 
 Task<void> StoreWatcher::awaitConfigurationTurn(asio::steady_timer &timer)
 {
-    while (reliesOnReaders() && !isConfigurationOverdue())
+    while (reliesOnReaders() && !isConfigurationOverdue() && !m_mustReadOperatorRows)
         co_await sleepFor(timer, kReaderCheck);
 }
 
@@ -259,9 +265,33 @@
         onReplicas();
 }
 
-void StoreWatcher::handleConfigurationRead(const platform::StoreRead &read)
+void StoreWatcher::handleEvacuations(const platform::StoreRead &read, bool isFullRead)
+{
+    std::vector<ZoneEvacuation> zones;
+    for (const platform::StoreRow &row : read.rows) {
+        if (!row.key.starts_with(platform::kEvacuationRowPrefix))
+            continue;
+        zones.push_back({row.key.substr(platform::kEvacuationRowPrefix.size()),
+                         {row.version.era, row.version.number},
+                         !row.isDeleted});
+    }
+    const TimePoint now = m_state.clock.now();
+    const bool isFirst = !m_state.evacuations.isKnown();
+    const std::vector<ZoneEvacuation> changed = isFullRead
+        ? m_state.evacuations.applyRead(zones, {read.revision.era, read.revision.number}, now)
+        : m_state.evacuations.applyChanges(zones, now);
+    m_state.applyEvacuations(changed, "store");
+    // What a VM reads when it starts, the others know; many may start at the same time.
+    if (!changed.empty() && !isFirst && onEvacuationsRead)
+        onEvacuationsRead();
+}
+
+void StoreWatcher::handleOperatorRead(const platform::StoreRead &read, bool isFullRead)
 {
     m_configRevision = std::max(m_configRevision, read.revision);
+    m_mustReadOperatorRows = false;
+    // First, as this VM serves once it has a configuration.
+    handleEvacuations(read, isFullRead);
     for (const platform::StoreRow &row : read.rows) {
         if (row.key == platform::kConfigurationRow && !row.isDeleted)
             tryApplyConfiguration(row.bytes, "store");
@@ -280,16 +310,17 @@
         if (isFullRead) {
             read = co_await m_configClient.readTable(platform::kOperatorTable, kCallTimeout);
         } else {
-            read = co_await m_configClient.readChanges(
-                platform::kOperatorTable, m_configRevision,
-                m_configInterval.longPollWait(m_state.pollingReaderCount(), m_state.random),
-                kCallTimeout);
+            const Duration wait = m_mustReadOperatorRows
+                ? Duration::zero()
+                : m_configInterval.longPollWait(m_state.pollingReaderCount(), m_state.random);
+            read = co_await m_configClient.readChanges(platform::kOperatorTable, m_configRevision,
+                                                       wait, kCallTimeout);
         }
         noteEra(read);
         m_isConfigurationReadable = read.outcome == Outcome::Done;
         if (m_isConfigurationReadable) {
             failures = 0;
-            handleConfigurationRead(read);
+            handleOperatorRead(read, isFullRead);
             isFullRead = false;
             if (!read.rows.empty())
                 co_await sleepFor(timer, scaled(kCoalesceFraction, m_state.settings.configBound));
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -47,6 +47,8 @@
     void onPeerReadReplicas();
     /// A peer passed on what it has read of the list of replicas.
     void applyNotice(const ReplicaNotice &notice);
+    /// This VM was suspended: reads at once what the operator may have changed meanwhile.
+    void onResumed();
     /// Records that a datagram of the VM arrived, so that its registration is kept.
     void onPeerMessage(const std::string &vm);
     /// A VM that is missing in the list of VMs sent a datagram. Polls the list soon.
@@ -74,6 +76,8 @@
     std::function<void()> onStoreRestored;
     std::function<void()> onConfiguration;
     std::function<void()> onReplicas;
+    /// Called when this VM has read that evacuated zones changed, and peers may not know it.
+    std::function<void()> onEvacuationsRead;
     /// Called with what is new when this VM has read the list of replicas.
     std::function<void(const ReplicaNotice &)> onReplicasRead;
 
@@ -100,7 +104,7 @@
     Task<void> awaitReplicaPoll(TimePoint due);
     /// Time of the next poll after one at `polledAt`.
     TimePoint nextReplicaPoll(TimePoint polledAt);
-    /// Waits while peers read the configuration for this VM.
+    /// Waits while peers read the operator's rows for this VM.
     Task<void> awaitConfigurationTurn(asio::steady_timer &timer);
     /// Whether peers read the store for this VM, by evidence that is young enough.
     bool reliesOnReaders() const;
@@ -118,7 +122,9 @@
     ReplicaNotice replicaNotice();
     /// Applies a configuration if it is newer. One that can't be decoded is logged and ignored.
     void tryApplyConfiguration(const std::string &bytes, std::string_view source);
-    void handleConfigurationRead(const platform::StoreRead &read);
+    void handleOperatorRead(const platform::StoreRead &read, bool isFullRead);
+    /// Applies the rows that name evacuated zones.
+    void handleEvacuations(const platform::StoreRead &read, bool isFullRead);
     /// `polledAt` is the time at which the read began. Returns false if the read is older than what
     /// this VM knows, so that it was ignored.
     bool handleReplicaRead(const platform::StoreRead &read, bool isFullRead, TimePoint polledAt);
@@ -169,6 +175,8 @@
     /// Time at which a peer first reported a newer configuration; empty if none has.
     std::optional<TimePoint> m_staleConfigSince;
     bool m_isConfigurationReadable = true;
+    /// The operator's rows have to be read, though peers read them for this VM.
+    bool m_mustReadOperatorRows = false;
     bool m_hasReplicas = false;
     bool m_isStoreUp = true;
 };
--- a/src/gateway/storewatcherreplicas.cpp
+++ b/src/gateway/storewatcherreplicas.cpp
@@ -193,7 +193,7 @@
     ReplicaNotice notice = m_replicaNews.notice(now);
     notice.graceLeft = m_state.directory.graceLeft(now);
     for (const ReplicaIncarnation &incarnation : m_state.heartbeats.overdue()) {
-        if (m_state.directory.isUsable(incarnation))
+        if (m_state.directory.isServing(incarnation))
             notice.overdue.push_back(incarnation);
     }
     return notice;
--- a/tests/gate/scriptedstore.h
+++ b/tests/gate/scriptedstore.h
@@ -11,8 +11,11 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <deque>
+#include <map>
 #include <string>
+#include <utility>
 
 namespace arbutuspier::gatetest {
 
@@ -24,7 +27,8 @@
 };
 
 /// A store with scripted answers about the replicas; the last one of each kind is repeated. Its
-/// table of the operator holds the configuration, and its other tables are empty.
+/// table of the operator holds the configuration and evacuated zones, and its other tables are
+/// empty.
 class ScriptedStore
 {
 public:
@@ -41,6 +45,18 @@
     void fallSilent() { ++m_silences; }
     /// Writes a configuration without routes. The version is also its revision.
     void writeConfiguration(int version) { m_configVersion = version; }
+    /// Writes the row of an evacuated zone at the revision.
+    void evacuate(const std::string &zone, int revision) { m_zones[zone] = {revision, false}; }
+    /// Removes the row of an evacuated zone at the revision.
+    void endEvacuation(const std::string &zone, int revision) { m_zones[zone] = {revision, true}; }
+    /// The row of an evacuated zone is gone, and no history shows its removal at the revision.
+    void forgetEvacuation(const std::string &zone, int revision)
+    {
+        m_zones.erase(zone);
+        m_forgottenRevision = revision;
+    }
+    /// Answers the next call for changes of the operator's table that the history was dropped.
+    void dropOperatorHistory() { m_isOperatorHistoryDropped = true; }
 
     std::deque<StoreAnswer> copies{{200, R"({"rows":[],"schemaVersion":1})"}};
     std::deque<StoreAnswer> changes{{200, R"({"rows":[],"schemaVersion":1})"}};
@@ -97,40 +113,71 @@
         const auto end = std::chrono::steady_clock::now()
             + std::chrono::milliseconds{numberAfter(target, "waitMs=")};
         asio::steady_timer timer(m_context);
-        while (m_configVersion <= known && silences == m_silences
+        while (operatorRevision() <= known && silences == m_silences && !m_isOperatorHistoryDropped
                && std::chrono::steady_clock::now() < end) {
             timer.expires_after(std::chrono::milliseconds{5});
             co_await timer.async_wait(kAwait);
         }
     }
 
-    StoreAnswer configuration() const
+    struct ZoneRow
+    {
+        int revision = 0;
+        bool isDeleted = false;
+    };
+
+    int operatorRevision() const
+    {
+        int revision = std::max(m_configVersion, m_forgottenRevision);
+        for (const auto &[zone, row] : m_zones)
+            revision = std::max(revision, row.revision);
+        return revision;
+    }
+
+    static std::string row(const std::string &key, int revision, const std::string &content)
+    {
+        return R"({"key":")" + key + R"(","schemaVersion":)" + std::to_string(revision) + content
+            + '}';
+    }
+
+    /// The operator's rows that were written after the revision; with those that were removed, or
+    /// without.
+    StoreAnswer operatorRows(int known, bool hasDeleted) const
     {
-        const std::string json =
-            R"({"version":)" + std::to_string(m_configVersion) + R"(,"routes":[],"services":[]})";
-        std::string text(beast::detail::base64::encoded_size(json.size()), ' ');
-        text.resize(beast::detail::base64::encode(text.data(), json.data(), json.size()));
-        const std::string version = std::to_string(m_configVersion);
+        std::string rows;
+        const auto add = [&](const std::string &text) { rows += (rows.empty() ? "" : ",") + text; };
+        if (m_configVersion > known) {
+            const std::string json = R"({"version":)" + std::to_string(m_configVersion)
+                + R"(,"routes":[],"services":[]})";
+            std::string text(beast::detail::base64::encoded_size(json.size()), ' ');
+            text.resize(beast::detail::base64::encode(text.data(), json.data(), json.size()));
+            add(row("config", m_configVersion, R"(,"data":")" + text + '"'));
+        }
+        for (const auto &[zone, state] : m_zones) {
+            if (state.revision > known && (hasDeleted || !state.isDeleted))
+                add(row("evacuate/" + zone, state.revision,
+                        state.isDeleted ? R"(,"deleted":true)" : R"(,"data":"e30=")"));
+        }
         return {200,
-                R"({"rows":[{"key":"config","schemaVersion":)" + version + R"(,"data":")" + text
-                    + R"("}],"schemaVersion":)" + version + '}'};
+                R"({"rows":[)" + rows + R"(],"schemaVersion":)" + std::to_string(operatorRevision())
+                    + '}'};
     }
 
     StoreAnswer answerTo(const std::string &target)
     {
         const bool isAboutConfiguration = target.find("tableName=op") != std::string::npos;
-        configurationCopyCount += isAboutConfiguration && target.starts_with("/rows-get") ? 1 : 0;
-        const bool hasConfiguration = m_configVersion > 0
-            && (target.starts_with("/rows-get")
-                || numberAfter(target, "sinceRevision=") < m_configVersion);
-        if (isAboutConfiguration && hasConfiguration)
-            return configuration();
+        const bool isFullRead = target.starts_with("/rows-get");
+        configurationCopyCount += isAboutConfiguration && isFullRead ? 1 : 0;
+        if (isAboutConfiguration && !isFullRead && std::exchange(m_isOperatorHistoryDropped, false))
+            return {410, "{}"};
+        const int known = isFullRead ? 0 : numberAfter(target, "sinceRevision=");
+        if (isAboutConfiguration && operatorRevision() > known)
+            return operatorRows(known, !isFullRead);
         const bool isAboutReplicas = target.find("tableName=servers") != std::string::npos;
         if (!isAboutReplicas)
             return {200, R"({"rows":[],"schemaVersion":1})"};
-        const bool isCopy = target.starts_with("/rows-get");
-        ++(isCopy ? copyCount : changeCount);
-        return next(isCopy ? copies : changes);
+        ++(isFullRead ? copyCount : changeCount);
+        return next(isFullRead ? copies : changes);
     }
 
     static StoreAnswer next(std::deque<StoreAnswer> &answers)
@@ -145,6 +192,9 @@
     Tcp::acceptor m_acceptor;
     int m_silences = 0;
     int m_configVersion = 0;
+    std::map<std::string, ZoneRow> m_zones;
+    int m_forgottenRevision = 0;
+    bool m_isOperatorHistoryDropped = false;
 };
 
 } // namespace arbutuspier::gatetest
