--- a/tests/gate/evacuatedzonetest.cpp
+++ b/tests/gate/evacuatedzonetest.cpp
@@ -12,6 +12,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <map>
 
 using namespace arbutuspier;
 using namespace arbutuspier::gatetest;
@@ -25,6 +26,12 @@
  {"host":"f.example","prefix":"/ask/","routeKind":"streaming","timeoutMs":20000,"goalMs":8000,
   "service":"desk","maxAttempts":3,"public":true,"resumable":true,"gapTargetMs":8000}],
  "services":[{"name":"desk","maxConnections":100}]})";
+constexpr const char *kEngineRoutes = R"({"version":2,"routes":[
+ {"host":"f.example","prefix":"/prompt/","routeKind":"streaming","timeoutMs":20000,"goalMs":3000,
+  "service":"engine","maxAttempts":2,"public":true,"resumable":true,"gapTargetMs":8000}],
+ "services":[{"name":"engine","maxConnections":100,
+  "runtime":{"slots":16,"kvCapacity":315000,"stride":51,"step_ms":0.85,"read_per_s":177000.0,
+  "pairs_per_m":0.184,"chunk":2048}}]})";
 constexpr std::size_t kManyCalls = 12;
 
 std::string responseHead(int status)
@@ -248,6 +255,79 @@
     CHECK(contains(other.requests().back().body(), "release"));
 }
 
+TEST_GROUP_BASE(ASplitPromptBeforeAnEvacuatedZone,
+                TEST_GROUP_CppUTestGroupAGatewayBeforeAnEvacuatedZone)
+{
+    std::map<std::string, ScriptedReplica *> engines;
+
+    /// Two engines in each zone, which are slow to confirm that memory is reserved.
+    void setup() override
+    {
+        fixture.configure(kEngineRoutes);
+        for (const char *id : {"e-1", "e-2", "y-1", "y-2"}) {
+            engines[id] = &fixture.addReplica(
+                id, "engine", std::make_shared<Script>([](const ReplicaRequest &request) {
+                    return request.target() == "/order" ? confirmation() : wholeStream();
+                }));
+            ReplicaEntry entry = *fixture.state.directory.find(id);
+            entry.zone = id[0] == 'e' ? "east" : "yard";
+            fixture.state.directory.applyChanges({{id, entry}}, fixture.clock.now());
+        }
+    }
+    static ReplicaStep confirmation()
+    {
+        ReplicaStep step{""};
+        step.pause = milliseconds{150};
+        step.afterPause = "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}";
+        return step;
+    }
+    static ReplicaStep wholeStream()
+    {
+        return {responseHead(200) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(event(0))
+                + chunk("data: [DONE]\n\n") + "0\r\n\r\n"};
+    }
+    /// The engine that was asked first to reserve memory; empty if none was.
+    std::string firstAsked() const
+    {
+        for (const auto &[id, engine] : engines) {
+            if (!engine->requests().empty())
+                return id;
+        }
+        return {};
+    }
+    static std::size_t prompts(const ScriptedReplica &engine)
+    {
+        return static_cast<std::size_t>(
+            std::count_if(engine.requests().begin(), engine.requests().end(),
+                          [](const auto &request) { return request.target() != "/order"; }));
+    }
+};
+
+// Guards against a prompt that is sent to an evacuated zone, or lost, as the zone was evacuated
+// while memory was reserved.
+TEST(ASplitPromptBeforeAnEvacuatedZone, isPlacedAnewWithoutARetry)
+{
+    const auto &call = fixture.start(GatewayFixture::request(
+        "POST", "/prompt/1", "X-Arbutuspier-Token-Usage: 406077,100\r\n", "prompt"));
+    while (firstAsked().empty())
+        fixture.context.run_one();
+    const char evacuated = firstAsked()[0];
+    set(evacuated == 'e' ? "east" : "yard", true);
+    const TimePoint end = fixture.clock.now() + std::chrono::seconds{5};
+    while (!call.isDone && fixture.clock.now() < end)
+        fixture.runFor(milliseconds{10});
+    CHECK(contains(call.response, event(0)));
+    std::size_t elsewhere = 0;
+    for (const auto &[id, engine] : engines) {
+        if (id[0] != evacuated)
+            elsewhere += prompts(*engine);
+        else
+            LONGS_EQUAL(0, prompts(*engine));
+    }
+    LONGS_EQUAL(1, elsewhere);
+    CHECK(contains(fixture.state.metrics.prometheusText(), "placed-anew"));
+}
+
 TEST_GROUP(AGatewayThatReadsTheOperatorsRows)
 {
     GatewayFixture fixture;
