--- a/src/gateway/dispatchqueue.cpp
+++ b/src/gateway/dispatchqueue.cpp
@@ -19,8 +19,9 @@
 DispatchQueue::DispatchQueue(asio::any_io_executor executor, const Clock &clock, std::string vm,
                              std::string zone, const UpstreamDirectory &directory,
                              const FleetGroups &groups, FleetLoad &load,
-                             const ReplicaHealth &health, const ZoneHealth &zones,
-                             ReplicaRequestLimits &limits, const ReplicaRests &rests)
+                             const ReplicaHealth &health, const SharedReplicaHealth &sharedHealth,
+                             const ZoneHealth &zones, ReplicaRequestLimits &limits,
+                             const ReplicaRests &rests)
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_vm(std::move(vm))
@@ -29,6 +30,7 @@
     , m_groups(groups)
     , m_load(load)
     , m_health(health)
+    , m_sharedHealth(sharedHealth)
     , m_zones(zones)
     , m_limits(limits)
     , m_rests(rests)
@@ -131,8 +133,7 @@
         candidate.slowdown = m_health.slowdown(incarnation);
         candidate.isLocalZone = entry->zone == m_zone;
         candidate.isPreferred = all.preferred.contains(entry->id);
-        const bool isZoneDemoted = !candidate.isLocalZone && m_zones.isDemoted(entry->zone, now);
-        candidate.isEjected = isZoneDemoted || m_health.isEjected(incarnation, now);
+        candidate.isEjected = isEjected(*entry, now);
         candidate.isRateLimited = m_limits.isLimited(incarnation);
         candidate.packingOrder = packingOrder(entry->id);
         const bool isProbeDue = !candidate.isEjected && m_limits.isProbeDue(incarnation, now);
@@ -143,6 +144,14 @@
     return result;
 }
 
+bool DispatchQueue::isEjected(const ReplicaEntry &replica, TimePoint now) const
+{
+    const ReplicaIncarnation incarnation = replica.incarnation();
+    const bool isZoneDemoted = replica.zone != m_zone && m_zones.isDemoted(replica.zone, now);
+    return isZoneDemoted || m_health.isEjected(incarnation, now)
+        || m_sharedHealth.isEjected(incarnation, now);
+}
+
 std::optional<TimePoint> DispatchQueue::allRestUntil(const std::string &service) const
 {
     std::optional<TimePoint> first;
--- a/src/gateway/dispatchqueue.h
+++ b/src/gateway/dispatchqueue.h
@@ -9,6 +9,7 @@
 #include "arbutuspier/replicarequestlimits.h"
 #include "arbutuspier/replicarests.h"
 #include "arbutuspier/routetable.h"
+#include "arbutuspier/sharedreplicahealth.h"
 #include "arbutuspier/upstreamdirectory.h"
 #include "arbutuspier/zonehealth.h"
 #include "gateway/activerequestupdate.h"
@@ -122,7 +123,8 @@
 
     DispatchQueue(asio::any_io_executor executor, const Clock &clock, std::string vm,
                   std::string zone, const UpstreamDirectory &directory, const FleetGroups &groups,
-                  FleetLoad &load, const ReplicaHealth &health, const ZoneHealth &zones,
+                  FleetLoad &load, const ReplicaHealth &health,
+                  const SharedReplicaHealth &sharedHealth, const ZoneHealth &zones,
                   ReplicaRequestLimits &limits, const ReplicaRests &rests);
 
     /// Waits until the request is assigned to a replica or rejected. A grant must be ended with
@@ -193,6 +195,8 @@
     void grantPrompt(Ticket &ticket, const Placement &placement);
     void grantCall(Ticket &ticket, const std::string &replica);
     void begin(ActiveRequest activeRequest);
+    /// Whether the replica failed recently, by what this VM or its peers saw.
+    bool isEjected(const ReplicaEntry &replica, TimePoint now) const;
     /// Whether at least half of the slots of the service's replicas are in use.
     bool areSlotsScarce(const std::string &service) const;
     /// Whether the end of the request, or of its prefill, is urgent news: it is long, or its
@@ -210,6 +214,7 @@
     const FleetGroups &m_groups;
     FleetLoad &m_load;
     const ReplicaHealth &m_health;
+    const SharedReplicaHealth &m_sharedHealth;
     const ZoneHealth &m_zones;
     ReplicaRequestLimits &m_limits;
     const ReplicaRests &m_rests;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -69,6 +69,7 @@
         m_state.logRequestLimit(notice, "replica");
         m_messenger.broadcast(notice);
     };
+    m_state.onOutcomes = [this](TimePoint due) { m_messenger.scheduleOutcomes(due); };
     m_state.onPathsChanged = [this] { m_messenger.broadcastLostPaths(); };
     // The peers that this VM hears may not read the store soon.
     m_suspectTable.onNews = [this](const SuspectNotice &notice) { m_messenger.broadcast(notice); };
@@ -140,6 +141,8 @@
     metrics.setGauge("limited_replicas", static_cast<double>(m_state.limits.limitedCount()));
     metrics.setGauge("resting_replicas",
                      static_cast<double>(m_state.rests.restingCount(m_clock.now())));
+    metrics.setGauge("ejected_by_reports",
+                     static_cast<double>(m_state.sharedHealth.ejectedCount(m_clock.now())));
     metrics.setGauge("lost_paths", static_cast<double>(m_state.paths.lostServices().size()));
     metrics.setGauge("vms", static_cast<double>(m_state.vmCount()));
     metrics.setGauge("response_bytes", static_cast<double>(m_state.responseMemory.used()));
@@ -219,6 +222,7 @@
         m_state.suspects.tick();
         m_state.limits.tick(now);
         m_state.rests.tick(now);
+        m_state.sharedHealth.tick(now);
         m_state.durations.tick(now);
         m_state.dispatchQueue.dispatchWaiting();
         std::erase_if(m_callerConnections,
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -40,6 +40,7 @@
     , directory({})
     , groups(settings.vm, FleetGroupsOptions{})
     , health({})
+    , sharedHealth(settings.vm, settings.zone, {})
     , zones({})
     , limits(settings.vm, ReplicaRequestLimitOptions{}, seedOf(settings.vm, clock))
     , rests({})
@@ -49,7 +50,7 @@
     , pool({})
     , suspects(executor, clock, metrics, settings.replicaHeartbeat)
     , dispatchQueue(executor, clock, settings.vm, settings.zone, directory, groups, load, health,
-                    zones, limits, rests)
+                    sharedHealth, zones, limits, rests)
     , random(seedOf(settings.vm, clock))
     , paths(executor, clock, directory, random)
 {
@@ -70,6 +71,14 @@
         return service && service->engine;
     };
     suspects.onReplicaDown = [this](const ReplicaEntry &replica) { recordUnreachable(replica); };
+    sharedHealth.onEjected = [this](const ReplicaIncarnation &incarnation, Duration ejection) {
+        metrics.incrementCounter("shared_ejections", "ejected");
+        LOG(INFO) << LogLine("replica_ejected")
+                         .add("replica", incarnation.id)
+                         .addSeconds("seconds", toSeconds(ejection))
+                         .add("source", "peers")
+                         .text();
+    };
     paths.onChange = [this](const std::string &service) { onPathChanged(service); };
 }
 
@@ -114,6 +123,43 @@
     return true;
 }
 
+void GatewayState::recordSuccess(const ReplicaEntry &replica, double durationRatio)
+{
+    health.onSuccess(replica.incarnation(), durationRatio);
+    if (!sharesOutcomes())
+        return;
+    sharedHealth.onSuccess(replica.incarnation(), clock.now());
+    scheduleOutcomes();
+}
+
+void GatewayState::recordFailure(const ReplicaEntry &replica)
+{
+    health.onFailure(replica.incarnation(), clock.now());
+    if (!sharesOutcomes())
+        return;
+    sharedHealth.onFailure(replica.incarnation(), clock.now());
+    scheduleOutcomes();
+}
+
+void GatewayState::scheduleOutcomes()
+{
+    const auto due = sharedHealth.reportDue();
+    if (due && onOutcomes)
+        onOutcomes(*due);
+}
+
+void GatewayState::applyOutcomes(const OutcomeReport &report)
+{
+    if (!sharesOutcomes())
+        return;
+    const TimePoint now = clock.now();
+    for (const ReplicaIncarnation &incarnation : sharedHealth.merge(report, now)) {
+        const ReplicaEntry *entry = directory.find(incarnation.id);
+        if (entry && entry->incarnation() == incarnation)
+            zones.onUnresponsive(entry->zone, entry->id, now);
+    }
+}
+
 void GatewayState::recordResponse(const ReplicaEntry &replica)
 {
     zones.onResponse(replica.zone);
@@ -186,6 +232,12 @@
     health.onUnreachable(incarnation, clock.now());
     pool.closeIdle(incarnation);
     paths.onUnreachable(replica);
+    // A VM without a path tells nothing of the replicas.
+    const bool showsReplica = sharesOutcomes() && !paths.isLost(replica.service);
+    if (!showsReplica)
+        return;
+    sharedHealth.onUnreachable(incarnation, clock.now());
+    scheduleOutcomes();
 }
 
 void GatewayState::onPathChanged(const std::string &service)
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -10,6 +10,7 @@
 #include "arbutuspier/replicarests.h"
 #include "arbutuspier/routedurations.h"
 #include "arbutuspier/routetable.h"
+#include "arbutuspier/sharedreplicahealth.h"
 #include "arbutuspier/upstreamdirectory.h"
 #include "arbutuspier/zonehealth.h"
 #include "gateway/dispatchqueue.h"
@@ -41,6 +42,9 @@
     /// or cut off from the store, at the same time.
     static constexpr std::size_t kMaxReaders = 6;
 
+    /// In a smaller group each VM sees the failures of a replica soon enough by itself.
+    static constexpr std::size_t kMinVmsSharingOutcomes = 16;
+
     /// Called when the path to a service was lost, or is back.
     std::function<void()> onPathsChanged;
 
@@ -49,6 +53,13 @@
     /// The active configuration; null until one is known.
     const std::shared_ptr<const RouteTable> &routes() const { return m_routes; }
 
+    /// Records that a replica served a request, or began its output. `durationRatio` is the time
+    /// that it took divided by the forecast, or zero if that shows nothing.
+    void recordSuccess(const ReplicaEntry &replica, double durationRatio);
+    /// Records that a replica failed a request, or broke off its response.
+    void recordFailure(const ReplicaEntry &replica);
+    /// Adds what a peer saw of replicas.
+    void applyOutcomes(const OutcomeReport &report);
     /// Records that a replica responded.
     void recordResponse(const ReplicaEntry &replica);
     /// Records the request limit that a replica named in the head of a response to a request of
@@ -72,6 +83,9 @@
     void setVmCount(std::size_t count) { m_vmCount = count; }
     /// Number of VMs in this VM's fleet group now, including this one.
     void setSharingVmCount(std::size_t count) { m_sharingVmCount = count; }
+    /// Whether the VMs of the fleet group tell each other of the failures of replicas: they are so
+    /// many that each sends a replica a request now and then only.
+    bool sharesOutcomes() const { return m_sharingVmCount >= kMinVmsSharingOutcomes; }
     /// Most idle connections that this VM may keep to a replica: its share of the connections that
     /// the replica accepts, as the other VMs of the fleet group use the rest.
     std::size_t maxIdleConnectionsTo(const ReplicaIncarnation &incarnation) const;
@@ -114,6 +128,7 @@
     FleetGroups groups;
     FleetLoad load;
     ReplicaHealth health;
+    SharedReplicaHealth sharedHealth;
     ZoneHealth zones;
     ReplicaRequestLimits limits;
     ReplicaRests rests;
@@ -128,9 +143,14 @@
     UpstreamPaths paths;
     RelayPeers relayPeers;
 
+    /// Called when the peers have to get a report of outcomes at this time at the latest.
+    std::function<void(TimePoint)> onOutcomes;
+
 private:
     /// The path to a service was lost, or is back.
     void onPathChanged(const std::string &service);
+    /// Has a report sent to the peers if one is due.
+    void scheduleOutcomes();
     FleetRetryBudgetOptions retryBudgetOptions() const;
     /// VMs that may send requests to the replica.
     std::vector<std::string> vmsSharing(const ReplicaIncarnation &incarnation) const;
--- a/src/gateway/peermessenger.cpp
+++ b/src/gateway/peermessenger.cpp
@@ -250,6 +250,7 @@
         sendToAll(std::move(datagram));
     sendPartNotices(std::exchange(m_partOutbox, {}));
     sendLimitNotices(std::exchange(m_limitOutbox, {}));
+    sendOutcomes();
 }
 
 void PeerMessenger::sendToAll(PeerDatagram datagram)
--- a/src/gateway/peermessenger.h
+++ b/src/gateway/peermessenger.h
@@ -42,6 +42,8 @@
     void broadcast(const SuspectNotice &notice);
     void broadcast(const PartNotices &notices);
     void broadcast(const RequestLimitNotice &notice);
+    /// Sends peers, by `due`, what this VM saw of replicas since its last report.
+    void scheduleOutcomes(TimePoint due) { scheduleFlush(due); }
     /// Tells peers to which services this VM has lost its paths.
     void broadcastLostPaths();
     /// Tells peers that this VM has read the list of replicas, and what was new.
@@ -89,6 +91,8 @@
     /// Sends the notices in as many datagrams as they need. The datagrams have no sequence number,
     /// as the notices may be merged in any order and more than once.
     void sendPartNotices(const PartNotices &notices);
+    /// Sends the report on replicas if one is due.
+    void sendOutcomes();
     void sendLimitNotices(const std::vector<RequestLimitNotice> &notices);
     /// Updates the list of peers that may take relayed requests.
     void updateRelayPeers();
--- a/src/gateway/peermessengernotices.cpp
+++ b/src/gateway/peermessengernotices.cpp
@@ -5,6 +5,7 @@
 
 #include "gateway/cborfields.h"
 #include "gateway/lostpathscodec.h"
+#include "gateway/outcomereportcodec.h"
 #include "gateway/partnoticescodec.h"
 #include "gateway/protocolcodec.h"
 #include "gateway/replicanoticecodec.h"
@@ -77,6 +78,18 @@
     sendToAll(encodeReplicaNotice(notice));
 }
 
+void PeerMessenger::sendOutcomes()
+{
+    const auto due = m_state.sharedHealth.reportDue();
+    if (!due)
+        return;
+    if (m_state.clock.now() < *due) {
+        scheduleFlush(*due);
+        return;
+    }
+    sendToAll(encodeOutcomeReport(m_state.sharedHealth.takeReport()));
+}
+
 void PeerMessenger::updateRelayPeers()
 {
     std::vector<RelayPeer> peers;
@@ -129,6 +142,10 @@
         m_builds.onAnnouncement(*announcement, m_state.clock.now());
         return true;
     }
+    if (const auto report = decodeOutcomeReport(bytes)) {
+        m_state.applyOutcomes(*report);
+        return true;
+    }
     const auto limits = decodeRequestLimits(bytes);
     if (limits)
         applyLimits(*limits);
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -214,6 +214,9 @@
     /// Attempts that were sent to a replica and haven't ended.
     std::uint32_t runningAttempts() const;
 
+    /// Records how the replica answered a request that was completed: with a success, or with an
+    /// error that is passed on because no retry is allowed.
+    void recordHealth(const UpstreamAttempt &attempt, const DispatchGrant &grant);
     void onNotExecuted(const UpstreamAttempt &attempt, const DispatchGrant &grant);
     void onLost(const UpstreamAttempt &attempt, const DispatchGrant &grant);
     void logAttempt(AttemptOutcome outcome, const UpstreamAttempt &attempt,
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -18,6 +18,7 @@
 
 constexpr Duration kConnectTimeout = std::chrono::milliseconds{150};
 constexpr int kOk = 200;
+constexpr int kGatewayTimeout = 504;
 
 } // namespace
 
@@ -273,7 +274,7 @@
     const bool showsSlowdown = grant.wasIdle && grant.forecast > Duration::zero();
     const double ratio =
         showsSlowdown ? toSeconds(timeToFirstEvent) / toSeconds(grant.forecast) : 0;
-    m_state.health.onSuccess(grant.replica.incarnation(), ratio);
+    m_state.recordSuccess(grant.replica, ratio);
 }
 
 void RequestHandler::onEvents(UpstreamAttempt &attempt)
@@ -346,7 +347,7 @@
         m_state.recordResponse(grant.replica);
     switch (outcome) {
     case AttemptOutcome::Completed:
-        m_state.health.onSuccess(grant.replica.incarnation(), 0);
+        recordHealth(attempt, grant);
         // An error response doesn't show that the replica executed the request.
         if (isSuccessStatus(attempt.status()))
             m_state.suspects.onCompleted(grant.replica, m_identity);
@@ -368,7 +369,7 @@
         break;
     case AttemptOutcome::Failed:
         ++m_possibleExecutions;
-        m_state.health.onFailure(grant.replica.incarnation(), m_state.clock.now());
+        m_state.recordFailure(grant.replica);
         break;
     case AttemptOutcome::Lost:
         onLost(attempt, grant);
@@ -377,6 +378,17 @@
     logAttempt(outcome, attempt, grant);
 }
 
+void RequestHandler::recordHealth(const UpstreamAttempt &attempt, const DispatchGrant &grant)
+{
+    // A sound replica responds with 504 too, at the deadline that it was given.
+    if (attempt.status() == kGatewayTimeout)
+        return;
+    if (isServerErrorStatus(attempt.status()))
+        m_state.recordFailure(grant.replica);
+    else
+        m_state.recordSuccess(grant.replica, 0);
+}
+
 void RequestHandler::onNotExecuted(const UpstreamAttempt &attempt, const DispatchGrant &grant)
 {
     m_canSplit = m_canSplit && grant.helpers.empty();
@@ -395,7 +407,7 @@
     m_lastLostReplica = grant.replica.incarnation();
     m_canSplit = m_canSplit && grant.helpers.empty();
     if (!attempt.wasLate())
-        m_state.health.onFailure(grant.replica.incarnation(), now);
+        m_state.recordFailure(grant.replica);
     m_state.suspects.onLost(grant.replica, m_identity, attempt.progress(), attempt.sentAt());
     if (attempt.hasExpired() && !attempt.wasLate() && attempt.status() == 0)
         m_state.zones.onUnresponsive(grant.replica.zone, grant.replica.id, now);
--- a/tests/gate/requesthandlertest.cpp
+++ b/tests/gate/requesthandlertest.cpp
@@ -256,6 +256,25 @@
     LONGS_EQUAL(502, statusOf(callAtMostOnce()));
 }
 
+// Guards against a replica that fails everything and is taken for sound, because the errors that
+// are passed on count as successes.
+TEST(AnAtMostOnceCall, countsAgainstTheReplicaIfItGetsItsErrorResponse)
+{
+    fixture.addReplica("a", "desk", {{fullResponse(500, "broken")}});
+    callAtMostOnce();
+    callAtMostOnce();
+    CHECK(fixture.state.health.isEjected({"a", 1}, fixture.clock.now()));
+}
+
+// A replica that the caller's deadline leaves too little time is sound.
+TEST(AnAtMostOnceCall, doesNotCountAgainstTheReplicaIfItTimesOutThere)
+{
+    fixture.addReplica("a", "desk", {{fullResponse(504, "late")}});
+    callAtMostOnce();
+    callAtMostOnce();
+    CHECK(!fixture.state.health.isEjected({"a", 1}, fixture.clock.now()));
+}
+
 TEST(AnAtMostOnceCall, getsTheReplicasErrorResponseUnchanged)
 {
     auto &replica = fixture.addReplica("a", "desk", {{fullResponse(500, "broken")}});
