--- a/tests/gate/sharedreplicahealthtest.cpp
+++ b/tests/gate/sharedreplicahealthtest.cpp
@@ -178,7 +178,7 @@
 {
     report.outcomes = {{{"r", 7}, 4'000'000'000, 0, 0}};
     const auto decoded = decodeOutcomeReport(encodeOutcomeReport(report));
-    CHECK(decoded);
+    CHECK(decoded.has_value());
     CHECK_EQUAL(10'000, decoded->outcomes[0].failures);
 }
 
