relay test: Let the rest outlast the test

Its rest of 2.5 s is real time, and the test itself waits for 2.4 s: on a busy machine the fourth call came after the rest, when a second request is right. The rest now lasts a minute, so the check holds for the whole test.

--- a/tests/gate/relaytest.cpp
+++ b/tests/gate/relaytest.cpp
@@ -26,6 +26,11 @@
 const std::string kRest = "HTTP/1.1 503 Service Unavailable\r\nX-Arbutuspier-Attempt-Id: %ID\r\n"
                           "X-Arbutuspier-Not-Executed: 1\r\nRetry-After: 2.5\r\n"
                           "Content-Length: 0\r\n\r\n";
+/// A rest that doesn't end during a test.
+const std::string kLongRest =
+    "HTTP/1.1 503 Service Unavailable\r\nX-Arbutuspier-Attempt-Id: %ID\r\n"
+    "X-Arbutuspier-Not-Executed: 1\r\nRetry-After: 60\r\n"
+    "Content-Length: 0\r\n\r\n";
 const std::string kError = "HTTP/1.1 500 Internal Server Error\r\nX-Arbutuspier-Attempt-Id: %ID\r\n"
                            "X-Arbutuspier-Response-Signature: sig\r\nContent-Length: 0\r\n\r\n";
 const std::string kStreamHead =
@@ -379,7 +384,7 @@
 // Guards against a refusal while a peer is left whose replicas have asked it for no rest.
 TEST(AVmWithoutAPath, isServedByAnotherPeerIfAllReplicasRestAtOne)
 {
-    ScriptedReplica &resting = addPeerReplica("i-9", {ReplicaStep{kRest}});
+    ScriptedReplica &resting = addPeerReplica("i-9", {ReplicaStep{kLongRest}});
     losePath();
     PeerGateway other{fixture.context, fixture.clock, "127.0.0.2", peer.port()};
     ScriptedReplica &replica = addReplicaOf(other, "i-8", {ReplicaStep{kAnswer}});
