policy: Extract RequestShare from ReplicaRequestLimits

Cold replicas will need the same: a rate over all VMs, divided by rendezvous hash into token buckets that begin empty.

--- a/include/arbutuspier/replicarequestlimits.h
+++ b/include/arbutuspier/replicarequestlimits.h
@@ -1,10 +1,7 @@
 // Keeps the request limits that replicas name: so many requests a second from all VMs together.
 //
-// Each VM that uses the replica is a possible owner of a share. The owners of a replica are those
-// with the highest rendezvous hashes, as many as may each send a request at the same time without
-// breaking the limit within its window; the other VMs have no share. All VMs that know the same
-// names agree on this without messages, so that a VM that is down leaves its share unused and none
-// is used twice. A share is a token bucket that is empty when the limit becomes known.
+// Each VM that uses the replica may send it its share (requestshare.h). A share begins when the
+// limit becomes known.
 //
 // A limit ends when an answer doesn't name it. If no VM has sent the replica a request for some
 // time, one of them sends a single one as a probe, whether it has a share or not.
@@ -12,6 +9,7 @@
 
 #include "arbutuspier/clock.h"
 #include "arbutuspier/random.h"
+#include "arbutuspier/requestshare.h"
 #include "arbutuspier/upstreamdirectory.h"
 
 #include <cstdint>
@@ -99,14 +97,7 @@
         /// When this VM learnt that there is a limit.
         TimePoint limitedSince{};
         TimePoint lastNewsAt{};
-        /// This VM's share in requests a second and the capacity of its bucket, in requests; both
-        /// are zero if it has none.
-        double share = 0;
-        double capacity = 0;
-        TimePoint shareUpdatedAt{};
-        /// Invariant: at most `capacity`.
-        double tokens = 0;
-        TimePoint refilledAt{};
+        RequestShare share;
         TimePoint nextProbeAt{};
     };
 
--- a/src/policy/replicarequestlimits.cpp
+++ b/src/policy/replicarequestlimits.cpp
@@ -1,22 +1,13 @@
-// The number of owners and the capacity of their buckets are such that all of them together stay
-// within the burst that the window allows, whenever each of them sends.
+// The burst of the shares is such that all owners together stay within what the window allows,
+// whenever each of them sends.
 #include "arbutuspier/replicarequestlimits.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <cmath>
 
 namespace arbutuspier {
 
 namespace {
 
-std::uint64_t rendezvousHash(std::string_view vm, std::string_view replica)
-{
-    const std::uint64_t seed = XXH64(replica.data(), replica.size(), 0);
-    return XXH64(vm.data(), vm.size(), seed);
-}
-
 /// Whether the first of two limits with the same sequence holds. VMs may find different changes at
 /// the same time.
 bool isStricter(const std::optional<double> &limit, const std::optional<double> &other)
@@ -46,11 +37,10 @@
         return hasChanged;
     if (!wasLimited) {
         record.limitedSince = now;
-        record.tokens = 0;
-        record.refilledAt = now;
+        record.share.begin(now);
     }
     updateShare(notice.incarnation, record, now);
-    record.tokens = std::min(record.tokens, record.capacity);
+    record.share.trim();
     delayProbe(record, now);
     return hasChanged;
 }
@@ -58,37 +48,21 @@
 void ReplicaRequestLimits::updateShare(const ReplicaIncarnation &incarnation, Record &record,
                                        TimePoint now) const
 {
-    record.shareUpdatedAt = now;
     const std::vector<std::string> vms =
         sharingVms ? sharingVms(incarnation) : std::vector<std::string>{};
-    const std::uint64_t ownHash = rendezvousHash(m_ownVm, incarnation.id);
-    std::size_t others = 0;
-    std::size_t rank = 0;
-    for (const std::string &vm : vms) {
-        if (vm == m_ownVm)
-            continue;
-        ++others;
-        rank += rendezvousHash(vm, incarnation.id) > ownHash ? 1 : 0;
-    }
     const double limit = record.perSecond.value_or(0);
     const double burst =
         m_options.burstFraction * toSeconds(m_options.window) * limit + m_options.burstRequests;
-    // Each owner's bucket has to hold a whole request.
-    const double maxOwners = std::max(1.0, std::floor(burst));
-    const double owners = std::min(maxOwners, static_cast<double>(others + 1));
-    const bool isOwner = limit > 0 && static_cast<double>(rank) < owners;
-    record.share = isOwner ? limit / owners : 0;
-    record.capacity = isOwner ? std::max(1.0, burst / owners) : 0;
+    record.share.update({limit, burst}, m_ownVm, incarnation.id, vms, now);
 }
 
 void ReplicaRequestLimits::refill(const ReplicaIncarnation &incarnation, Record &record,
                                   TimePoint now)
 {
-    const double gained = record.share * toSeconds(now - record.refilledAt);
-    record.refilledAt = now;
-    if (now >= record.shareUpdatedAt + m_options.shareUpdateInterval)
+    record.share.refill(now);
+    if (now >= record.share.updatedAt() + m_options.shareUpdateInterval)
         updateShare(incarnation, record, now);
-    record.tokens = std::min(record.tokens + gained, record.capacity);
+    record.share.trim();
 }
 
 void ReplicaRequestLimits::delayProbe(Record &record, TimePoint now)
@@ -140,8 +114,7 @@
     Record &record = found->second;
     refill(incarnation, record, now);
     // Without a whole token, the request is a probe.
-    if (record.tokens >= 1)
-        record.tokens -= 1;
+    record.share.take();
     delayProbe(record, now);
 }
 
@@ -165,12 +138,12 @@
         return now;
     Record &record = found->second;
     refill(incarnation, record, now);
-    if (record.tokens >= 1)
+    if (record.share.hasToken())
         return now;
     const TimePoint probe = std::max(now, record.nextProbeAt);
-    if (record.share <= 0)
+    if (!record.share.isOwner())
         return probe;
-    return std::min(probe, now + fromSeconds((1 - record.tokens) / record.share));
+    return std::min(probe, now + record.share.timeToToken());
 }
 
 bool ReplicaRequestLimits::isProbeDue(const ReplicaIncarnation &incarnation, TimePoint now) const
@@ -184,7 +157,7 @@
 {
     const auto found = m_records.find(incarnation);
     const bool isKnown = found != m_records.end() && found->second.perSecond;
-    return isKnown ? found->second.share : 0;
+    return isKnown ? found->second.share.perSecond() : 0;
 }
 
 std::vector<RequestLimitNotice> ReplicaRequestLimits::notices() const
