--- a/include/arbutuspier/routetable.h
+++ b/include/arbutuspier/routetable.h
@@ -89,6 +89,10 @@
     /// Connections that one replica accepts from all callers together.
     std::uint32_t maxConnections = 0;
     std::optional<EngineFigures> engine;
+    /// For how long a replica is cold after it has started during traffic.
+    Duration coldDuration{};
+    /// Requests a second that a cold replica takes from all VMs together; zero for any number.
+    double coldStartsPerSecond = 0;
 };
 
 /// Size limits of a caller's request and the timeouts for receiving it.
--- a/include/arbutuspier/upstreamdirectory.h
+++ b/include/arbutuspier/upstreamdirectory.h
@@ -19,6 +19,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace arbutuspier {
@@ -48,10 +49,21 @@
     /// Start of this incarnation in milliseconds since 1970; differs after a restart under the same
     /// id.
     std::int64_t startedAtMs = 0;
+    /// How long the replica stays cold, as of the read; zero if it isn't cold.
+    Duration coldLeft{};
 
     ReplicaIncarnation incarnation() const { return {id, startedAtMs}; }
 
-    friend bool operator==(const ReplicaEntry &, const ReplicaEntry &) = default;
+    /// Whether the entries say the same. They do if only time has passed, so that `coldLeft`
+    /// doesn't count.
+    friend bool operator==(const ReplicaEntry &a, const ReplicaEntry &b)
+    {
+        const auto fields = [](const ReplicaEntry &entry) {
+            return std::tie(entry.id, entry.service, entry.address, entry.zone, entry.slots,
+                            entry.state, entry.startedAtMs);
+        };
+        return fields(a) == fields(b);
+    }
 };
 
 /// One row of the list. `entry` is not set if the replica has departed or its row can't be parsed.
--- a/src/gateway/dispatchqueue.cpp
+++ b/src/gateway/dispatchqueue.cpp
@@ -20,7 +20,8 @@
                              std::string zone, const UpstreamDirectory &directory,
                              const FleetGroups &groups, FleetLoad &load,
                              const ReplicaHealth &health, const ZoneHealth &zones,
-                             ReplicaRequestLimits &limits, const ReplicaRests &rests)
+                             ReplicaRequestLimits &limits, ColdReplicas &cold,
+                             const ReplicaRests &rests)
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_vm(std::move(vm))
@@ -31,7 +32,9 @@
     , m_health(health)
     , m_zones(zones)
     , m_limits(limits)
+    , m_cold(cold)
     , m_rests(rests)
+    , m_startTimer(m_executor)
 {
 }
 
@@ -103,6 +106,26 @@
     return cached;
 }
 
+bool DispatchQueue::isLimited(const ReplicaEntry &entry, Candidates &result) const
+{
+    const TimePoint now = m_clock.now();
+    const ReplicaIncarnation incarnation = entry.incarnation();
+    const TimePoint namedLimit = m_limits.nextStart(incarnation, now);
+    const TimePoint nextStart = std::max(namedLimit, m_cold.nextStart(incarnation, now));
+    if (nextStart <= now)
+        return false;
+    result.nextStart = std::min(result.nextStart.value_or(nextStart), nextStart);
+    ++result.limitedCount;
+    if (namedLimit > now) {
+        result.limitedPerSecond += m_limits.share(incarnation);
+        return true;
+    }
+    result.limitedPerSecond += m_cold.share(incarnation);
+    const TimePoint coldEnd = m_cold.coldEnd(incarnation, now).value_or(nextStart);
+    result.firstColdEnd = std::min(result.firstColdEnd.value_or(coldEnd), coldEnd);
+    return true;
+}
+
 DispatchQueue::Candidates DispatchQueue::candidates(const DispatchRequirements &requirements) const
 {
     const TimePoint now = m_clock.now();
@@ -118,12 +141,8 @@
             result.restEnd = std::min(result.restEnd.value_or(*restEnd), *restEnd);
             continue;
         }
-        const TimePoint nextStart = m_limits.nextStart(incarnation, now);
-        if (nextStart > now) {
-            result.nextStart = std::min(result.nextStart.value_or(nextStart), nextStart);
-            result.limitedPerSecond += m_limits.share(incarnation);
+        if (isLimited(*entry, result))
             continue;
-        }
         PlacementCandidate candidate;
         candidate.replica = entry->id;
         candidate.slots = entry->slots;
@@ -133,7 +152,8 @@
         candidate.isPreferred = all.preferred.contains(entry->id);
         const bool isZoneDemoted = !candidate.isLocalZone && m_zones.isDemoted(entry->zone, now);
         candidate.isEjected = isZoneDemoted || m_health.isEjected(incarnation, now);
-        candidate.isRateLimited = m_limits.isLimited(incarnation);
+        candidate.isRateLimited =
+            m_limits.isLimited(incarnation) || m_cold.isCold(incarnation, now);
         candidate.packingOrder = packingOrder(entry->id);
         const bool isProbeDue = !candidate.isEjected && m_limits.isProbeDue(incarnation, now);
         if (isProbeDue && !result.probed)
@@ -234,10 +254,13 @@
         grantPrompt(ticket, *placement);
         return true;
     }
-    if (isTooLarge(ticket.requirements, figures, all.size())) {
+    // Those that are limited now get it later.
+    if (isTooLarge(ticket.requirements, figures, all.size() + found.limitedCount)) {
         reject(ticket, DispatchRejection::TooLarge);
         return true;
     }
+    if (found.nextStart)
+        dispatchAt(*found.nextStart);
     return false;
 }
 
@@ -280,15 +303,43 @@
         wait += fromSeconds(before / found.limitedPerSecond);
     else if (before > 0)
         wait = Duration::max();
+    if (found.firstColdEnd)
+        wait = std::min(wait, *found.firstColdEnd - now);
     const bool isInTime = wait < ticket.requirements.waitDeadline - now;
-    if (isInTime)
+    if (isInTime) {
+        dispatchAt(*found.nextStart);
+        m_coldWaits += found.firstColdEnd && !ticket.hasWaitedForCold ? 1 : 0;
+        ticket.hasWaitedForCold = ticket.hasWaitedForCold || found.firstColdEnd.has_value();
         return false;
+    }
+    m_coldRejections += found.firstColdEnd ? 1 : 0;
     if (wait != Duration::max())
         ticket.result.retryAfter = wait;
     reject(ticket, DispatchRejection::RateLimited);
     return true;
 }
 
+void DispatchQueue::dispatchAt(TimePoint nextStart)
+{
+    const bool isPending = m_nextStart && *m_nextStart <= nextStart;
+    if (isPending)
+        return;
+    m_nextStart = nextStart;
+    m_startTimer.expires_at(nextStart);
+    m_startTimer.async_wait([this](const ErrorCode &error) {
+        if (error)
+            return;
+        m_nextStart.reset();
+        dispatchWaiting();
+    });
+}
+
+void DispatchQueue::recordStart(const ReplicaEntry &replica)
+{
+    m_limits.onStart(replica.incarnation(), m_clock.now());
+    m_cold.onStart(replica.incarnation(), m_clock.now());
+}
+
 void DispatchQueue::grantPrompt(Ticket &ticket, const Placement &placement)
 {
     const PromptShape &prompt = ticket.requirements.prompt;
@@ -314,7 +365,7 @@
     for (const HelperPlacement &helper : placement.helpers)
         activeRequest.parts.push_back(
             {helper.replica, placement.partPrefillMs, 0, helper.reservedTokens, false});
-    m_limits.onStart(grant.replica.incarnation(), m_clock.now());
+    recordStart(grant.replica);
     ticket.result.grant = std::move(grant);
     begin(std::move(activeRequest));
     complete(ticket);
@@ -329,7 +380,7 @@
     ActiveRequest activeRequest;
     activeRequest.id = grant.activeRequestId;
     activeRequest.parts.push_back({replica, 0, 0, 0, true});
-    m_limits.onStart(grant.replica.incarnation(), m_clock.now());
+    recordStart(grant.replica);
     ticket.result.grant = std::move(grant);
     begin(std::move(activeRequest));
     complete(ticket);
@@ -353,7 +404,8 @@
     const ReplicaEntry *replica = m_directory.find(primary.replica);
     const bool isSplit = activeRequest.parts.size() > 1;
     return !replica || isSplit || primary.prefillMs > m_options.longPrefillMs
-        || m_limits.isLimited(replica->incarnation()) || areSlotsScarce(replica->service);
+        || m_limits.isLimited(replica->incarnation())
+        || m_cold.isCold(replica->incarnation(), m_clock.now()) || areSlotsScarce(replica->service);
 }
 
 void DispatchQueue::notify(ActiveRequestUpdate update)
--- a/src/gateway/dispatchqueue.h
+++ b/src/gateway/dispatchqueue.h
@@ -2,6 +2,7 @@
 // arrival.
 #pragma once
 
+#include "arbutuspier/coldreplicas.h"
 #include "arbutuspier/fleetgroups.h"
 #include "arbutuspier/fleetload.h"
 #include "arbutuspier/placementplan.h"
@@ -118,12 +119,14 @@
         std::shared_ptr<asio::steady_timer> wakeTimer;
         DispatchResult result;
         bool isDone = false;
+        /// It waits, or has waited, for a cold replica.
+        bool hasWaitedForCold = false;
     };
 
     DispatchQueue(asio::any_io_executor executor, const Clock &clock, std::string vm,
                   std::string zone, const UpstreamDirectory &directory, const FleetGroups &groups,
                   FleetLoad &load, const ReplicaHealth &health, const ZoneHealth &zones,
-                  ReplicaRequestLimits &limits, const ReplicaRests &rests);
+                  ReplicaRequestLimits &limits, ColdReplicas &cold, const ReplicaRests &rests);
 
     /// Waits until the request is assigned to a replica or rejected. A grant must be ended with
     /// `end`.
@@ -149,6 +152,9 @@
     std::optional<TimePoint> allRestUntil(const std::string &service) const;
 
     std::size_t waiting() const { return m_waiting.size(); }
+    /// Requests that waited, or were rejected, as this VM could send none to a cold replica.
+    std::uint64_t coldWaits() const { return m_coldWaits; }
+    std::uint64_t coldRejections() const { return m_coldRejections; }
     std::size_t running() const { return m_load.activeRequestsOf(m_vm).size(); }
     /// Called on each change of this VM's own active requests.
     std::function<void(const ActiveRequestUpdate &)> onActiveRequestUpdate;
@@ -175,14 +181,24 @@
         std::optional<TimePoint> restEnd;
         /// This VM's shares of all those replicas, in requests a second.
         double limitedPerSecond = 0;
+        /// Replicas that are left out for their request limits.
+        std::size_t limitedCount = 0;
+        /// When the first of those replicas that are cold is no longer so.
+        std::optional<TimePoint> firstColdEnd;
     };
 
+    /// Adds the replica to those that are left out if this VM may send it no request yet. Returns
+    /// whether it is left out.
+    bool isLimited(const ReplicaEntry &entry, Candidates &result) const;
     Candidates candidates(const DispatchRequirements &requirements) const;
     /// Assigns the request to the replica that should be probed, if that doesn't make it late.
     bool tryProbe(Ticket &ticket, const PlacementCandidate &probed, const EngineFigures *figures);
     /// Rejects the request if its turn at replicas with request limits comes too late. False if it
     /// has to wait.
     bool rejectIfLimitedForTooLong(Ticket &ticket, const Candidates &found);
+    /// Assigns waiting requests when the next one of this VM may be sent to a limited replica.
+    void dispatchAt(TimePoint nextStart);
+    void recordStart(const ReplicaEntry &replica);
     /// Requests for the service that are to be assigned before this one.
     std::size_t waitingBefore(const Ticket &ticket) const;
     /// How long a request may wait for capacity before it is rejected.
@@ -212,6 +228,7 @@
     const ReplicaHealth &m_health;
     const ZoneHealth &m_zones;
     ReplicaRequestLimits &m_limits;
+    ColdReplicas &m_cold;
     const ReplicaRests &m_rests;
     PlacementOptions m_options;
     /// Invariant: sorted by (priority, order); none has a result yet.
@@ -229,6 +246,11 @@
     mutable std::map<std::string, UsableReplicas> m_usable;
     /// When everything must have ended; empty unless this VM drains.
     std::optional<TimePoint> m_drainDeadline;
+    /// Expires when the next request may be sent to a limited replica, if one waits.
+    asio::steady_timer m_startTimer;
+    std::optional<TimePoint> m_nextStart;
+    std::uint64_t m_coldWaits = 0;
+    std::uint64_t m_coldRejections = 0;
     std::uint64_t m_nextOrder = 1;
     std::uint64_t m_nextActiveRequestId = 1;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -138,6 +138,10 @@
     metrics.setGauge("waiting", static_cast<double>(m_state.dispatchQueue.waiting()));
     metrics.setGauge("replicas", static_cast<double>(m_state.directory.size()));
     metrics.setGauge("limited_replicas", static_cast<double>(m_state.limits.limitedCount()));
+    metrics.setGauge("cold_replicas", static_cast<double>(m_state.cold.coldCount(m_clock.now())));
+    metrics.setGauge("cold_waits", static_cast<double>(m_state.dispatchQueue.coldWaits()));
+    metrics.setGauge("cold_rejections",
+                     static_cast<double>(m_state.dispatchQueue.coldRejections()));
     metrics.setGauge("resting_replicas",
                      static_cast<double>(m_state.rests.restingCount(m_clock.now())));
     metrics.setGauge("lost_paths", static_cast<double>(m_state.paths.lostServices().size()));
@@ -218,6 +222,7 @@
         m_state.pool.tick(now);
         m_state.suspects.tick();
         m_state.limits.tick(now);
+        m_state.cold.tick(now);
         m_state.rests.tick(now);
         m_state.durations.tick(now);
         m_state.dispatchQueue.dispatchWaiting();
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -42,6 +42,8 @@
         return m_document.at_path(path) ? address(path) : Address{};
     }
 
+    bool has(const char *path) const { return !!m_document.at_path(path); }
+
     Duration milliseconds(const char *path, Duration fallback)
     {
         return duration(path, fallback, 1e-3);
@@ -94,6 +96,15 @@
     std::string m_errors;
 };
 
+std::optional<ColdBound> readColdBound(SettingsReader &reader)
+{
+    if (!reader.has("cold.overage"))
+        return std::nullopt;
+    const ColdBound defaults;
+    return ColdBound{reader.number("cold.overage", defaults.overage),
+                     reader.number("cold.tolerance", defaults.tolerance)};
+}
+
 GatewaySettings readSettings(SettingsReader &reader)
 {
     GatewaySettings settings;
@@ -115,6 +126,7 @@
     settings.retryRatio = reader.number("retries.ratio", settings.retryRatio);
     settings.retrySlack = reader.number("retries.slack", settings.retrySlack);
     settings.retryWindow = reader.seconds("retries.window_s", settings.retryWindow);
+    settings.coldBound = readColdBound(reader);
     return settings;
 }
 
@@ -144,6 +156,7 @@
     active.retryRatio = reloaded.retryRatio;
     active.retrySlack = reloaded.retrySlack;
     active.retryWindow = reloaded.retryWindow;
+    active.coldBound = reloaded.coldBound;
     std::vector<std::string> needsRestart;
     const auto reportIfChanged = [&](const char *name, const std::string &before,
                                      const std::string &now) {
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include "arbutuspier/clock.h"
+#include "arbutuspier/coldreplicas.h"
 #include "arbutuspier/result.h"
 #include "settings/settings.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +48,9 @@
     double retryRatio = 0.2;
     double retrySlack = 100;
     Duration retryWindow = std::chrono::seconds{10};
+    /// What a cold replica bears in a second beyond the rate that its service names; empty if cold
+    /// replicas aren't limited.
+    std::optional<ColdBound> coldBound;
 };
 
 /// Reads and checks the settings. The error lists every wrong key as "key: expected ...".
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -42,6 +42,7 @@
     , health({})
     , zones({})
     , limits(settings.vm, ReplicaRequestLimitOptions{}, seedOf(settings.vm, clock))
+    , cold(settings.vm, ColdReplicaOptions{})
     , rests({})
     , heartbeats(settings.replicaHeartbeat)
     , durations({})
@@ -49,7 +50,7 @@
     , pool({})
     , suspects(executor, clock, metrics, settings.replicaHeartbeat)
     , dispatchQueue(executor, clock, settings.vm, settings.zone, directory, groups, load, health,
-                    zones, limits, rests)
+                    zones, limits, cold, rests)
     , random(seedOf(settings.vm, clock))
     , paths(executor, clock, directory, random)
 {
@@ -59,6 +60,7 @@
     limits.sharingVms = [this](const ReplicaIncarnation &incarnation) {
         return vmsSharing(incarnation);
     };
+    setUpCold();
     suspects.wasRemoved = [this](const ReplicaIncarnation &incarnation) {
         return directory.wasRemovedOrReplaced(incarnation);
     };
@@ -97,6 +99,74 @@
     return {vms.begin(), vms.end()};
 }
 
+ColdFigures GatewayState::coldFigures(const std::string &replicaId) const
+{
+    const ReplicaEntry *entry = directory.find(replicaId);
+    const ServiceSpec *service = entry && m_routes ? m_routes->service(entry->service) : nullptr;
+    return service ? ColdFigures{service->coldDuration, service->coldStartsPerSecond}
+                   : ColdFigures{};
+}
+
+void GatewayState::setUpCold()
+{
+    cold.setBound(settings.coldBound);
+    cold.figures = [this](const std::string &replicaId) { return coldFigures(replicaId); };
+    cold.sharingVms = [this](const ReplicaIncarnation &incarnation) {
+        // A VM that knows no others would take the share of all.
+        return groups.isKnown(settings.vm) ? vmsSharing(incarnation) : std::vector<std::string>{};
+    };
+    cold.onCold = [this](const ReplicaIncarnation &incarnation, Duration left) {
+        metrics.incrementCounter("cold_periods", "begun");
+        LOG(INFO) << LogLine("replica_cold")
+                         .add("replica", incarnation.id)
+                         .addSeconds("seconds", toSeconds(left))
+                         .addSeconds("per_second", coldFigures(incarnation.id).startsPerSecond)
+                         .addSeconds("share", cold.share(incarnation))
+                         .text();
+    };
+    cold.onWarm = [this](const ReplicaIncarnation &incarnation, std::uint64_t starts) {
+        metrics.incrementCounter("cold_periods", "ended");
+        LOG(INFO)
+            << LogLine("replica_warm").add("replica", incarnation.id).add("sends", starts).text();
+    };
+}
+
+std::set<ReplicaIncarnation> GatewayState::unknownAmong(const std::vector<ReplicaRow> &rows) const
+{
+    std::set<ReplicaIncarnation> unknown;
+    for (const ReplicaRow &row : rows) {
+        if (!row.entry)
+            continue;
+        const ReplicaIncarnation incarnation = row.entry->incarnation();
+        const ReplicaEntry *known = directory.find(row.id);
+        const bool isKnown = (known && known->startedAtMs == incarnation.startedAtMs)
+            || directory.wasRemovedOrReplaced(incarnation);
+        if (!isKnown)
+            unknown.insert(incarnation);
+    }
+    return unknown;
+}
+
+void GatewayState::recordColdReplicas(const std::vector<ReplicaRow> &rows,
+                                      const std::set<ReplicaIncarnation> &started)
+{
+    for (const ReplicaRow &row : rows) {
+        if (!row.entry)
+            continue;
+        const ReplicaIncarnation incarnation = row.entry->incarnation();
+        const auto sighting = started.contains(incarnation) ? ColdReplicas::Sighting::Started
+                                                            : ColdReplicas::Sighting::Known;
+        cold.onEntry(incarnation, row.entry->coldLeft, sighting, clock.now());
+    }
+}
+
+void GatewayState::recordColdLeft(const ReplicaIncarnation &incarnation,
+                                  const platform::ResponseHead &head)
+{
+    if (head.coldLeft)
+        cold.onEntry(incarnation, *head.coldLeft, ColdReplicas::Sighting::Known, clock.now());
+}
+
 bool GatewayState::applyConfiguration(std::shared_ptr<const RouteTable> table,
                                       std::string_view source)
 {
@@ -250,6 +320,7 @@
 {
     for (auto &[service, retryBudget] : m_retryBudgets)
         retryBudget.setOptions(retryBudgetOptions());
+    cold.setBound(settings.coldBound);
 }
 
 } // namespace arbutuspier
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -1,6 +1,7 @@
 // The state that all requests of one gateway share. Used by the gateway's one thread only.
 #pragma once
 
+#include "arbutuspier/coldreplicas.h"
 #include "arbutuspier/fleetgroups.h"
 #include "arbutuspier/fleetretrybudget.h"
 #include "arbutuspier/random.h"
@@ -26,6 +27,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -59,6 +61,14 @@
     void recordRest(const ReplicaIncarnation &incarnation, const platform::ResponseHead &head);
     /// Records that the replica is leaving, as it said in the head of a response.
     void recordLeaving(const ReplicaIncarnation &incarnation);
+    /// The incarnations that the directory doesn't know yet.
+    std::set<ReplicaIncarnation> unknownAmong(const std::vector<ReplicaRow> &rows) const;
+    /// Records what the rows that the directory got say about cold replicas. `started` are those
+    /// that this VM saw start.
+    void recordColdReplicas(const std::vector<ReplicaRow> &rows,
+                            const std::set<ReplicaIncarnation> &started);
+    /// Records for how long the replica stays cold, if it said so in the head of a response.
+    void recordColdLeft(const ReplicaIncarnation &incarnation, const platform::ResponseHead &head);
     void logRequestLimit(const RequestLimitNotice &notice, std::string_view source) const;
     /// Records that the replica refused a connection or didn't accept it in time.
     void recordUnreachable(const ReplicaEntry &replica);
@@ -116,6 +126,7 @@
     ReplicaHealth health;
     ZoneHealth zones;
     ReplicaRequestLimits limits;
+    ColdReplicas cold;
     ReplicaRests rests;
     ReplicaHeartbeats heartbeats;
     RouteDurations durations;
@@ -134,6 +145,8 @@
     FleetRetryBudgetOptions retryBudgetOptions() const;
     /// VMs that may send requests to the replica.
     std::vector<std::string> vmsSharing(const ReplicaIncarnation &incarnation) const;
+    ColdFigures coldFigures(const std::string &replicaId) const;
+    void setUpCold();
 
     std::shared_ptr<const RouteTable> m_routes;
     std::map<std::string, FleetRetryBudget> m_retryBudgets;
--- a/src/gateway/peermessenger.cpp
+++ b/src/gateway/peermessenger.cpp
@@ -461,6 +461,12 @@
     asio::co_spawn(m_context, fetchSnapshot(), asio::detached);
 }
 
+void PeerMessenger::onPeerStart(const std::string &replicaId, TimePoint now)
+{
+    m_state.limits.onPeerStart(replicaId, now);
+    m_state.cold.onPeerStart(replicaId, now);
+}
+
 void PeerMessenger::applyContents(const std::string &vm, const PeerDatagram &datagram)
 {
     const TimePoint now = m_state.clock.now();
@@ -470,7 +476,7 @@
         switch (update.kind) {
         case ActiveRequestUpdate::Kind::Began:
             for (const ActiveRequestPart &part : update.activeRequest->parts)
-                m_state.limits.onPeerStart(part.replica, now);
+                onPeerStart(part.replica, now);
             m_state.load.begin(vm, *update.activeRequest, now);
             break;
         case ActiveRequestUpdate::Kind::Decoding:
--- a/src/gateway/peermessenger.h
+++ b/src/gateway/peermessenger.h
@@ -65,6 +65,7 @@
     Task<void> fetchSnapshot();
     void handleDatagram(const PeerDatagram &datagram, const Udp::endpoint &from);
     void handleStatus(const PeerStatus &status, const Udp::endpoint &from);
+    void onPeerStart(const std::string &replicaId, TimePoint now);
     void applyContents(const std::string &vm, const PeerDatagram &datagram);
     void requestFullState(const Udp::endpoint &to);
     void sendFullState(const Udp::endpoint &to);
--- a/src/gateway/replicanews.cpp
+++ b/src/gateway/replicanews.cpp
@@ -52,6 +52,10 @@
             std::erase_if(result.rows,
                           [&](const ReplicaRow &earlier) { return earlier.id == row.id; });
             result.rows.push_back(row);
+            ReplicaRow &added = result.rows.back();
+            if (added.entry)
+                added.entry->coldLeft =
+                    std::max(Duration::zero(), added.entry->coldLeft - (now - step.learntAt));
         }
     }
     return result;
--- a/src/gateway/replicanews.h
+++ b/src/gateway/replicanews.h
@@ -26,7 +26,8 @@
     /// Time for which the sender still waits for entries to come back that may only have expired
     /// while the list couldn't be read.
     Duration graceLeft{};
-    /// In the order in which they were written; at most one for each replica.
+    /// In the order in which they were written; at most one for each replica. How long replicas
+    /// stay cold is as of the notice.
     std::vector<ReplicaRow> rows;
     /// Replicas that have missed heartbeats.
     std::vector<ReplicaIncarnation> overdue;
--- a/src/gateway/replicanoticecodec.cpp
+++ b/src/gateway/replicanoticecodec.cpp
@@ -1,11 +1,15 @@
 // One CBOR array: format, format version, first revision, last revision, milliseconds of grace,
-// rows, overdue replicas. A row without an entry is its id alone. Builds that don't know the format
-// drop it; later ones may append fields.
+// rows, overdue replicas, cold replicas of the rows with the milliseconds for which they stay cold.
+// A row without an entry is its id alone. Builds that don't know the format drop it; earlier ones
+// send no cold replicas, and later ones may append fields.
 #include "gateway/replicanoticecodec.h"
 
 #include "gateway/cborfields.h"
 
 #include <cstdint>
+#include <map>
+#include <utility>
+#include <vector>
 
 namespace arbutuspier {
 
@@ -16,6 +20,8 @@
 constexpr std::uint64_t kFormatVersion = 1;
 /// No VM waits longer for entries to come back.
 constexpr std::uint64_t kMaxGraceMs = 60'000;
+/// No replica stays cold for longer.
+constexpr std::uint64_t kMaxColdMs = 600'000;
 
 std::uint64_t toMs(Duration duration)
 {
@@ -66,6 +72,52 @@
     return ReplicaIncarnation{value[0].get<std::string>(), value[1].get<std::int64_t>()};
 }
 
+using ColdReplica = std::pair<std::string, Duration>;
+
+std::vector<ColdReplica> coldReplicas(const std::vector<ReplicaRow> &rows)
+{
+    std::vector<ColdReplica> result;
+    for (const ReplicaRow &row : rows) {
+        if (row.entry && row.entry->coldLeft > Duration::zero())
+            result.emplace_back(row.id, row.entry->coldLeft);
+    }
+    return result;
+}
+
+Json encodeColdReplica(const ColdReplica &replica)
+{
+    return Json::array({replica.first, toMs(replica.second)});
+}
+
+std::optional<ColdReplica> decodeColdReplica(const Json &value)
+{
+    constexpr std::size_t kFields = 2;
+    const bool isColdReplica = isArray(value, kFields) && value[0].is_string()
+        && value[1].is_number_unsigned() && value[1].get<std::uint64_t>() <= kMaxColdMs;
+    if (!isColdReplica)
+        return std::nullopt;
+    return ColdReplica{value[0].get<std::string>(),
+                       std::chrono::milliseconds{value[1].get<std::int64_t>()}};
+}
+
+/// Reads the field of the cold replicas, which earlier builds don't send, into the rows.
+bool decodeColdReplicas(const Json &document, std::vector<ReplicaRow> &rows)
+{
+    constexpr std::size_t kField = 7;
+    if (document.size() <= kField)
+        return true;
+    std::vector<ColdReplica> cold;
+    if (!decodeList(document[kField], cold, decodeColdReplica))
+        return false;
+    const std::map<std::string, Duration> coldLeft(cold.begin(), cold.end());
+    for (ReplicaRow &row : rows) {
+        const auto found = coldLeft.find(row.id);
+        if (row.entry && found != coldLeft.end())
+            row.entry->coldLeft = found->second;
+    }
+    return true;
+}
+
 } // namespace
 
 std::string encodeReplicaNotice(const ReplicaNotice &notice)
@@ -73,7 +125,8 @@
     const Json document = Json::array({kFormat, kFormatVersion, encodeRevision(notice.from),
                                        encodeRevision(notice.to), toMs(notice.graceLeft),
                                        encodeList(notice.rows, encodeRow),
-                                       encodeList(notice.overdue, encodeIncarnation)});
+                                       encodeList(notice.overdue, encodeIncarnation),
+                                       encodeList(coldReplicas(notice.rows), encodeColdReplica)});
     return toCbor(document);
 }
 
@@ -92,7 +145,8 @@
     const std::chrono::milliseconds graceLeft{document[4].get<std::int64_t>()};
     ReplicaNotice notice{*from, *to, graceLeft, {}, {}};
     const bool isDecoded = decodeList(document[5], notice.rows, decodeRow)
-        && decodeList(document[6], notice.overdue, decodeIncarnation);
+        && decodeList(document[6], notice.overdue, decodeIncarnation)
+        && decodeColdReplicas(document, notice.rows);
     return isDecoded ? std::optional(std::move(notice)) : std::nullopt;
 }
 
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -165,6 +165,8 @@
             m_state.recordLeaving(incarnation);
     }
     m_state.recordRequestLimit(incarnation, head, isValidResponse(attempt), attempt.sentAt());
+    if (isValidResponse(attempt))
+        m_state.recordColdLeft(incarnation, head);
 }
 
 Task<RequestHandler::AttemptOutcome> RequestHandler::readResponse(UpstreamAttempt::SendResult sent,
--- a/src/gateway/storewatcherreplicas.cpp
+++ b/src/gateway/storewatcherreplicas.cpp
@@ -10,6 +10,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace arbutuspier {
@@ -140,12 +141,15 @@
     recordEarlierStarts(read.rows, rows);
     const std::vector<ReplicaRow> news = newsAmong(read.rows, rows);
     const std::uint64_t before = m_state.directory.revision();
+    const std::set<ReplicaIncarnation> started =
+        m_hasReplicas ? m_state.unknownAmong(rows) : std::set<ReplicaIncarnation>{};
     if (isFullRead)
         m_state.directory.replaceAll(rows, now,
                                      isRestored ? UpstreamDirectory::ListAge::Restored
                                                 : UpstreamDirectory::ListAge::Current);
     else
         m_state.directory.applyChanges(rows, now);
+    m_state.recordColdReplicas(rows, started);
     if (isFullRead)
         m_replicaNews.reset(read.revision);
     else
@@ -170,8 +174,11 @@
 {
     std::vector<ReplicaRow> news;
     for (std::size_t i = 0; i < rows.size(); ++i) {
+        const std::optional<ReplicaEntry> &entry = decoded[i].entry;
+        const bool isColdNews = entry
+            && m_state.cold.isNews(entry->incarnation(), entry->coldLeft, m_state.clock.now());
         // A replica that came and went since the last poll may be known to others.
-        if (rows[i].isDeleted || m_state.directory.isNews(decoded[i]))
+        if (rows[i].isDeleted || isColdNews || m_state.directory.isNews(decoded[i]))
             news.push_back(decoded[i]);
     }
     return news;
@@ -213,7 +220,10 @@
     if (notice.to <= m_replicaNews.covered())
         return;
     const std::uint64_t before = m_state.directory.revision();
+    const std::set<ReplicaIncarnation> started =
+        m_hasReplicas ? m_state.unknownAmong(notice.rows) : std::set<ReplicaIncarnation>{};
     m_state.directory.applyChanges(notice.rows, now);
+    m_state.recordColdReplicas(notice.rows, started);
     m_replicaNews.advance(notice.to, notice.rows, now);
     if (m_state.directory.revision() == before)
         return;
