gateway: Count the replicas of a returned zone as cold

A zone that was evacuated may come back with replicas that were restarted meanwhile, and their entries say so only with the next heartbeat. They count as cold for their service's cold duration from the return on.

--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -194,6 +194,16 @@
     return true;
 }
 
+void GatewayState::onZoneReturned(const std::string &zone)
+{
+    std::vector<ReplicaIncarnation> returned;
+    for (const ReplicaEntry &entry : directory.entries()) {
+        if (entry.zone == zone)
+            returned.push_back(entry.incarnation());
+    }
+    cold.onReturned(returned, clock.now());
+}
+
 void GatewayState::applyEvacuations(const std::vector<ZoneEvacuation> &changed,
                                     std::string_view source)
 {
@@ -207,7 +217,7 @@
                          .add("era", zone.revision.era)
                          .add("store_revision", zone.revision.number)
                          .text();
-        if (!zone.isEvacuated && onZoneReturned)
+        if (!zone.isEvacuated)
             onZoneReturned(zone.zone);
     }
     directory.setEvacuatedZones(evacuations.evacuated());
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -56,8 +56,6 @@
     /// The active configuration; null until one is known.
     const std::shared_ptr<const RouteTable> &routes() const { return m_routes; }
 
-    /// Called when an evacuated zone has returned, before its replicas get requests again.
-    std::function<void(const std::string &zone)> onZoneReturned;
     /// Applies changes of `evacuations`: requests that wait are placed anew. `source` is the store
     /// or the peer.
     void applyEvacuations(const std::vector<ZoneEvacuation> &changed, std::string_view source);
@@ -168,6 +166,9 @@
     std::function<void(TimePoint)> onOutcomes;
 
 private:
+    /// An evacuated zone has returned. Its replicas count as cold, as they may have been restarted
+    /// meanwhile. Called before they get requests again.
+    void onZoneReturned(const std::string &zone);
     /// The path to a service was lost, or is back.
     void onPathChanged(const std::string &service);
     /// Has a report sent to the peers if one is due.
