--- a/include/arbutuspier/fleetload.h
+++ b/include/arbutuspier/fleetload.h
@@ -6,9 +6,12 @@
 #pragma once
 
 #include "arbutuspier/clock.h"
+#include "arbutuspier/costestimates.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -40,6 +43,20 @@
     double weight = 1;
     bool isDecoding = false;
     std::vector<ActiveRequestPart> parts;
+    /// Forecast of the work of a call, in milliseconds. Known for this VM's own calls only: it
+    /// isn't sent to peers.
+    std::optional<CostForecast> cost;
+    /// When this VM learned of the request; set by `FleetLoad::begin`.
+    TimePoint begunAt{};
+};
+
+/// A request without a prompt to prefill, which runs on one replica.
+struct RunningCall
+{
+    std::uint64_t requestId = 0;
+    TimePoint begunAt{};
+    /// Empty if it is that of another VM.
+    std::optional<CostForecast> cost;
 };
 
 /// A prompt, or a part of one, whose prefill a replica has not finished.
@@ -91,6 +108,8 @@
 
     /// The load of a replica; an idle load if nothing is known to run on it.
     const ReplicaLoad &of(std::string_view replica) const;
+    /// The calls that are known to run on a replica. Valid until the next change.
+    std::span<const RunningCall> callsOf(std::string_view replica) const;
     /// An active request of a VM; null if it isn't known.
     const ActiveRequest *find(std::string_view vm, std::uint64_t requestId) const;
     std::vector<ActiveRequest> activeRequestsOf(std::string_view vm) const;
@@ -103,10 +122,14 @@
     void removePart(const ActiveRequest &request, const ActiveRequestPart &part);
     void startDecoding(ActiveRequest &request, TimePoint now);
     void removeAllParts(const ActiveRequest &request);
+    void addCall(const ActiveRequest &request);
+    void removeCall(const ActiveRequest &request);
 
     std::map<std::string, ActiveRequests, std::less<>> m_activeRequests;
     /// Invariant: each entry is the sum over the parts that run on the replica.
     Loads m_loads;
+    /// Invariant: by replica, an entry for each known request whose primary part has no prefill.
+    std::map<std::string, std::vector<RunningCall>, std::less<>> m_calls;
 };
 
 } // namespace arbutuspier
--- a/src/policy/fleetload.cpp
+++ b/src/policy/fleetload.cpp
@@ -28,6 +28,11 @@
         load.plannedDecodes.erase(decode);
 }
 
+bool isCall(const ActiveRequest &request)
+{
+    return request.parts.size() == 1 && request.parts.front().prefillMs <= 0;
+}
+
 } // namespace
 
 double ReplicaLoad::weightDelayedBy(Duration gap) const
@@ -89,13 +94,40 @@
         m_loads.erase(found);
 }
 
+void FleetLoad::addCall(const ActiveRequest &request)
+{
+    if (isCall(request))
+        m_calls[request.parts.front().replica].push_back(
+            {request.id, request.begunAt, request.cost});
+}
+
+void FleetLoad::removeCall(const ActiveRequest &request)
+{
+    if (!isCall(request))
+        return;
+    const auto found = m_calls.find(request.parts.front().replica);
+    if (found == m_calls.end())
+        return;
+    std::vector<RunningCall> &calls = found->second;
+    const auto call = std::find_if(calls.begin(), calls.end(), [&](const RunningCall &other) {
+        return other.requestId == request.id && other.begunAt == request.begunAt
+            && other.cost.has_value() == request.cost.has_value();
+    });
+    if (call != calls.end())
+        calls.erase(call);
+    if (calls.empty())
+        m_calls.erase(found);
+}
+
 void FleetLoad::begin(std::string_view vm, ActiveRequest request, TimePoint now)
 {
     ActiveRequests &requests = m_activeRequests[std::string(vm)];
     if (requests.count(request.id) != 0)
         return;
+    request.begunAt = now;
     for (const ActiveRequestPart &part : request.parts)
         addPart(request, part, now);
+    addCall(request);
     requests.emplace(request.id, std::move(request));
 }
 
@@ -128,6 +160,7 @@
 {
     for (const ActiveRequestPart &part : request.parts)
         removePart(request, part);
+    removeCall(request);
 }
 
 void FleetLoad::end(std::string_view vm, std::uint64_t requestId)
@@ -180,6 +213,12 @@
     return found == m_loads.end() ? kIdle : found->second;
 }
 
+std::span<const RunningCall> FleetLoad::callsOf(std::string_view replica) const
+{
+    const auto found = m_calls.find(replica);
+    return found == m_calls.end() ? std::span<const RunningCall>{} : found->second;
+}
+
 const ActiveRequest *FleetLoad::find(std::string_view vm, std::uint64_t requestId) const
 {
     const auto requests = m_activeRequests.find(vm);
