gateway: Place calls by learned cost if the settings say so

With routing.learned_cost the gateway learns from each response that was read to its end, places calls to plain services with chooseReplica, and takes the learned length of responses in place of the published mean where none was announced. DispatchQueue::explainCall returns the choice and its reasons without side effects.

--- a/src/gateway/dispatchqueue.cpp
+++ b/src/gateway/dispatchqueue.cpp
@@ -20,7 +20,8 @@
                              std::string zone, const UpstreamDirectory &directory,
                              const FleetGroups &groups, FleetLoad &load,
                              const ReplicaHealth &health, const ZoneHealth &zones,
-                             ReplicaRequestLimits &limits, const ReplicaRests &rests)
+                             ReplicaRequestLimits &limits, const ReplicaRests &rests,
+                             const RemainingWork &work)
     : m_executor(std::move(executor))
     , m_clock(clock)
     , m_vm(std::move(vm))
@@ -32,6 +33,8 @@
     , m_zones(zones)
     , m_limits(limits)
     , m_rests(rests)
+    , m_work(work)
+    , m_turns(m_vm)
 {
 }
 
@@ -217,7 +220,7 @@
     if (found.probed && tryProbe(ticket, *found.probed, hasEngine ? &*service->engine : nullptr))
         return true;
     if (!hasEngine) {
-        const auto replica = placeCall(all);
+        const auto replica = chooseForCall(ticket.requirements, all);
         if (replica)
             grantCall(ticket, *replica);
         return replica.has_value();
@@ -289,6 +292,52 @@
     return true;
 }
 
+Duration DispatchQueue::reportAge(const std::string &service) const
+{
+    // While slots are scarce, reports are sent at once; otherwise they wait for others.
+    constexpr Duration kUrgent = std::chrono::milliseconds{5};
+    constexpr Duration kWaiting = std::chrono::milliseconds{150};
+    return areSlotsScarce(service) ? kUrgent : kWaiting;
+}
+
+CallChoice DispatchQueue::rateForCall(const DispatchRequirements &requirements,
+                                      std::span<const PlacementCandidate> candidates) const
+{
+    const TimePoint now = m_clock.now();
+    const CostForecast usual = m_work.serviceForecast(requirements.service, now);
+    std::vector<CallCandidate> calls;
+    for (const PlacementCandidate &candidate : candidates) {
+        const std::span<const RunningCall> running = m_load.callsOf(candidate.replica);
+        const ReplicaEntry *entry = m_directory.find(candidate.replica);
+        CallCandidate call;
+        call.replica = candidate.replica;
+        call.slots = candidate.slots;
+        call.running = candidate.load.running;
+        call.slowdown = m_work.slowdownWhile(entry->incarnation(), running, now);
+        call.work = workLeftAt(running, usual, call.slowdown.factor, now);
+        call.isEjected = candidate.isEjected;
+        call.isLocalZone = candidate.isLocalZone;
+        call.turn = m_turns.turn(candidate.replica);
+        calls.push_back(std::move(call));
+    }
+    const CallDemand demand{requirements.cost.value_or(usual), requirements.prompt.objective,
+                            reportAge(requirements.service), usual.mean()};
+    return chooseReplica(calls, demand, {});
+}
+
+CallChoice DispatchQueue::explainCall(const DispatchRequirements &requirements) const
+{
+    return rateForCall(requirements, candidates(requirements).replicas);
+}
+
+std::optional<std::string> DispatchQueue::chooseForCall(
+    const DispatchRequirements &requirements, std::span<const PlacementCandidate> candidates) const
+{
+    if (!requirements.cost)
+        return placeCall(candidates);
+    return rateForCall(requirements, candidates).replica;
+}
+
 void DispatchQueue::grantPrompt(Ticket &ticket, const Placement &placement)
 {
     const PromptShape &prompt = ticket.requirements.prompt;
@@ -329,6 +378,8 @@
     ActiveRequest activeRequest;
     activeRequest.id = grant.activeRequestId;
     activeRequest.parts.push_back({replica, 0, 0, 0, true});
+    activeRequest.cost = ticket.requirements.cost;
+    m_turns.onUse(replica);
     m_limits.onStart(grant.replica.incarnation(), m_clock.now());
     ticket.result.grant = std::move(grant);
     begin(std::move(activeRequest));
--- a/src/gateway/dispatchqueue.h
+++ b/src/gateway/dispatchqueue.h
@@ -2,9 +2,11 @@
 // arrival.
 #pragma once
 
+#include "arbutuspier/callplacement.h"
 #include "arbutuspier/fleetgroups.h"
 #include "arbutuspier/fleetload.h"
 #include "arbutuspier/placementplan.h"
+#include "arbutuspier/remainingwork.h"
 #include "arbutuspier/replicahealth.h"
 #include "arbutuspier/replicarequestlimits.h"
 #include "arbutuspier/replicarests.h"
@@ -38,6 +40,9 @@
     TimePoint waitDeadline{};
     /// Time from the assignment to the end of the request, as far as is known.
     Duration expectedDuration{};
+    /// Forecast of the work of a call to a service without an engine, in milliseconds. If it is
+    /// set, the replica is chosen by when the call is expected to end there.
+    std::optional<CostForecast> cost;
     /// Ids of replicas that this request was already sent to. They are used only if no other is
     /// left.
     std::set<std::string> excluded;
@@ -123,7 +128,8 @@
     DispatchQueue(asio::any_io_executor executor, const Clock &clock, std::string vm,
                   std::string zone, const UpstreamDirectory &directory, const FleetGroups &groups,
                   FleetLoad &load, const ReplicaHealth &health, const ZoneHealth &zones,
-                  ReplicaRequestLimits &limits, const ReplicaRests &rests);
+                  ReplicaRequestLimits &limits, const ReplicaRests &rests,
+                  const RemainingWork &work);
 
     /// Waits until the request is assigned to a replica or rejected. A grant must be ended with
     /// `end`.
@@ -148,6 +154,9 @@
     /// When the first replica of the service has rested; empty if one isn't resting.
     std::optional<TimePoint> allRestUntil(const std::string &service) const;
 
+    /// How a call would be placed now, and why. Changes nothing.
+    CallChoice explainCall(const DispatchRequirements &requirements) const;
+
     std::size_t waiting() const { return m_waiting.size(); }
     std::size_t running() const { return m_load.activeRequestsOf(m_vm).size(); }
     /// Called on each change of this VM's own active requests.
@@ -192,6 +201,13 @@
                     std::size_t replicas) const;
     void grantPrompt(Ticket &ticket, const Placement &placement);
     void grantCall(Ticket &ticket, const std::string &replica);
+    /// The replica that a call goes to; empty if none has a free slot.
+    std::optional<std::string> chooseForCall(const DispatchRequirements &requirements,
+                                             std::span<const PlacementCandidate> candidates) const;
+    CallChoice rateForCall(const DispatchRequirements &requirements,
+                           std::span<const PlacementCandidate> candidates) const;
+    /// Usual age of what is known of peers' calls to the service.
+    Duration reportAge(const std::string &service) const;
     void begin(ActiveRequest activeRequest);
     /// Whether at least half of the slots of the service's replicas are in use.
     bool areSlotsScarce(const std::string &service) const;
@@ -213,6 +229,8 @@
     const ZoneHealth &m_zones;
     ReplicaRequestLimits &m_limits;
     const ReplicaRests &m_rests;
+    const RemainingWork &m_work;
+    ReplicaTurns m_turns;
     PlacementOptions m_options;
     /// Invariant: sorted by (priority, order); none has a result yet.
     std::list<std::shared_ptr<Ticket>> m_waiting;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -140,6 +140,9 @@
     metrics.setGauge("limited_replicas", static_cast<double>(m_state.limits.limitedCount()));
     metrics.setGauge("resting_replicas",
                      static_cast<double>(m_state.rests.restingCount(m_clock.now())));
+    metrics.setGauge(
+        "cost_estimates",
+        static_cast<double>(m_state.work.estimateCount() + m_state.outputLengths.size()));
     metrics.setGauge("lost_paths", static_cast<double>(m_state.paths.lostServices().size()));
     metrics.setGauge("vms", static_cast<double>(m_state.vmCount()));
     metrics.setGauge("response_bytes", static_cast<double>(m_state.responseMemory.used()));
@@ -220,6 +223,7 @@
         m_state.limits.tick(now);
         m_state.rests.tick(now);
         m_state.durations.tick(now);
+        m_state.work.tick(now);
         m_state.dispatchQueue.dispatchWaiting();
         std::erase_if(m_callerConnections,
                       [](const auto &connection) { return connection.expired(); });
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -62,6 +62,17 @@
         return *value;
     }
 
+    bool boolean(const char *path, bool fallback)
+    {
+        const toml::node_view node = m_document.at_path(path);
+        if (!node)
+            return fallback;
+        const auto value = node.value_exact<bool>();
+        if (!value)
+            fail(path, "true or false");
+        return value.value_or(fallback);
+    }
+
     std::vector<std::string> strings(const char *path)
     {
         std::vector<std::string> result;
@@ -115,6 +126,7 @@
     settings.retryRatio = reader.number("retries.ratio", settings.retryRatio);
     settings.retrySlack = reader.number("retries.slack", settings.retrySlack);
     settings.retryWindow = reader.seconds("retries.window_s", settings.retryWindow);
+    settings.learnedCost = reader.boolean("routing.learned_cost", settings.learnedCost);
     return settings;
 }
 
@@ -144,6 +156,7 @@
     active.retryRatio = reloaded.retryRatio;
     active.retrySlack = reloaded.retrySlack;
     active.retryWindow = reloaded.retryWindow;
+    active.learnedCost = reloaded.learnedCost;
     std::vector<std::string> needsRestart;
     const auto reportIfChanged = [&](const char *name, const std::string &before,
                                      const std::string &now) {
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -46,14 +46,16 @@
     double retryRatio = 0.2;
     double retrySlack = 100;
     Duration retryWindow = std::chrono::seconds{10};
+    /// Requests are placed by what similar ones cost and by the work left at each replica.
+    bool learnedCost = false;
 };
 
 /// Reads and checks the settings. The error lists every wrong key as "key: expected ...".
 Result<GatewaySettings> parseGatewaySettings(std::string_view text, const std::string &fileName);
 Result<GatewaySettings> loadGatewaySettings(const std::string &fileName);
 
-/// Copies what a running process can change (seeds, bounds and retries) into the active settings.
-/// Returns the names of settings that differ but need a restart; those stay as they are.
+/// Copies what a running process can change (seeds, bounds, retries and routing) into the active
+/// settings. Returns the names of settings that differ but need a restart; those stay as they are.
 std::vector<std::string> applyGatewaySettings(GatewaySettings &active,
                                               const GatewaySettings &reloaded);
 
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -45,11 +45,13 @@
     , rests({})
     , heartbeats(settings.replicaHeartbeat)
     , durations({})
+    , work({}, {})
+    , outputLengths({})
     , responseMemory({})
     , pool({})
     , suspects(executor, clock, metrics, settings.replicaHeartbeat)
     , dispatchQueue(executor, clock, settings.vm, settings.zone, directory, groups, load, health,
-                    zones, limits, rests)
+                    zones, limits, rests, work)
     , random(seedOf(settings.vm, clock))
     , paths(executor, clock, directory, random)
 {
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -1,9 +1,11 @@
 // The state that all requests of one gateway share. Used by the gateway's one thread only.
 #pragma once
 
+#include "arbutuspier/costestimates.h"
 #include "arbutuspier/fleetgroups.h"
 #include "arbutuspier/fleetretrybudget.h"
 #include "arbutuspier/random.h"
+#include "arbutuspier/remainingwork.h"
 #include "arbutuspier/replicahealth.h"
 #include "arbutuspier/replicaheartbeats.h"
 #include "arbutuspier/replicarequestlimits.h"
@@ -119,6 +121,10 @@
     ReplicaRests rests;
     ReplicaHeartbeats heartbeats;
     RouteDurations durations;
+    /// What calls to plain services cost, in milliseconds.
+    RemainingWork work;
+    /// How long responses of engines are, in output tokens.
+    CostEstimates outputLengths;
     ResponseMemory responseMemory;
     UpstreamPool pool;
     GatewayMetrics metrics;
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace arbutuspier {
 
@@ -221,11 +222,10 @@
     shape.promptTokens = m_head.promptTokens;
     shape.maySplit = m_canSplit;
     shape.timeLeft = deadline() - m_state.clock.now();
-    const ServiceSpec *service = m_table->service(m_service);
-    const double meanOutput = service && service->engine ? service->engine->meanOutputTokens : 0;
     shape.outputTokens = m_head.expectedOutputTokens;
-    if (shape.outputTokens == 0)
-        shape.outputTokens = static_cast<std::uint64_t>(meanOutput);
+    const EngineFigures *figures = engine();
+    if (shape.outputTokens == 0 && figures)
+        shape.outputTokens = static_cast<std::uint64_t>(likelyOutputTokens(*figures));
     if (m_head.maxOutputTokens > 0)
         shape.outputTokens = std::min(shape.outputTokens, m_head.maxOutputTokens);
     return shape;
@@ -237,6 +237,7 @@
     requirements.table = m_table;
     requirements.service = m_service;
     requirements.prompt = promptShape();
+    requirements.cost = callCost();
     requirements.priority = m_priority;
     requirements.excluded = m_triedReplicas;
     requirements.expectedDuration = expectedDuration();
@@ -428,6 +429,8 @@
         .add("runs", static_cast<std::uint64_t>(m_possibleExecutions))
         .addSeconds("queued", toSeconds(m_queueTime))
         .addSeconds("forecast", toSeconds(m_expectedFirstEvent))
+        .add("expected_cost", static_cast<std::uint64_t>(std::lround(m_expectedCost)))
+        .add("cost", static_cast<std::uint64_t>(std::lround(m_cost)))
         .addSeconds("gap", toSeconds(m_longestGap))
         .addSeconds("first", m_timeToFirstEvent ? toSeconds(*m_timeToFirstEvent) : 0)
         .addSeconds("total", toSeconds(total))
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -62,6 +62,18 @@
     bool isQuarantined() const { return m_state.suspects.isQuarantined(m_identity); }
     RequestIdentity identity() const;
     PromptShape promptShape() const;
+
+    // Costs that are learned from completed requests.
+
+    /// The engine of the request's service; null if it has none.
+    const EngineFigures *engine() const;
+    CostFeatures costFeatures() const;
+    /// Forecast of the output tokens; the published mean while there is little evidence.
+    double likelyOutputTokens(const EngineFigures &figures) const;
+    /// Forecast of the work of a call; empty if replicas aren't chosen by it.
+    std::optional<CostForecast> callCost() const;
+    /// Learns from a response that was read to its end just now.
+    void recordCost(const UpstreamAttempt &attempt);
     /// Time from the assignment to a replica to the end of the request, by the recent requests of
     /// its route. Zero if the request fails unless it is assigned now.
     Duration expectedDuration() const;
@@ -330,6 +342,10 @@
     TimePoint m_nextReachabilityCheck{};
     TimePoint m_lastEventAt{};
     Duration m_longestGap{};
+    /// Forecast and outcome of the attempt that was completed, in milliseconds for a call and in
+    /// output tokens for a prompt; zero without either.
+    double m_expectedCost = 0;
+    double m_cost = 0;
     /// Replicas of all attempts for the log, each followed by "+" and the number of its helpers.
     std::string m_attemptedReplicas;
 };
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -241,6 +241,7 @@
     // The time that the caller takes to read counts against the deadline only.
     attempt.expireAt(deadline());
     m_timeToFirstEvent = m_state.clock.now() - m_arrivedAt;
+    recordCost(attempt);
     const bool isSent =
         co_await m_caller.sendResponse(attempt.status(), responseFields(attempt), std::move(body));
     log(isSent ? "answered" : "caller-gone", std::to_string(attempt.status()));
@@ -328,6 +329,7 @@
     if (!isComplete || !m_hasSentHead)
         co_return AttemptOutcome::Lost;
     m_backups.cancelRunning();
+    recordCost(attempt);
     attempt.expireAt(deadline());
     if (!co_await m_caller.sendLastChunk())
         co_return AttemptOutcome::CallerDisconnected;
--- a/src/gateway/upstreamattempt.h
+++ b/src/gateway/upstreamattempt.h
@@ -73,6 +73,7 @@
     bool wasReached() const { return m_wasReached; }
 
     /// When the request was sent.
+    const ReplicaIncarnation &incarnation() const { return m_incarnation; }
     TimePoint sentAt() const { return m_sentAt; }
     void setSentAt(TimePoint at) { m_sentAt = at; }
     /// How far its stream events have come.
--- a/tests/gate/settingsandlogsinktest.cpp
+++ b/tests/gate/settingsandlogsinktest.cpp
@@ -50,6 +50,20 @@
     DOUBLES_EQUAL(102, settings->retrySlack, 1e-9);
 }
 
+TEST(GatewaySettingsFile, placesRequestsByLearnedCostOnlyIfItSaysSo)
+{
+    CHECK(!parseGatewaySettings(kSettings, "gate.toml")->learnedCost);
+    const std::string text = std::string(kSettings) + "[routing]\nlearned_cost = ";
+    const auto reloaded = parseGatewaySettings(text + "true\n", "gate.toml");
+    CHECK(reloaded->learnedCost);
+    GatewaySettings active = *parseGatewaySettings(kSettings, "gate.toml");
+    CHECK(applyGatewaySettings(active, *reloaded).empty());
+    CHECK(active.learnedCost);
+    const auto wrong = parseGatewaySettings(text + "\"yes\"\n", "gate.toml");
+    CHECK(!wrong.has_value());
+    CHECK(wrong.error().message.find("routing.learned_cost") != std::string::npos);
+}
+
 TEST(GatewaySettingsFile, reportsAllErrorsAtOnce)
 {
     const auto settings = parseGatewaySettings("[vm]\nname = \"\"\n[retries]\nratio = -1\n", "g");
