--- a/src/gateway/requesthandlercost.cpp
+++ b/src/gateway/requesthandlercost.cpp
@@ -77,7 +77,8 @@
     if (figures) {
         if (!m_joiner || !m_joiner->lastId())
             return;
-        m_cost = static_cast<double>(*m_joiner->lastId() * figures->stepsPerPass);
+        // Ids count the events of a stream from zero.
+        m_cost = static_cast<double>((*m_joiner->lastId() + 1) * figures->stepsPerPass);
         m_expectedCost = likelyOutputTokens(*figures);
         m_state.outputLengths.record(features, m_cost, publishedLength(*figures), now);
     } else {
