--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -48,11 +48,13 @@
     , rests({})
     , heartbeats(settings.replicaHeartbeat)
     , durations({})
+    , work({}, {})
+    , outputLengths({})
     , responseMemory({})
     , pool({})
     , suspects(executor, clock, metrics, settings.replicaHeartbeat)
     , dispatchQueue(executor, clock, settings.vm, settings.zone, directory, groups, load, health,
-                    sharedHealth, zones, limits, cold, rests)
+                    sharedHealth, zones, limits, cold, rests, work)
     , random(seedOf(settings.vm, clock))
     , paths(executor, clock, directory, random)
 {
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "arbutuspier/coldreplicas.h"
+#include "arbutuspier/costestimates.h"
 #include "arbutuspier/fleetgroups.h"
 #include "arbutuspier/fleetretrybudget.h"
 #include "arbutuspier/random.h"
+#include "arbutuspier/remainingwork.h"
 #include "arbutuspier/replicahealth.h"
 #include "arbutuspier/replicaheartbeats.h"
 #include "arbutuspier/replicarequestlimits.h"
@@ -153,6 +155,10 @@
     ReplicaRests rests;
     ReplicaHeartbeats heartbeats;
     RouteDurations durations;
+    /// What calls to plain services cost, in milliseconds.
+    RemainingWork work;
+    /// How long responses of engines are, in output tokens.
+    CostEstimates outputLengths;
     ResponseMemory responseMemory;
     UpstreamPool pool;
     GatewayMetrics metrics;
