--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -250,6 +250,17 @@
     scheduleOutcomes();
 }
 
+void GatewayState::recordReplaced(const ReplicaEntry &replica)
+{
+    // One such response is enough for this VM. The list has the last word, so the replica is not
+    // taken for removed.
+    health.onUnreachable(replica.incarnation(), clock.now());
+    if (!sharesOutcomes())
+        return;
+    sharedHealth.onFailure(replica.incarnation(), clock.now());
+    scheduleOutcomes();
+}
+
 void GatewayState::scheduleOutcomes()
 {
     const auto due = sharedHealth.reportDue();
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -69,6 +69,8 @@
     void recordSuccess(const ReplicaEntry &replica, double durationRatio);
     /// Records that a replica failed a request, or broke off its response.
     void recordFailure(const ReplicaEntry &replica);
+    /// Records that another process responded at the replica's address: the replica has ended.
+    void recordReplaced(const ReplicaEntry &replica);
     /// Adds what a peer saw of replicas.
     void applyOutcomes(const OutcomeReport &report);
     /// Records that a replica responded.
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -18,6 +18,7 @@
 
 constexpr Duration kConnectTimeout = std::chrono::milliseconds{150};
 constexpr int kOk = 200;
+constexpr int kMisdirected = 421;
 constexpr int kGatewayTimeout = 504;
 
 } // namespace
@@ -413,7 +414,9 @@
 void RequestHandler::onNotExecuted(const UpstreamAttempt &attempt, const DispatchGrant &grant)
 {
     m_canSplit = m_canSplit && grant.helpers.empty();
-    if (attempt.wasReached()) {
+    if (attempt.wasReached() && attempt.status() == kMisdirected) {
+        m_state.recordReplaced(grant.replica);
+    } else if (attempt.wasReached()) {
         m_state.health.onFailure(grant.replica.incarnation(), m_state.clock.now());
     } else if (!attempt.hasExpired()) {
         ++m_unreachableAttempts;
--- a/tests/gate/requesthandlertest.cpp
+++ b/tests/gate/requesthandlertest.cpp
@@ -266,6 +266,22 @@
     CHECK(fixture.state.health.isEjected({"a", 1}, fixture.clock.now()));
 }
 
+// Guards against more requests to the address of a replica that has ended, while the list still
+// names it: a process that started there refuses them all.
+TEST(AnAtMostOnceCall, ejectsAReplicaInWhosePlaceAnotherProcessResponds)
+{
+    const std::string misdirected = "HTTP/1.1 421 X\r\nX-Arbutuspier-Attempt-Id: %ID\r\n"
+                                    "X-Arbutuspier-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    const auto script =
+        std::make_shared<Script>(std::vector<ReplicaStep>{{misdirected}, {fullResponse(200, "x")}});
+    fixture.addReplica("a", "desk", script);
+    fixture.addReplica("b", "desk", script);
+    LONGS_EQUAL(200, statusOf(callAtMostOnce()));
+    const TimePoint now = fixture.clock.now();
+    CHECK(fixture.state.health.isEjected({"a", 1}, now)
+          || fixture.state.health.isEjected({"b", 1}, now));
+}
+
 // A replica that the caller's deadline leaves too little time is sound.
 TEST(AnAtMostOnceCall, doesNotCountAgainstTheReplicaIfItTimesOutThere)
 {
