--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -122,6 +122,8 @@
     if (wasEvacuated(grant)) {
         // It is placed anew, as after a reservation that was refused.
         ++m_failedReservations;
+        // Nothing was sent to it, and a zone less may leave no other with the memory.
+        m_triedReplicas.erase(grant.replica.id);
         m_state.metrics.incrementCounter("evacuated_requests", "placed-anew");
         co_return AttemptOutcome::NotExecuted;
     }
--- a/tests/gate/evacuatedzonetest.cpp
+++ b/tests/gate/evacuatedzonetest.cpp
@@ -259,6 +259,7 @@
                 TEST_GROUP_CppUTestGroupAGatewayBeforeAnEvacuatedZone)
 {
     std::map<std::string, ScriptedReplica *> engines;
+    const GatewayFixture::StartedCall *call = nullptr;
 
     /// Two engines in each zone, which are slow to confirm that memory is reserved.
     void setup() override
@@ -286,14 +287,61 @@
         return {responseHead(200) + "Transfer-Encoding: chunked\r\n\r\n" + chunk(event(0))
                 + chunk("data: [DONE]\n\n") + "0\r\n\r\n"};
     }
-    /// The engine that was asked first to reserve memory; empty if none was.
-    std::string firstAsked() const
+    /// Starts a prompt that needs the memory of several engines, and waits until a helper was asked
+    /// to reserve its memory. Returns the primary engine.
+    std::string startPrompt()
+    {
+        call = &fixture.start(GatewayFixture::request(
+            "POST", "/prompt/1", "X-Arbutuspier-Token-Usage: 406077,100\r\n", "prompt"));
+        while (!isOneAsked())
+            fixture.context.run_one();
+        return fixture.state.load.activeRequestsOf(fixture.settings.vm)
+            .front()
+            .parts.front()
+            .replica;
+    }
+    bool isOneAsked() const
+    {
+        return std::any_of(engines.begin(), engines.end(),
+                           [](const auto &item) { return !item.second->requests().empty(); });
+    }
+    void evacuateZoneOf(const std::string &id)
+    {
+        set(fixture.state.directory.find(id)->zone, true);
+        const TimePoint end = fixture.clock.now() + std::chrono::seconds{5};
+        while (!call->isDone && fixture.clock.now() < end)
+            fixture.runFor(milliseconds{10});
+        CHECK(contains(call->response, event(0)));
+        CHECK(contains(fixture.state.metrics.prometheusText(), "placed-anew"));
+    }
+    /// Checks that one prompt was sent, to the zone that isn't evacuated, with helpers there.
+    void checkSentElsewhere()
+    {
+        std::size_t elsewhere = 0;
+        for (const auto &[id, engine] : engines) {
+            const bool isEvacuated =
+                fixture.state.directory.isEvacuated(*fixture.state.directory.find(id));
+            if (isEvacuated) {
+                LONGS_EQUAL(0, prompts(*engine));
+                continue;
+            }
+            elsewhere += prompts(*engine);
+            for (const ReplicaRequest &request : engine->requests())
+                CHECK(request.target() == "/order" || !namesEvacuated(request));
+        }
+        LONGS_EQUAL(1, elsewhere);
+    }
+    bool namesEvacuated(const ReplicaRequest &request)
     {
         for (const auto &[id, engine] : engines) {
-            if (!engine->requests().empty())
-                return id;
+            const bool isEvacuated =
+                fixture.state.directory.isEvacuated(*fixture.state.directory.find(id));
+            for (const auto &field : request) {
+                if (isEvacuated && contains(std::string(field.value()), engine->address()))
+                    return true;
+            }
         }
-        return {};
+        return false;
     }
     static std::size_t prompts(const ScriptedReplica &engine)
     {
@@ -303,29 +351,20 @@
     }
 };
 
-// Guards against a prompt that is sent to an evacuated zone, or lost, as the zone was evacuated
+// Guards against a prompt that spends a retry, or is lost, as the zone of its replica was evacuated
 // while memory was reserved.
-TEST(ASplitPromptBeforeAnEvacuatedZone, isPlacedAnewWithoutARetry)
+TEST(ASplitPromptBeforeAnEvacuatedZone, isPlacedAnewIfItsReplicaIsThere)
 {
-    const auto &call = fixture.start(GatewayFixture::request(
-        "POST", "/prompt/1", "X-Arbutuspier-Token-Usage: 406077,100\r\n", "prompt"));
-    while (firstAsked().empty())
-        fixture.context.run_one();
-    const char evacuated = firstAsked()[0];
-    set(evacuated == 'e' ? "east" : "yard", true);
-    const TimePoint end = fixture.clock.now() + std::chrono::seconds{5};
-    while (!call.isDone && fixture.clock.now() < end)
-        fixture.runFor(milliseconds{10});
-    CHECK(contains(call.response, event(0)));
-    std::size_t elsewhere = 0;
-    for (const auto &[id, engine] : engines) {
-        if (id[0] != evacuated)
-            elsewhere += prompts(*engine);
-        else
-            LONGS_EQUAL(0, prompts(*engine));
-    }
-    LONGS_EQUAL(1, elsewhere);
-    CHECK(contains(fixture.state.metrics.prometheusText(), "placed-anew"));
+    evacuateZoneOf(startPrompt());
+    checkSentElsewhere();
+}
+
+// Guards against a prompt with helpers in a zone that was evacuated while they reserved memory.
+TEST(ASplitPromptBeforeAnEvacuatedZone, isPlacedAnewIfHelpersAreThere)
+{
+    const std::string primary = startPrompt();
+    evacuateZoneOf(primary[0] == 'e' ? "y-1" : "e-1");
+    checkSentElsewhere();
 }
 
 TEST_GROUP(AGatewayThatReadsTheOperatorsRows)
