gateway: Count the time that a replica's entry says it stays cold once

StatedColdTimes gives the time left as of the read; draining replicas are left out. Test: AColdReplica isWarmAlthoughItsEntryKeepsItsLastTime.

--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -151,7 +151,8 @@
                                       const std::set<ReplicaIncarnation> &started)
 {
     for (const ReplicaRow &row : rows) {
-        if (!row.entry)
+        // A draining replica gets no requests.
+        if (!row.entry || row.entry->state == ReplicaState::Draining)
             continue;
         const ReplicaIncarnation incarnation = row.entry->incarnation();
         const auto sighting = started.contains(incarnation) ? ColdReplicas::Sighting::Started
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -10,6 +10,7 @@
 #include "gateway/peerdatagramcodec.h"
 #include "gateway/replicanews.h"
 #include "gateway/snapshotcodec.h"
+#include "gateway/statedcoldtimes.h"
 #include "platform/storeclient.h"
 
 #include <cstdint>
@@ -157,6 +158,7 @@
     platform::StoreRevision m_changeRevision;
     ReplicaNews m_replicaNews;
     EarlierStarts m_earlierStarts;
+    StatedColdTimes m_coldTimes;
     /// When a peer last told that it has read the replicas.
     TimePoint m_peerReadAt{};
     /// The last revision at which a peer saw the replicas change, and when it said so.
--- a/src/gateway/storewatcherreplicas.cpp
+++ b/src/gateway/storewatcherreplicas.cpp
@@ -128,8 +128,12 @@
         ReplicaRow decoded{row.key, std::nullopt};
         if (!row.isDeleted)
             decoded.entry = platform::decodeReplica(row.key, row.bytes);
+        if (decoded.entry)
+            decoded.entry->coldLeft =
+                m_coldTimes.coldLeft(decoded.entry->incarnation(), decoded.entry->coldLeft, now);
         rows.push_back(std::move(decoded));
     }
+    m_coldTimes.tick(now);
     recordHeartbeats(read.rows, rows);
     m_state.heartbeats.onPoll(polledAt);
     m_replicaRevision = read.revision;
--- a/tests/gate/coldreplicastest.cpp
+++ b/tests/gate/coldreplicastest.cpp
@@ -2,6 +2,7 @@
 #include "arbutuspier/coldreplicas.h"
 #include "gateway/gatewaysettings.h"
 #include "gateway/replicanoticecodec.h"
+#include "gateway/statedcoldtimes.h"
 #include "platform/configdecoder.h"
 #include "platform/httpheaders.h"
 #include "platform/replicadecoder.h"
@@ -152,6 +153,22 @@
     CHECK(mayStart(kStart));
 }
 
+// Guards against a replica that repeats with each heartbeat what its entry said last before it was
+// warm, as seen on pichler-checkin-grown.
+TEST(AColdReplica, isWarmAlthoughItsEntryKeepsItsLastTime)
+{
+    StatedColdTimes times;
+    CHECK(times.coldLeft(replica, seconds{3}, kStart) == seconds{3});
+    CHECK(times.coldLeft(replica, milliseconds{533}, kStart + seconds{3}) == milliseconds{533});
+    for (int second = 4; second < 20; ++second)
+        CHECK(times.coldLeft(replica, milliseconds{533}, kStart + seconds{second}) == Duration{});
+    // It turns cold again.
+    CHECK(times.coldLeft(replica, seconds{3}, kStart + seconds{20}) == seconds{3});
+    CHECK(times.coldLeft(replica, seconds{3}, kStart + seconds{21}) == seconds{2});
+    CHECK(times.coldLeft(replica, Duration{}, kStart + seconds{22}) == Duration{});
+    CHECK(times.coldLeft(replica, seconds{3}, kStart + seconds{23}) == seconds{3});
+}
+
 TEST(AColdReplica, isNewsOnceAndNotWithEachHeartbeat)
 {
     CHECK(!cold.isNews(replica, Duration{}, kStart));
