--- a/include/arbutuspier/fleetgroups.h
+++ b/include/arbutuspier/fleetgroups.h
@@ -6,8 +6,9 @@
 // The assignment depends only on the names of the VMs and replicas, so that VMs that know the same
 // names agree on it without messages. Adding or removing a few names moves only few others.
 //
-// While a VM runs an older build, which knows smaller bounds only, all VMs use those: a VM must not
-// use replicas whose load some VM doesn't report to it.
+// How large a group may be follows from what it costs its VMs (groupbounds.h). While a VM runs an
+// older build, all VMs use the bounds of that one: a VM must not use replicas whose load some VM
+// doesn't report to it.
 #pragma once
 
 #include <cstddef>
@@ -25,10 +26,13 @@
     std::size_t maxUngroupedVms = 0;
     /// Largest number of VMs in a group of a larger fleet.
     std::size_t maxGroupVms = 0;
+
+    friend bool operator==(const FleetGroupBounds &, const FleetGroupBounds &) = default;
 };
 
 struct FleetGroupsOptions
 {
+    /// The bounds of all fleets at least, and those of builds that know no others.
     FleetGroupBounds bounds = {96, 54};
     /// The bounds of builds that announce no protocol.
     FleetGroupBounds olderBounds = {48, 36};
@@ -44,13 +48,16 @@
     FleetGroups(std::string ownVm, FleetGroupsOptions options)
         : m_ownVm(std::move(ownVm))
         , m_options(options)
+        , m_bounds(options.bounds)
     {
     }
 
     /// Sets the VMs of the fleet. This VM is added if `vms` lacks it.
     void setVms(std::vector<std::string> vms);
-    /// Sets whether some VM runs a build that knows the older bounds only.
-    void setHasOlderBuilds(bool hasOlder);
+    /// Sets the bounds that all VMs of the fleet use.
+    void setBounds(const FleetGroupBounds &bounds);
+    const FleetGroupBounds &bounds() const { return m_bounds; }
+    const FleetGroupsOptions &options() const { return m_options; }
     /// Whether older builds would split a fleet of this size into other groups.
     bool dependsOnBuilds() const { return m_vmCount > m_options.olderBounds.maxUngroupedVms; }
     std::size_t groupCount() const { return m_groupCount; }
@@ -81,7 +88,7 @@
     FleetGroupsOptions m_options;
     std::size_t m_groupCount = 1;
     std::size_t m_vmCount = 1;
-    bool m_hasOlderBuilds = false;
+    FleetGroupBounds m_bounds;
     /// Empty until the VMs of the fleet are known.
     std::vector<std::string> m_vms;
     std::size_t m_ownGroup = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 // threads would cost more than it saves.
 #include "gateway/gateway.h"
 
+#include "gateway/configurationcodec.h"
 #include "kernel/logline.h"
 #include "net/listen.h"
 
@@ -124,11 +125,21 @@
                      : StatusResponse{kUnavailable, "text/plain", "not ready\n"};
 }
 
-StatusResponse Gateway::snapshotResponse(std::string_view path) const
+StatusResponse Gateway::snapshotResponse(std::string_view path)
 {
+    if (path == kConfigurationPath) {
+        if (m_storeWatcher.deflatedConfiguration().empty())
+            return {kUnavailable, "text/plain", "no configuration\n"};
+        StatusResponse response{kOk, "application/cbor",
+                                encodeConfiguration(m_storeWatcher.deflatedConfiguration())};
+        m_messenger.onResponse(PeerMessageKind::Configuration, response.body.size());
+        return response;
+    }
     if (path != kSnapshotPath)
         return {};
-    return {kOk, "application/cbor", encodeSnapshot(m_storeWatcher.snapshot())};
+    StatusResponse response{kOk, "application/cbor", encodeSnapshot(m_storeWatcher.snapshot())};
+    m_messenger.onResponse(PeerMessageKind::Snapshot, response.body.size());
+    return response;
 }
 
 std::string Gateway::metricsText()
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -33,7 +33,7 @@
     StatusResponse readinessResponse(std::string_view path) const;
     /// Serves this VM's snapshot of the store. It contains the teams' API keys and must be served
     /// on the peer port only.
-    StatusResponse snapshotResponse(std::string_view path) const;
+    StatusResponse snapshotResponse(std::string_view path);
     std::string metricsText();
     Task<void> acceptCallers();
     /// Accepts connections of peers that relay requests to this VM, and closes those of others.
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -107,6 +107,8 @@
     settings.store = reader.address("platform.store");
     for (const std::string &seed : reader.strings("peers.seeds"))
         settings.seedHosts.push_back(seed.substr(0, seed.rfind(':')));
+    settings.capacity.cores = reader.number("limits.cores", settings.capacity.cores);
+    settings.capacity.linkMbps = reader.number("limits.link_mbps", settings.capacity.linkMbps);
     settings.drainBound = reader.milliseconds("bounds.drain_ms", settings.drainBound);
     settings.configBound = reader.milliseconds("bounds.config_ms", settings.configBound);
     settings.replicaHeartbeat =
@@ -159,6 +161,10 @@
     reportIfChanged("listen.metrics", active.metrics.text(), reloaded.metrics.text());
     reportIfChanged("bounds.heartbeat_ms", std::to_string(toSeconds(active.replicaHeartbeat)),
                     std::to_string(toSeconds(reloaded.replicaHeartbeat)));
+    reportIfChanged("limits.cores", std::to_string(active.capacity.cores),
+                    std::to_string(reloaded.capacity.cores));
+    reportIfChanged("limits.link_mbps", std::to_string(active.capacity.linkMbps),
+                    std::to_string(reloaded.capacity.linkMbps));
     reportIfChanged("platform.store", active.store.text(), reloaded.store.text());
     return needsRestart;
 }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "arbutuspier/clock.h"
+#include "arbutuspier/groupbounds.h"
 #include "arbutuspier/result.h"
 #include "settings/settings.h"
 
@@ -34,6 +35,8 @@
     /// IP addresses of VMs that may know further peers, for a start while the store can't be
     /// reached.
     std::vector<std::string> seedHosts;
+    /// What this VM has; zero where the settings don't say it.
+    VmCapacity capacity;
     /// Longest time from when a replica's departure is seen until it gets no new requests.
     Duration drainBound = std::chrono::seconds{2};
     /// Longest time until a new configuration is active.
--- a/src/gateway/peerbuilds.cpp
+++ b/src/gateway/peerbuilds.cpp
@@ -1,5 +1,5 @@
-// VMs that have never answered are asked only until one of an older build is found: one is enough
-// to decide.
+// VMs that have never answered are asked only until one of the oldest builds is found: one is
+// enough to decide.
 #include "gateway/peerbuilds.h"
 
 #include <algorithm>
@@ -37,6 +37,7 @@
     build = {};
     build.registration = earlier.registration;
     build.askedAt = earlier.askedAt;
+    build.capacity = earlier.capacity;
 }
 
 void PeerBuilds::onStatus(const std::string &vm, std::uint64_t incarnation, TimePoint now)
@@ -54,7 +55,9 @@
 void PeerBuilds::onAnnouncement(const ProtocolAnnouncement &announcement, TimePoint now)
 {
     onStatus(announcement.vm, announcement.incarnation, now);
-    m_builds[announcement.vm].protocol = announcement.protocol;
+    Build &build = m_builds[announcement.vm];
+    build.protocol = announcement.protocol;
+    build.capacity = announcement.capacity;
 }
 
 bool PeerBuilds::isOlder(const Build &build, TimePoint now) const
@@ -65,38 +68,70 @@
     return isHeard && !mayBeAnnounced && build.protocol < kProtocol;
 }
 
-bool PeerBuilds::hasOlder(TimePoint now) const
+std::uint64_t PeerBuilds::oldestProtocol(TimePoint now) const
 {
-    return std::any_of(m_builds.begin(), m_builds.end(),
-                       [&](const auto &entry) { return isOlder(entry.second, now); });
+    std::uint64_t oldest = kProtocol;
+    for (const auto &[vm, build] : m_builds) {
+        if (isOlder(build, now))
+            oldest = std::min(oldest, build.protocol);
+    }
+    return oldest;
+}
+
+VmCapacity PeerBuilds::smallestCapacity(const VmCapacity &own) const
+{
+    VmCapacity smallest = own;
+    for (const auto &[vm, build] : m_builds)
+        smallest = smallerOf(smallest, build.capacity);
+    return smallest;
 }
 
-bool PeerBuilds::isAskDue(const Build &build, bool hasOlderVm, TimePoint now) const
+FleetGroupBounds PeerBuilds::groupBounds(const FleetGroupsOptions &options, const VmCapacity &own,
+                                         TimePoint now) const
+{
+    const std::uint64_t protocol = oldestProtocol(now);
+    if (protocol < kLargeGroupsProtocol)
+        return options.olderBounds;
+    if (protocol < kGroupCostProtocol)
+        return options.bounds;
+    return groupBoundsFor(smallestCapacity(own), options.bounds, GroupCostOptions{});
+}
+
+bool PeerBuilds::isAskDue(const Build &build, bool isDecided, TimePoint now) const
 {
     if (build.protocol >= kProtocol)
         return false;
     if (isOlder(build, now))
         return now >= std::max(build.askedAt, build.lastStatusAt) + m_options.olderRequestInterval;
-    const bool isNeeded = build.hasStatus || !hasOlderVm;
+    const bool isNeeded = build.hasStatus || !isDecided;
     return isNeeded && now >= build.askedAt + m_options.requestInterval;
 }
 
 std::vector<std::string> PeerBuilds::takeVmsToAsk(TimePoint now)
 {
     std::vector<std::string> vms;
-    const bool hasOlderVm = hasOlder(now);
+    const bool isDecided = oldestProtocol(now) < kLargeGroupsProtocol;
+    // The announcement of a VM that was heard may have been lost. It counts as one of an older
+    // build soon, which changes the groups.
+    for (auto &[vm, build] : m_builds) {
+        const bool isFirst = build.hasStatus && vms.size() < m_options.maxRequests
+            && isAskDue(build, isDecided, now);
+        if (!isFirst)
+            continue;
+        build.askedAt = now;
+        vms.push_back(vm);
+    }
     auto next = m_builds.upper_bound(m_lastAsked);
     for (std::size_t i = 0; i < m_builds.size() && vms.size() < m_options.maxRequests; ++i) {
         if (next == m_builds.end())
             next = m_builds.begin();
         auto &[vm, build] = *next++;
-        if (!isAskDue(build, hasOlderVm, now))
+        if (!isAskDue(build, isDecided, now))
             continue;
         build.askedAt = now;
         vms.push_back(vm);
+        m_lastAsked = vm;
     }
-    if (!vms.empty())
-        m_lastAsked = vms.back();
     return vms;
 }
 
--- a/src/gateway/peerbuilds.h
+++ b/src/gateway/peerbuilds.h
@@ -50,7 +50,16 @@
     void onAnnouncement(const ProtocolAnnouncement &announcement, TimePoint now);
 
     /// Whether some VM is known to run an older build.
-    bool hasOlder(TimePoint now) const;
+    bool hasOlder(TimePoint now) const { return oldestProtocol(now) < kProtocol; }
+    /// The lowest protocol of the VMs that are known to run an older build, or that of this one.
+    /// Zero for builds that announce none.
+    std::uint64_t oldestProtocol(TimePoint now) const;
+    /// The smallest capacity that a VM of the fleet has announced, or `own`.
+    VmCapacity smallestCapacity(const VmCapacity &own) const;
+    /// The bounds of the fleet groups by the rule that all VMs know. `own` is the capacity of this
+    /// VM.
+    FleetGroupBounds groupBounds(const FleetGroupsOptions &options, const VmCapacity &own,
+                                 TimePoint now) const;
     /// Returns VMs from which the full state should be requested now, as their builds aren't known
     /// or may have changed. Doesn't return them again for some time.
     std::vector<std::string> takeVmsToAsk(TimePoint now);
@@ -62,6 +71,8 @@
         std::uint64_t incarnation = 0;
         /// Zero until it was announced.
         std::uint64_t protocol = 0;
+        /// As the VM announced it last; a restart hardly changes it.
+        VmCapacity capacity;
         /// Time of the first and the last status of the incarnation.
         TimePoint firstStatusAt{};
         TimePoint lastStatusAt{};
@@ -72,7 +83,7 @@
     /// Forgets what the VM told of its build.
     static void reset(Build &build);
     bool isOlder(const Build &build, TimePoint now) const;
-    bool isAskDue(const Build &build, bool hasOlderVm, TimePoint now) const;
+    bool isAskDue(const Build &build, bool isDecided, TimePoint now) const;
 
     PeerBuildsOptions m_options;
     std::map<std::string, Build> m_builds;
--- a/src/gateway/peermessenger.cpp
+++ b/src/gateway/peermessenger.cpp
@@ -3,6 +3,7 @@
 #include "gateway/peermessenger.h"
 
 #include "arbutuspier/readerrank.h"
+#include "gateway/configurationcodec.h"
 #include "gateway/partnoticescodec.h"
 #include "gateway/requestlimitcodec.h"
 #include "kernel/logline.h"
@@ -32,6 +33,8 @@
 constexpr Duration kRequestListInterval = std::chrono::seconds{8};
 /// Interval of the log lines on the traffic between VMs.
 constexpr Duration kTrafficLogInterval = std::chrono::seconds{10};
+/// Time from the start within which the peers that run are heard, if nothing is wrong.
+constexpr Duration kHearingTime = std::chrono::seconds{2};
 /// Each heartbeat repeats the departures and suspects of this time, as datagrams may be lost.
 constexpr Duration kRepeatTime = std::chrono::seconds{3};
 /// Most suspects that are sent with the full state; it has to fit into a datagram.
@@ -39,12 +42,22 @@
 /// Longest time before a snapshot is fetched, as a fraction of the configuration bound: VMs that
 /// all lack it don't ask one peer at the same time.
 constexpr double kMaxSnapshotDelayFraction = 0.08;
+/// Status of a peer whose build doesn't know a path.
+constexpr int kNotFound = 404;
 constexpr Duration kFetchTimeout = std::chrono::milliseconds{800};
 constexpr std::size_t kMaxDatagramBytes = 60'000;
 /// The retry budget of a fleet of at most this many VMs is divided among the responsive ones; that
 /// of a larger one among all, as several large parts of it may be responsive to themselves only.
 constexpr std::size_t kMaxVmsCountedByResponse = 48;
 
+HttpRequest fetchRequest(std::string_view path)
+{
+    HttpRequest request;
+    request.target = std::string(path);
+    request.timeout = kFetchTimeout;
+    return request;
+}
+
 /// Returns true, and sets `next` to the time after `interval`, if `next` has come.
 bool takeDue(TimePoint &next, Duration interval, TimePoint now)
 {
@@ -54,6 +67,12 @@
     return true;
 }
 
+PeerMessageKind kindOf(const PeerDatagram &datagram)
+{
+    const bool hasFullState = datagram.activeRequests || datagram.requestsFullState;
+    return hasFullState ? PeerMessageKind::FullState : PeerMessageKind::Changes;
+}
+
 /// The endpoint of an address as VMs register it; empty if the text is none.
 std::optional<UdpEndpoint> peerEndpoint(const std::string &text)
 {
@@ -108,6 +127,7 @@
 
 void PeerMessenger::start()
 {
+    m_startedAt = m_state.clock.now();
     onSettingsReloaded();
     asio::co_spawn(m_context, receive(), asio::detached);
     asio::co_spawn(m_context, sendHeartbeats(), asio::detached);
@@ -125,10 +145,12 @@
     }
     m_builds.setVms(others);
     const std::uint64_t before = m_state.groups.revision();
+    m_state.groups.setBounds(groupBounds(m_state.clock.now()));
     m_state.groups.setVms(std::move(names));
     if (m_state.groups.revision() != before)
         logGroups();
     addPeers(vms);
+    updateStoreReaders();
 }
 
 void PeerMessenger::logGroups() const
@@ -136,6 +158,7 @@
     LOG(INFO) << LogLine("groups_changed")
                      .add("vms", m_state.groups.vmCount())
                      .add("groups", m_state.groups.groupCount())
+                     .add("max_ungrouped", m_state.groups.bounds().maxUngroupedVms)
                      .add("older_builds", m_builds.hasOlder(m_state.clock.now()) ? "yes" : "no")
                      .text();
 }
@@ -154,7 +177,7 @@
             requestFullState(*endpoint);
     }
     const std::uint64_t before = m_state.groups.revision();
-    m_state.groups.setHasOlderBuilds(m_builds.hasOlder(now));
+    m_state.groups.setBounds(groupBounds(now));
     if (m_state.groups.revision() == before)
         return;
     logGroups();
@@ -162,9 +185,15 @@
     m_state.dispatchQueue.dispatchWaiting();
 }
 
+FleetGroupBounds PeerMessenger::groupBounds(TimePoint now) const
+{
+    return m_builds.groupBounds(m_state.groups.options(), m_state.settings.capacity, now);
+}
+
 std::string PeerMessenger::encodedProtocol() const
 {
-    return encodeProtocol({m_state.settings.vm, m_incarnation, kProtocol});
+    return encodeProtocol(
+        {m_state.settings.vm, m_incarnation, kProtocol, m_state.settings.capacity});
 }
 
 void PeerMessenger::addPeers(const std::vector<VmRegistration> &vms)
@@ -260,19 +289,19 @@
     if (datagram.status)
         m_sentStatus = *datagram.status;
     m_lastBroadcastAt = m_state.clock.now();
-    sendToAll(encodePeerDatagram(datagram));
+    sendToAll(encodePeerDatagram(datagram), kindOf(datagram));
 }
 
-void PeerMessenger::sendToAll(const std::string &bytes)
+void PeerMessenger::sendToAll(const std::string &bytes, PeerMessageKind kind)
 {
     const auto isInGroup = [this](const std::string &vm) {
         return vm.empty() || m_state.groups.isInOwnGroup(vm);
     };
     for (const Udp::endpoint &endpoint : m_peers.endpoints(isInGroup))
-        send(bytes, endpoint);
+        send(bytes, endpoint, kind);
 }
 
-void PeerMessenger::send(const std::string &bytes, const Udp::endpoint &to)
+void PeerMessenger::send(const std::string &bytes, const Udp::endpoint &to, PeerMessageKind kind)
 {
     if (bytes.size() > kMaxDatagramBytes) {
         LOG(WARNING) << LogLine("hint_too_large").add("bytes", bytes.size()).text();
@@ -281,8 +310,7 @@
     // A datagram that can't be sent now is dropped; the peer then requests the full state.
     ErrorCode dropped;
     m_socket.send_to(asio::buffer(bytes), to, 0, dropped);
-    ++m_datagramsSent;
-    m_bytesSent += bytes.size();
+    m_traffic.onSent(kind, bytes.size());
 }
 
 void PeerMessenger::requestFullState(const Udp::endpoint &to)
@@ -291,7 +319,7 @@
     datagram.incarnationTag = incarnationTagOf(m_incarnation);
     datagram.sequence = m_sequence;
     datagram.requestsFullState = true;
-    send(encodePeerDatagram(datagram), to);
+    send(encodePeerDatagram(datagram), to, PeerMessageKind::FullState);
 }
 
 void PeerMessenger::sendFullState(const Udp::endpoint &to)
@@ -302,30 +330,36 @@
     datagram.status = status();
     datagram.activeRequests = m_state.load.activeRequestsOf(m_state.settings.vm);
     datagram.suspects = m_state.suspects.quarantine().records(kMaxSuspectsInFullState);
-    send(encodedProtocol(), to);
-    send(encodePeerDatagram(datagram), to);
+    send(encodedProtocol(), to, PeerMessageKind::Protocol);
+    send(encodePeerDatagram(datagram), to, PeerMessageKind::FullState);
     const std::vector<RequestLimitNotice> limits = m_state.limits.notices();
     if (!limits.empty())
-        send(encodeRequestLimits(limits), to);
+        send(encodeRequestLimits(limits), to, PeerMessageKind::RequestLimits);
     const PartNotices notices = m_state.suspects.promptParts().notices(kMaxPartItems);
     if (!notices.empty())
-        send(encodePartRow({{}, notices}), to);
+        send(encodePartRow({{}, notices}), to, PeerMessageKind::PromptParts);
 }
 
 void PeerMessenger::logTraffic()
 {
-    LOG(INFO) << LogLine("peer_traffic")
-                     .add("peers", alivePeerCount())
-                     .add("datagrams", m_datagramsSent)
-                     .add("bytes", m_bytesSent)
-                     .add("store_calls", m_store.calls())
-                     .add("config_calls", m_store.configCalls())
-                     .add("replica_calls", m_store.replicaCalls())
-                     .add("running", m_state.dispatchQueue.running())
-                     .add("waiting", m_state.dispatchQueue.waiting())
-                     .text();
-    m_state.metrics.setGauge("hint_bytes_sent", static_cast<double>(m_bytesSent));
-    m_state.metrics.setGauge("hint_datagrams_sent", static_cast<double>(m_datagramsSent));
+    LogLine line("peer_traffic");
+    line.add("peers", alivePeerCount())
+        .add("datagrams", m_traffic.messages())
+        .add("bytes", m_traffic.bytes());
+    for (std::size_t i = 0; i < kPeerMessageKinds; ++i) {
+        const auto kind = static_cast<PeerMessageKind>(i);
+        if (m_traffic.messages(kind) != 0)
+            line.add(std::string(nameOf(kind)) + "_bytes", m_traffic.bytes(kind));
+    }
+    line.add("store_calls", m_store.calls())
+        .add("config_calls", m_store.configCalls())
+        .add("replica_calls", m_store.replicaCalls())
+        .add("store_bytes", m_store.bytesRead())
+        .add("running", m_state.dispatchQueue.running())
+        .add("waiting", m_state.dispatchQueue.waiting());
+    LOG(INFO) << line.text();
+    m_state.metrics.setGauge("hint_bytes_sent", static_cast<double>(m_traffic.bytes()));
+    m_state.metrics.setGauge("hint_datagrams_sent", static_cast<double>(m_traffic.messages()));
 }
 
 PeerDatagram PeerMessenger::dueRepetitions(TimePoint now)
@@ -357,7 +391,7 @@
             logTraffic();
         PeerDatagram repetitions = dueRepetitions(now);
         if (repetitions.activeRequests && m_state.groups.dependsOnBuilds())
-            sendToAll(encodedProtocol());
+            sendToAll(encodedProtocol(), PeerMessageKind::Protocol);
         if (isHeartbeatDue(repetitions, now))
             sendToAll(std::move(repetitions));
         repeatNotices(now);
@@ -387,9 +421,24 @@
     m_state.setHearsAllVms(m_state.groups.groupCount() == 1 && !m_peers.hasUnresponsivePeer(now));
 }
 
+std::vector<std::string> PeerMessenger::listedOthers() const
+{
+    std::vector<std::string> others;
+    for (const VmRegistration &vm : m_vms) {
+        if (vm.vm != m_state.settings.vm)
+            others.push_back(vm.vm);
+    }
+    return others;
+}
+
 void PeerMessenger::updateStoreReaders()
 {
     std::vector<std::string> others = m_peers.possibleStoreReaders();
+    // A VM that has just started has heard few of those that run. In a fleet whose VMs all start
+    // together each would read for all others.
+    const bool hasHeardPeers = m_state.clock.now() >= m_startedAt + kHearingTime;
+    if (!hasHeardPeers && !m_vms.empty())
+        others = listedOthers();
     std::erase_if(others,
                   [this](const std::string &vm) { return !m_state.groups.isInOwnGroup(vm); });
     m_state.setStoreReaderCount(others.size() + 1);
@@ -455,10 +504,11 @@
     const bool isChosen = uniform(m_state.random) * m_snapshotSources < 1;
     if (isChosen)
         m_snapshotSource = from;
-    if (m_isFetchingSnapshot)
+    m_peerConfigVersion = std::max(m_peerConfigVersion, status.configVersion);
+    if (m_isFetching)
         return;
-    m_isFetchingSnapshot = true;
-    asio::co_spawn(m_context, fetchSnapshot(), asio::detached);
+    m_isFetching = true;
+    asio::co_spawn(m_context, fetchFromPeer(), asio::detached);
 }
 
 void PeerMessenger::applyContents(const std::string &vm, const PeerDatagram &datagram)
@@ -499,30 +549,50 @@
     m_state.dispatchQueue.dispatchWaiting();
 }
 
-Task<void> PeerMessenger::fetchSnapshot()
+bool PeerMessenger::needsFetch() const
+{
+    const std::uint64_t version = m_state.routes() ? m_state.routes()->version() : 0;
+    return m_store.lacksReplicas() || version < m_peerConfigVersion;
+}
+
+Task<void> PeerMessenger::fetchFromPeer()
 {
     asio::steady_timer timer(m_context);
     timer.expires_after(fromSeconds(uniform(m_state.random) * kMaxSnapshotDelayFraction
                                     * toSeconds(m_state.settings.configBound)));
     co_await timer.async_wait(kAwait);
-    const Udp::endpoint endpoint = m_snapshotSource;
+    const Address address{m_snapshotSource.address().to_string(), m_snapshotSource.port()};
     m_snapshotSources = 0;
-    HttpRequest request;
-    request.target = std::string(kSnapshotPath);
-    request.timeout = kFetchTimeout;
-    const Address address{endpoint.address().to_string(), endpoint.port()};
-    const HttpReply reply = co_await callOnce(address, std::move(request));
-    m_isFetchingSnapshot = false;
-    const auto snapshot = reply.isOk() ? decodeSnapshot(reply.body) : std::nullopt;
-    if (!snapshot) {
-        LOG(INFO) << LogLine("snapshot_not_fetched")
-                         .add("peer", address.text())
-                         .add("status", static_cast<std::uint64_t>(reply.status))
-                         .add("bytes", reply.body.size())
-                         .text();
+    if (!needsFetch()) {
+        m_isFetching = false;
+        co_return;
+    }
+    HttpReply reply;
+    if (!m_store.lacksReplicas())
+        reply = co_await callOnce(address, fetchRequest(kConfigurationPath));
+    const bool needsSnapshot = m_store.lacksReplicas() || reply.status == kNotFound;
+    if (needsSnapshot)
+        reply = co_await callOnce(address, fetchRequest(kSnapshotPath));
+    m_isFetching = false;
+    if (reply.isOk() && applyFetched(reply.body, address))
         co_return;
+    LOG(INFO) << LogLine("snapshot_not_fetched")
+                     .add("peer", address.text())
+                     .add("status", static_cast<std::uint64_t>(reply.status))
+                     .add("bytes", reply.body.size())
+                     .text();
+}
+
+bool PeerMessenger::applyFetched(std::string_view body, const Address &peer)
+{
+    if (auto configuration = decodePeerConfiguration(body)) {
+        m_store.applyPeerConfiguration(std::move(*configuration), peer.text());
+        return true;
     }
-    m_store.applySnapshot(*snapshot, address.text());
+    const auto snapshot = decodeSnapshot(body);
+    if (snapshot)
+        m_store.applySnapshot(*snapshot, peer.text());
+    return snapshot.has_value();
 }
 
 } // namespace arbutuspier
--- a/src/gateway/peermessenger.h
+++ b/src/gateway/peermessenger.h
@@ -6,6 +6,7 @@
 #include "gateway/peerbuilds.h"
 #include "gateway/peerdatagramcodec.h"
 #include "gateway/peertable.h"
+#include "gateway/peertraffic.h"
 #include "gateway/repeatednotices.h"
 #include "gateway/storewatcher.h"
 #include "gateway/updateoutbox.h"
@@ -51,6 +52,8 @@
     /// Sends peers these departures, and the status if it changed, for example by a new
     /// configuration.
     void broadcastChanges();
+    /// Records a response of this VM to a peer that fetched what it lacked.
+    void onResponse(PeerMessageKind kind, std::size_t bytes) { m_traffic.onSent(kind, bytes); }
     /// Number of responsive peers.
     std::size_t alivePeerCount() const { return m_peers.aliveCount(); }
 
@@ -61,8 +64,12 @@
     void addPeers(const std::vector<VmRegistration> &vms);
     Task<void> receive();
     Task<void> sendHeartbeats();
-    /// Fetches a snapshot from one of the peers that have what this VM lacks.
-    Task<void> fetchSnapshot();
+    /// Fetches what this VM lacks from one of the peers that have it, after a random time.
+    Task<void> fetchFromPeer();
+    /// Whether this VM still lacks what peers have told that they have.
+    bool needsFetch() const;
+    /// Applies a peer's configuration or snapshot. Returns false if the body is neither.
+    bool applyFetched(std::string_view body, const Address &peer);
     void handleDatagram(const PeerDatagram &datagram, const Udp::endpoint &from);
     void handleStatus(const PeerStatus &status, const Udp::endpoint &from);
     void applyContents(const std::string &vm, const PeerDatagram &datagram);
@@ -74,12 +81,14 @@
     void flush();
     /// Sends the datagram with all updates that wait.
     void sendToAll(PeerDatagram datagram);
-    void sendToAll(const std::string &bytes);
+    void sendToAll(const std::string &bytes, PeerMessageKind kind);
     /// What the heartbeats repeat from time to time, as far as it is due.
     PeerDatagram dueRepetitions(TimePoint now);
     /// Whether the peers have to hear from this VM now even if it has no news.
     bool isHeartbeatDue(const PeerDatagram &repetitions, TimePoint now) const;
     std::string encodedProtocol() const;
+    /// The bounds by which all VMs of the fleet split it.
+    FleetGroupBounds groupBounds(TimePoint now) const;
     /// Asks VMs whose builds aren't known, and splits the fleet by the bounds that all know.
     void updateBuilds(TimePoint now);
     void logGroups() const;
@@ -96,11 +105,16 @@
     void repeatNotices(TimePoint now);
     /// Applies a datagram that consists of notices of one kind. Returns false if it is another.
     bool handleNotices(std::string_view bytes);
+    bool handleNotice(std::string_view bytes);
+    /// Whether all VMs of the fleet read compressed datagrams.
+    bool knowAllCompressed() const;
     void applyLimits(const std::vector<RequestLimitNotice> &notices);
-    void send(const std::string &bytes, const Udp::endpoint &to);
+    void send(const std::string &bytes, const Udp::endpoint &to, PeerMessageKind kind);
     void logTraffic();
     void dropUnresponsivePeers(TimePoint now);
     void updateStoreReaders();
+    /// Names of the other VMs that the store lists.
+    std::vector<std::string> listedOthers() const;
     PeerStatus status() const;
 
     asio::io_context &m_context;
@@ -118,11 +132,14 @@
     RepeatedNotices<PartNotices> m_recentPartNotices;
     /// Empty if no flush is scheduled.
     std::optional<TimePoint> m_flushAt;
+    TimePoint m_startedAt{};
     TimePoint m_lastBroadcastAt{};
     TimePoint m_nextStatusAt{};
     TimePoint m_nextRequestListAt{};
     TimePoint m_nextTrafficLogAt{};
-    bool m_isFetchingSnapshot = false;
+    bool m_isFetching = false;
+    /// The highest version of the configuration that a peer told.
+    std::uint64_t m_peerConfigVersion = 0;
     Udp::endpoint m_snapshotSource;
     /// Peers that told since the last fetch that they have what this VM lacks.
     std::size_t m_snapshotSources = 0;
@@ -133,8 +150,7 @@
     std::uint64_t m_incarnation;
     std::uint64_t m_sequence = 0;
     PeerStatus m_sentStatus;
-    std::uint64_t m_datagramsSent = 0;
-    std::uint64_t m_bytesSent = 0;
+    PeerTraffic m_traffic;
     std::array<char, 65536> m_receiveBuffer{};
 };
 
--- a/src/gateway/peermessengernotices.cpp
+++ b/src/gateway/peermessengernotices.cpp
@@ -4,6 +4,7 @@
 #include "gateway/peermessenger.h"
 
 #include "gateway/cborfields.h"
+#include "gateway/compresseddatagram.h"
 #include "gateway/lostpathscodec.h"
 #include "gateway/partnoticescodec.h"
 #include "gateway/protocolcodec.h"
@@ -66,15 +67,25 @@
 
 void PeerMessenger::broadcastLostPaths()
 {
-    sendToAll(encodeLostPaths({m_state.settings.vm, m_state.paths.lostServices()}));
+    sendToAll(encodeLostPaths({m_state.settings.vm, m_state.paths.lostServices()}),
+              PeerMessageKind::LostPaths);
 }
 
 void PeerMessenger::broadcastReplicasRead(const ReplicaNotice &notice)
 {
     // Builds before the second protocol know this datagram only, and read for themselves what is
     // new.
-    sendToAll(encodeReplicasRead());
-    sendToAll(encodeReplicaNotice(notice));
+    sendToAll(encodeReplicasRead(), PeerMessageKind::ReplicaNotice);
+    const std::string bytes = encodeReplicaNotice(notice);
+    const bool isCompressed = bytes.size() >= kMinCompressedBytes && knowAllCompressed();
+    sendToAll(isCompressed ? encodeCompressed(bytes) : bytes, PeerMessageKind::ReplicaNotice);
+}
+
+bool PeerMessenger::knowAllCompressed() const
+{
+    // Smaller fleets don't ask which builds their VMs run.
+    return m_state.groups.dependsOnBuilds()
+        && m_builds.oldestProtocol(m_state.clock.now()) >= kCompressionProtocol;
 }
 
 void PeerMessenger::updateRelayPeers()
@@ -88,7 +99,7 @@
 void PeerMessenger::sendLimitNotices(const std::vector<RequestLimitNotice> &notices)
 {
     if (!notices.empty())
-        sendToAll(encodeRequestLimits(notices));
+        sendToAll(encodeRequestLimits(notices), PeerMessageKind::RequestLimits);
 }
 
 void PeerMessenger::applyLimits(const std::vector<RequestLimitNotice> &notices)
@@ -106,6 +117,13 @@
 {
     if (!isNamedFormat(bytes))
         return false;
+    if (const auto datagram = decodeCompressed(bytes))
+        return handleNotice(*datagram);
+    return handleNotice(bytes);
+}
+
+bool PeerMessenger::handleNotice(std::string_view bytes)
+{
     if (const auto parts = decodePartRow(bytes)) {
         m_state.suspects.merge(parts->notices);
         return true;
@@ -141,7 +159,7 @@
     while (!rest.empty()) {
         const PartNotices first{takeFirst(rest.evidence, kMaxPartItems),
                                 takeFirst(rest.clearances, kMaxPartItems)};
-        sendToAll(encodePartRow({{}, first}));
+        sendToAll(encodePartRow({{}, first}), PeerMessageKind::PromptParts);
     }
 }
 
--- a/src/gateway/replicanews.cpp
+++ b/src/gateway/replicanews.cpp
@@ -23,7 +23,7 @@
 {
     if (revision <= m_covered)
         return;
-    m_steps.push_back({m_covered, rows, now});
+    m_steps.push_back({m_covered, revision, rows, now});
     m_rowCount += rows.size();
     m_covered = revision;
     trim(now);
@@ -32,8 +32,10 @@
 void ReplicaNews::trim(TimePoint now)
 {
     const auto isSurplus = [&] {
-        return m_rowCount > m_options.maxRows
-            || m_steps.front().learntAt + m_options.retention < now;
+        const Step &step = m_steps.front();
+        const bool isTold = step.wasSent && step.notices >= m_options.minNotices;
+        return isTold || m_rowCount > m_options.maxRows
+            || step.learntAt + m_options.retention < now;
     };
     while (!m_steps.empty() && isSurplus()) {
         m_rowCount -= m_steps.front().rows.size();
@@ -41,13 +43,25 @@
     }
 }
 
+void ReplicaNews::onHeard(const ReplicaNotice &notice)
+{
+    for (Step &step : m_steps) {
+        const bool isTold =
+            notice.to.era == step.to.era && notice.from <= step.from && step.to <= notice.to;
+        if (isTold)
+            ++step.notices;
+    }
+}
+
 ReplicaNotice ReplicaNews::notice(TimePoint now)
 {
     trim(now);
     ReplicaNotice result;
     result.to = m_covered;
     result.from = m_steps.empty() ? m_covered : m_steps.front().from;
-    for (const Step &step : m_steps) {
+    for (Step &step : m_steps) {
+        ++step.notices;
+        step.wasSent = true;
         for (const ReplicaRow &row : step.rows) {
             std::erase_if(result.rows,
                           [&](const ReplicaRow &earlier) { return earlier.id == row.id; });
--- a/src/gateway/replicanews.h
+++ b/src/gateway/replicanews.h
@@ -5,7 +5,9 @@
 // everything up to the second one after it has applied the rows, without reading them. One that
 // doesn't has missed something and has to read the store.
 //
-// Each notice goes back some seconds, so that a VM that has missed a few notices misses nothing.
+// Each change is told by several notices, of this VM or of others that read, so that a VM that has
+// missed a few of them misses nothing. After that it is left out: when many replicas start, the
+// same rows would be sent over and over.
 #pragma once
 
 #include "arbutuspier/clock.h"
@@ -34,7 +36,9 @@
 
 struct ReplicaNewsOptions
 {
-    /// Time for which a notice goes back.
+    /// Notices that tell a change, at least one of them by each VM that reads.
+    std::size_t minNotices = 3;
+    /// Longest time for which a notice goes back.
     Duration retention = std::chrono::seconds{6};
     /// Most rows in a notice, which has to fit into a datagram.
     std::size_t maxRows = 256;
@@ -58,18 +62,24 @@
     /// effect if it knew that already.
     void advance(platform::StoreRevision revision, const std::vector<ReplicaRow> &rows,
                  TimePoint now);
-    /// What is new of the last seconds. There may be no rows.
+    /// What other VMs may have missed, to be sent to them. There may be no rows.
     ReplicaNotice notice(TimePoint now);
+    /// Another VM has sent a notice.
+    void onHeard(const ReplicaNotice &notice);
 
 private:
     struct Step
     {
         platform::StoreRevision from;
+        platform::StoreRevision to;
         std::vector<ReplicaRow> rows;
         TimePoint learntAt{};
+        /// Notices that had it, and whether one of them was this VM's.
+        std::size_t notices = 0;
+        bool wasSent = false;
     };
 
-    /// Drops the oldest steps.
+    /// Drops the oldest steps that need not be told any more.
     void trim(TimePoint now);
 
     ReplicaNewsOptions m_options;
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -3,6 +3,7 @@
 
 #include "arbutuspier/backoff.h"
 #include "kernel/logline.h"
+#include "net/deflate.h"
 #include "platform/configdecoder.h"
 #include "platform/tablenames.h"
 
@@ -45,6 +46,9 @@
 /// configuration bound.
 constexpr double kStaleConfigFraction = 0.3;
 
+/// Longest configuration that is accepted from a peer. The store accepts none of 4 MiB.
+constexpr std::size_t kMaxConfigurationBytes = 8'388'608;
+
 Duration scaled(double fraction, Duration duration)
 {
     return fromSeconds(fraction * toSeconds(duration));
@@ -80,6 +84,7 @@
     , m_vmInterval(
           SharedPollIntervalOptions{kVmPollInterval, kVmFactorPerReader, kMaxVmPollInterval})
     , m_replicaNews(ReplicaNewsOptions{})
+    , m_overdueReports(state.settings.replicaHeartbeat)
 {
 }
 
@@ -153,6 +158,11 @@
     return m_configClient.calls() + m_replicaClient.calls() + m_vmClient.calls();
 }
 
+std::uint64_t StoreWatcher::bytesRead() const
+{
+    return m_configClient.bytesRead() + m_replicaClient.bytesRead() + m_vmClient.bytesRead();
+}
+
 Duration StoreWatcher::pauseAfter(std::uint32_t failures)
 {
     return backoff(BackoffOptions{}, failures, m_state.random);
@@ -195,7 +205,7 @@
                      .text();
 }
 
-void StoreWatcher::tryApplyConfiguration(const std::string &bytes, std::string_view source)
+bool StoreWatcher::tryApplyConfiguration(std::string_view bytes, std::string_view source)
 {
     auto table = platform::decodeConfiguration(bytes);
     if (!table) {
@@ -203,26 +213,42 @@
                             .add("source", source)
                             .add("error", table.error().message)
                             .text();
-        return;
+        return false;
     }
     if (!m_state.applyConfiguration(std::move(*table), source))
-        return;
-    m_configurationBytes = bytes;
+        return false;
     m_staleConfigSince.reset();
     if (onConfiguration)
         onConfiguration();
+    return true;
+}
+
+void StoreWatcher::applyPeerConfiguration(std::string deflatedBytes, std::string_view peer)
+{
+    const auto bytes = inflated(deflatedBytes, kMaxConfigurationBytes);
+    if (!bytes) {
+        LOG(WARNING) << LogLine("configuration_unreadable")
+                            .add("source", peer)
+                            .add("error", "not compressed as expected")
+                            .text();
+        return;
+    }
+    if (tryApplyConfiguration(*bytes, "peer"))
+        m_deflatedConfiguration = std::move(deflatedBytes);
 }
 
 Snapshot StoreWatcher::snapshot() const
 {
-    return {m_configurationBytes, m_state.directory.entries(), m_state.directory.departures(),
+    std::string configuration;
+    if (!m_deflatedConfiguration.empty())
+        configuration = inflated(m_deflatedConfiguration, kMaxConfigurationBytes).value_or("");
+    return {std::move(configuration), m_state.directory.entries(), m_state.directory.departures(),
             m_state.suspects.quarantine().records()};
 }
 
 bool StoreWatcher::needsSnapshot(const PeerStatus &peer)
 {
-    const bool lacksReplicas = !m_hasReplicas && !m_state.directory.isReachable();
-    if (lacksReplicas && peer.replicaRevision > platform::StoreRevision{})
+    if (lacksReplicas() && peer.replicaRevision > platform::StoreRevision{})
         return true;
     const std::uint64_t version = m_state.routes() ? m_state.routes()->version() : 0;
     if (peer.configVersion <= version)
@@ -234,8 +260,10 @@
 
 void StoreWatcher::applySnapshot(const Snapshot &snapshot, std::string_view peer)
 {
-    if (!snapshot.configuration.empty())
-        tryApplyConfiguration(snapshot.configuration, "peer");
+    const bool isApplied =
+        !snapshot.configuration.empty() && tryApplyConfiguration(snapshot.configuration, "peer");
+    if (isApplied)
+        m_deflatedConfiguration = deflated(snapshot.configuration);
     const TimePoint now = m_state.clock.now();
     for (const SuspectNotice &notice : snapshot.suspects)
         m_state.suspects.merge(notice, peer);
@@ -263,8 +291,9 @@
 {
     m_configRevision = std::max(m_configRevision, read.revision);
     for (const platform::StoreRow &row : read.rows) {
-        if (row.key == platform::kConfigurationRow && !row.isDeleted)
-            tryApplyConfiguration(row.bytes, "store");
+        const bool isConfiguration = row.key == platform::kConfigurationRow && !row.isDeleted;
+        if (isConfiguration && tryApplyConfiguration(row.bytes, "store"))
+            m_deflatedConfiguration = deflated(row.bytes);
     }
 }
 
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -7,6 +7,7 @@
 #include "arbutuspier/vmroster.h"
 #include "gateway/earlierstarts.h"
 #include "gateway/gatewaystate.h"
+#include "gateway/overduereports.h"
 #include "gateway/peerdatagramcodec.h"
 #include "gateway/replicanews.h"
 #include "gateway/snapshotcodec.h"
@@ -59,6 +60,12 @@
     /// Applies a peer's configuration if it is newer, its suspects, and its replicas if this VM has
     /// not read any since its start and can't reach the store.
     void applySnapshot(const Snapshot &snapshot, std::string_view peer);
+    /// The active configuration, compressed; empty if there is none.
+    const std::string &deflatedConfiguration() const { return m_deflatedConfiguration; }
+    /// Applies a peer's configuration, in the same form, if it is newer.
+    void applyPeerConfiguration(std::string deflatedBytes, std::string_view peer);
+    /// Returns true if this VM can learn the replicas from peers only.
+    bool lacksReplicas() const { return !m_hasReplicas && !m_state.directory.isReachable(); }
     /// Returns true if the peer has replicas or a configuration that this VM lacks and has not got
     /// from the store.
     bool needsSnapshot(const PeerStatus &peer);
@@ -67,6 +74,8 @@
     /// Number of calls to the store since the start.
     std::uint64_t calls() const;
     std::uint64_t configCalls() const { return m_configClient.calls(); }
+    /// Bytes of the bodies that the store sent since the start.
+    std::uint64_t bytesRead() const;
     std::uint64_t replicaCalls() const { return m_replicaClient.calls(); }
 
     std::function<void(const std::vector<VmRegistration> &)> onVms;
@@ -116,8 +125,9 @@
                                       const std::vector<ReplicaRow> &decoded) const;
     /// What this VM passes on after a poll.
     ReplicaNotice replicaNotice();
-    /// Applies a configuration if it is newer. One that can't be decoded is logged and ignored.
-    void tryApplyConfiguration(const std::string &bytes, std::string_view source);
+    /// Applies a configuration if it is newer, and returns whether it was. One that can't be
+    /// decoded is logged and ignored.
+    bool tryApplyConfiguration(std::string_view bytes, std::string_view source);
     void handleConfigurationRead(const platform::StoreRead &read);
     /// `polledAt` is the time at which the read began. Returns false if the read is older than what
     /// this VM knows, so that it was ignored.
@@ -148,7 +158,9 @@
     SharedPollInterval m_configInterval;
     SharedPollInterval m_replicaInterval;
     SharedPollInterval m_vmInterval;
-    std::string m_configurationBytes;
+    /// The active configuration, byte for byte as in the store but compressed: it is kept only to
+    /// be passed on.
+    std::string m_deflatedConfiguration;
     platform::StoreRevision m_configRevision;
     platform::StoreRevision m_replicaRevision;
     /// When the poll that returned m_replicaRevision began: rows of later versions were written
@@ -156,6 +168,7 @@
     std::optional<TimePoint> m_replicaRevisionPolledAt;
     platform::StoreRevision m_changeRevision;
     ReplicaNews m_replicaNews;
+    OverdueReports m_overdueReports;
     EarlierStarts m_earlierStarts;
     /// When a peer last told that it has read the replicas.
     TimePoint m_peerReadAt{};
--- a/src/gateway/storewatcherreplicas.cpp
+++ b/src/gateway/storewatcherreplicas.cpp
@@ -192,7 +192,9 @@
     const TimePoint now = m_state.clock.now();
     ReplicaNotice notice = m_replicaNews.notice(now);
     notice.graceLeft = m_state.directory.graceLeft(now);
-    for (const ReplicaIncarnation &incarnation : m_state.heartbeats.overdue()) {
+    const std::vector<ReplicaIncarnation> overdue =
+        m_overdueReports.unreported(m_state.heartbeats.overdue(), now);
+    for (const ReplicaIncarnation &incarnation : overdue) {
         if (m_state.directory.isUsable(incarnation))
             notice.overdue.push_back(incarnation);
     }
@@ -204,17 +206,21 @@
     const TimePoint now = m_state.clock.now();
     onPeerReadReplicas();
     m_state.heartbeats.onReportedOverdue(notice.overdue, now);
+    m_overdueReports.onReported(notice.overdue, now);
     if (!m_replicaNews.isComplete(notice)) {
         onReplicasChanged(notice.to);
         return;
     }
     m_state.directory.onReadByPeer(now, notice.graceLeft);
     m_state.suspects.onDirectoryChanged(m_state.directory);
-    if (notice.to <= m_replicaNews.covered())
+    if (notice.to <= m_replicaNews.covered()) {
+        m_replicaNews.onHeard(notice);
         return;
+    }
     const std::uint64_t before = m_state.directory.revision();
     m_state.directory.applyChanges(notice.rows, now);
     m_replicaNews.advance(notice.to, notice.rows, now);
+    m_replicaNews.onHeard(notice);
     if (m_state.directory.revision() == before)
         return;
     // Only VMs that have read a change themselves report its revision.
--- a/src/policy/fleetgroups.cpp
+++ b/src/policy/fleetgroups.cpp
@@ -62,19 +62,18 @@
     assign();
 }
 
-void FleetGroups::setHasOlderBuilds(bool hasOlder)
+void FleetGroups::setBounds(const FleetGroupBounds &bounds)
 {
-    if (hasOlder == m_hasOlderBuilds)
+    if (bounds == m_bounds)
         return;
-    m_hasOlderBuilds = hasOlder;
+    m_bounds = bounds;
     if (!m_vms.empty())
         assign();
 }
 
 void FleetGroups::assign()
 {
-    const FleetGroupBounds &bounds = m_hasOlderBuilds ? m_options.olderBounds : m_options.bounds;
-    const std::size_t groupCount = partCount(m_vms.size(), bounds);
+    const std::size_t groupCount = partCount(m_vms.size(), m_bounds);
     auto groupOf = assignToGroups(m_vms, groupCount);
     m_vmCount = m_vms.size();
     if (groupCount == m_groupCount && groupOf == m_groupOf)
--- a/tests/gate/fleetgroupstest.cpp
+++ b/tests/gate/fleetgroupstest.cpp
@@ -35,7 +35,8 @@
     std::map<std::string, std::size_t> users;
     for (const std::string &vm : vms) {
         FleetGroups groups = groupsOf(vm, vms);
-        groups.setHasOlderBuilds(hasOlderBuilds);
+        const FleetGroupsOptions options;
+        groups.setBounds(hasOlderBuilds ? options.olderBounds : options.bounds);
         LONGS_EQUAL(groupCount, groups.groupCount());
         std::size_t peers = 0;
         for (const std::string &other : vms)
@@ -136,7 +137,7 @@
 
     void setup() override
     {
-        groups.setHasOlderBuilds(true);
+        groups.setBounds(FleetGroupsOptions{}.olderBounds);
     }
 };
 
@@ -144,7 +145,7 @@
 {
     LONGS_EQUAL(3, groups.groupCount());
     FleetGroups small = groupsOf("vm-1", names("vm-", 48));
-    small.setHasOlderBuilds(true);
+    small.setBounds(FleetGroupsOptions{}.olderBounds);
     LONGS_EQUAL(1, small.groupCount());
     checkLargeFleet(true, 11, 36);
 }
@@ -169,10 +170,10 @@
 TEST(FleetGroupsBesideOlderBuilds, areJoinedOnceThereIsNoneLeft)
 {
     const std::uint64_t before = groups.revision();
-    groups.setHasOlderBuilds(false);
+    groups.setBounds(FleetGroupsOptions{}.bounds);
     LONGS_EQUAL(1, groups.groupCount());
     CHECK(groups.revision() > before);
-    groups.setHasOlderBuilds(false);
+    groups.setBounds(FleetGroupsOptions{}.bounds);
     LONGS_EQUAL(before + 1, groups.revision());
 }
 
--- a/tests/gate/peerbuildstest.cpp
+++ b/tests/gate/peerbuildstest.cpp
@@ -99,6 +99,53 @@
     CHECK(!builds.hasOlder(now));
 }
 
+TEST_GROUP_BASE(GroupBoundsAmongPeerBuilds, TEST_GROUP_CppUTestGroupPeerBuilds)
+{
+    static constexpr VmCapacity kSmall = {0.084, 14};
+    static constexpr VmCapacity kLarge = {0.5, 200};
+
+    FleetGroupBounds boundsOn(const VmCapacity &own) const
+    {
+        return builds.groupBounds(FleetGroupsOptions{}, own, now);
+    }
+};
+
+TEST(GroupBoundsAmongPeerBuilds, areTheSameOnVmsOfUnlikeCapacity)
+{
+    builds.onAnnouncement({kVm, 7, kProtocol, kLarge}, now);
+    const FleetGroupBounds onSmall = boundsOn(kSmall);
+    builds.onAnnouncement({kVm, 7, kProtocol, kSmall}, now);
+    CHECK(onSmall == boundsOn(kLarge));
+    CHECK(onSmall.maxUngroupedVms > FleetGroupsOptions{}.bounds.maxUngroupedVms);
+}
+
+TEST(GroupBoundsAmongPeerBuilds, stayWhileAVmRestarts)
+{
+    builds.onAnnouncement({kVm, 7, kProtocol, kSmall}, now);
+    const FleetGroupBounds before = boundsOn(kLarge);
+    builds.onUnresponsive(kVm);
+    CHECK(before == boundsOn(kLarge));
+    builds.onStatus(kVm, 8, now);
+    CHECK(before == boundsOn(kLarge));
+}
+
+TEST(GroupBoundsAmongPeerBuilds, areThoseOfTheOldestBuild)
+{
+    builds.onAnnouncement({"edge-3", 7, kProtocol, kSmall}, now);
+    builds.onAnnouncement({kVm, 7, kLargeGroupsProtocol}, now);
+    CHECK(FleetGroupsOptions{}.bounds == boundsOn(kSmall));
+    hearOlderFor(seconds{3}, 8);
+    CHECK(FleetGroupsOptions{}.olderBounds == boundsOn(kSmall));
+    builds.onAnnouncement({kVm, 9, kProtocol, kSmall}, now);
+    CHECK(boundsOn(kSmall).maxUngroupedVms > FleetGroupsOptions{}.bounds.maxUngroupedVms);
+}
+
+TEST(GroupBoundsAmongPeerBuilds, areAskedForWhileAnOldestBuildMayBeAmongThem)
+{
+    builds.onAnnouncement({kVm, 7, kLargeGroupsProtocol}, now);
+    CHECK(std::vector<std::string>{"edge-3"} == builds.takeVmsToAsk(now));
+}
+
 TEST_GROUP_BASE(RequestsToVmsOfUnknownBuilds, TEST_GROUP_CppUTestGroupPeerBuilds){};
 
 TEST(RequestsToVmsOfUnknownBuilds, areRepeatedUntilTheVmHasAnswered)
@@ -116,6 +163,20 @@
     CHECK(std::vector<std::string>{kVm} == builds.takeVmsToAsk(now + seconds{4}));
 }
 
+TEST(RequestsToVmsOfUnknownBuilds, reachThoseThatWereHeardFirst)
+{
+    std::map<std::string, platform::StoreRevision> vms;
+    for (int i = 100; i < 380; ++i)
+        vms["edge-" + std::to_string(i)] = revision(1);
+    builds.setVms(vms);
+    for (int i = 370; i < 376; ++i)
+        builds.onStatus("edge-" + std::to_string(i), 7, now);
+    const std::vector<std::string> next = builds.takeVmsToAsk(now);
+    LONGS_EQUAL(8, next.size());
+    STRCMP_EQUAL("edge-370", next[0].c_str());
+    STRCMP_EQUAL("edge-375", next[5].c_str());
+}
+
 TEST(RequestsToVmsOfUnknownBuilds, areFewAtATimeAndReachAll)
 {
     std::map<std::string, platform::StoreRevision> vms;
--- a/tests/gate/replicanewstest.cpp
+++ b/tests/gate/replicanewstest.cpp
@@ -72,6 +72,65 @@
     CHECK(!notice.rows.back().entry.has_value());
 }
 
+TEST(ReplicaNews, leavesOutWhatSeveralNoticesHaveTold)
+{
+    advance(12, {ready("i-1")});
+    LONGS_EQUAL(1, news.notice(now).rows.size());
+    news.onHeard({revision(8), revision(13), {}, {ready("i-1")}, {}});
+    LONGS_EQUAL(1, news.notice(now).rows.size());
+    advance(14, {ready("i-2")});
+    const ReplicaNotice notice = news.notice(now);
+    CHECK(notice.from == revision(12));
+    LONGS_EQUAL(1, notice.rows.size());
+    STRCMP_EQUAL("i-2", notice.rows[0].id.c_str());
+}
+
+TEST(ReplicaNews, tellsOnceItselfWhatOthersHaveTold)
+{
+    advance(12, {ready("i-1")});
+    for (int i = 0; i < 5; ++i)
+        news.onHeard({revision(8), revision(13), {}, {ready("i-1")}, {}});
+    LONGS_EQUAL(1, news.notice(now).rows.size());
+    CHECK(news.notice(now).rows.empty());
+}
+
+TEST(ReplicaNews, countsNoNoticeThatHasOnlyPartOfAChange)
+{
+    advance(12, {ready("i-1"), ready("i-2")});
+    for (int i = 0; i < 5; ++i)
+        news.onHeard({revision(11), revision(13), {}, {ready("i-2")}, {}});
+    LONGS_EQUAL(2, news.notice(now).rows.size());
+    LONGS_EQUAL(2, news.notice(now).rows.size());
+}
+
+TEST(ReplicaNews, sendsEachRowFewTimesWhenAFleetOfReplicasStarts)
+{
+    constexpr int kReaders = 6;
+    std::vector<ReplicaNews> readers(kReaders, ReplicaNews(ReplicaNewsOptions{}));
+    for (ReplicaNews &reader : readers)
+        reader.reset(revision(10));
+    std::size_t rowsSent = 0;
+    constexpr int kReplicas = 100;
+    for (int i = 0; i < kReplicas; ++i) {
+        now += milliseconds{50};
+        readers[0].advance(revision(11 + i), {ready("i-" + std::to_string(i))}, now);
+        const bool isPoll = i % 6 == 5 || i + 1 == kReplicas;
+        if (!isPoll)
+            continue;
+        // One reader polls each 0.3 s, and all others hear what it sends.
+        const ReplicaNotice notice = readers[0].notice(now);
+        rowsSent += notice.rows.size();
+        for (int other = 1; other < kReaders; ++other) {
+            CHECK(readers[other].isComplete(notice));
+            readers[other].advance(notice.to, notice.rows, now);
+            readers[other].onHeard(notice);
+        }
+        for (ReplicaNews &reader : readers)
+            CHECK(reader.covered() == readers[0].covered());
+    }
+    CHECK(rowsSent <= 3 * kReplicas);
+}
+
 TEST(ReplicaNews, forgetsWhatIsOld)
 {
     advance(12, {ready("i-1")});
--- a/tests/gate/settingsandlogsinktest.cpp
+++ b/tests/gate/settingsandlogsinktest.cpp
@@ -26,6 +26,9 @@
 seeds = ["10.1.0.40:8229", "10.2.0.29:8229"]
 [platform]
 store = "10.200.1.7:8223"
+[limits]
+cores = 0.084
+link_mbps = 14
 [bounds]
 drain_ms = 2000
 grace_s = 8
@@ -48,6 +51,8 @@
     STRCMP_EQUAL("10.2.0.29", settings->seedHosts[1].c_str());
     CHECK(settings->grace == std::chrono::seconds{8});
     DOUBLES_EQUAL(102, settings->retrySlack, 1e-9);
+    DOUBLES_EQUAL(0.084, settings->capacity.cores, 1e-9);
+    DOUBLES_EQUAL(14, settings->capacity.linkMbps, 1e-9);
 }
 
 TEST(GatewaySettingsFile, reportsAllErrorsAtOnce)
