gateway: Let notices go back six seconds unless much is new

Supposed: VMs whose own read takes long found holes in all notices, and read the store again and again. Change: a told change is left out only while more than 16 rows are new.

--- a/src/gateway/replicanews.cpp
+++ b/src/gateway/replicanews.cpp
@@ -34,7 +34,7 @@
     const auto isSurplus = [&] {
         const Step &step = m_steps.front();
         const bool isTold = step.wasSent && step.notices >= m_options.minNotices;
-        return isTold || m_rowCount > m_options.maxRows
+        return (isTold && m_rowCount > m_options.maxRepeatedRows) || m_rowCount > m_options.maxRows
             || step.learntAt + m_options.retention < now;
     };
     while (!m_steps.empty() && isSurplus()) {
--- a/src/gateway/replicanews.h
+++ b/src/gateway/replicanews.h
@@ -5,9 +5,9 @@
 // everything up to the second one after it has applied the rows, without reading them. One that
 // doesn't has missed something and has to read the store.
 //
-// Each change is told by several notices, of this VM or of others that read, so that a VM that has
-// missed a few of them misses nothing. After that it is left out: when many replicas start, the
-// same rows would be sent over and over.
+// Each notice goes back some seconds, so that a VM that has missed a few notices, or whose own read
+// took long, misses nothing. When many replicas start, the same rows would be sent over and over:
+// then a change that several notices have told, of this VM or of others that read, is left out.
 #pragma once
 
 #include "arbutuspier/clock.h"
@@ -38,6 +38,8 @@
 {
     /// Notices that tell a change, at least one of them by each VM that reads.
     std::size_t minNotices = 3;
+    /// Most rows that are repeated though so many notices have told them.
+    std::size_t maxRepeatedRows = 16;
     /// Longest time for which a notice goes back.
     Duration retention = std::chrono::seconds{6};
     /// Most rows in a notice, which has to fit into a datagram.
