--- a/src/gateway/peermessengernotices.cpp
+++ b/src/gateway/peermessengernotices.cpp
@@ -4,6 +4,7 @@
 #include "gateway/peermessenger.h"
 
 #include "gateway/cborfields.h"
+#include "gateway/compresseddatagram.h"
 #include "gateway/lostpathscodec.h"
 #include "gateway/outcomereportcodec.h"
 #include "gateway/partnoticescodec.h"
@@ -85,15 +86,25 @@
 
 void PeerMessenger::broadcastLostPaths()
 {
-    sendToAll(encodeLostPaths({m_state.settings.vm, m_state.paths.lostServices()}));
+    sendToAll(encodeLostPaths({m_state.settings.vm, m_state.paths.lostServices()}),
+              PeerMessageKind::LostPaths);
 }
 
 void PeerMessenger::broadcastReplicasRead(const ReplicaNotice &notice)
 {
     // Builds before the second protocol know this datagram only, and read for themselves what is
     // new.
-    sendToAll(encodeReplicasRead());
-    sendToAll(encodeReplicaNotice(notice));
+    sendToAll(encodeReplicasRead(), PeerMessageKind::ReplicaNotice);
+    const std::string bytes = encodeReplicaNotice(notice);
+    const bool isCompressed = bytes.size() >= kMinCompressedBytes && knowAllCompressed();
+    sendToAll(isCompressed ? encodeCompressed(bytes) : bytes, PeerMessageKind::ReplicaNotice);
+}
+
+bool PeerMessenger::knowAllCompressed() const
+{
+    // Smaller fleets don't ask which builds their VMs run.
+    return m_state.groups.dependsOnBuilds()
+        && m_builds.oldestProtocol(m_state.clock.now()) >= kCompressionProtocol;
 }
 
 void PeerMessenger::sendOutcomes()
@@ -105,7 +116,7 @@
         scheduleFlush(*due);
         return;
     }
-    sendToAll(encodeOutcomeReport(m_state.sharedHealth.takeReport()));
+    sendToAll(encodeOutcomeReport(m_state.sharedHealth.takeReport()), PeerMessageKind::Outcomes);
 }
 
 void PeerMessenger::updateRelayPeers()
@@ -119,7 +130,7 @@
 void PeerMessenger::sendLimitNotices(const std::vector<RequestLimitNotice> &notices)
 {
     if (!notices.empty())
-        sendToAll(encodeRequestLimits(notices));
+        sendToAll(encodeRequestLimits(notices), PeerMessageKind::RequestLimits);
 }
 
 void PeerMessenger::applyLimits(const std::vector<RequestLimitNotice> &notices)
@@ -137,6 +148,13 @@
 {
     if (!isNamedFormat(bytes))
         return false;
+    if (const auto datagram = decodeCompressed(bytes))
+        return handleNotice(*datagram);
+    return handleNotice(bytes);
+}
+
+bool PeerMessenger::handleNotice(std::string_view bytes)
+{
     if (const auto parts = decodePartRow(bytes)) {
         m_state.suspects.merge(parts->notices);
         return true;
@@ -181,7 +199,7 @@
     while (!rest.empty()) {
         const PartNotices first{takeFirst(rest.evidence, kMaxPartItems),
                                 takeFirst(rest.clearances, kMaxPartItems)};
-        sendToAll(encodePartRow({{}, first}));
+        sendToAll(encodePartRow({{}, first}), PeerMessageKind::PromptParts);
     }
 }
 
@@ -205,7 +223,7 @@
     const TimePoint now = m_state.clock.now();
     m_repeatEvacuationsUntil = now + kEvacuationRepeatTime;
     m_nextEvacuationsAt = now + kEvacuationInterval;
-    sendToAll(encodedEvacuations());
+    sendToAll(encodedEvacuations(), PeerMessageKind::Evacuations);
 }
 
 void PeerMessenger::repeatEvacuations(TimePoint now)
@@ -216,7 +234,7 @@
     if (!isRecent && !isDue)
         return;
     m_nextEvacuationsAt = now + kEvacuationInterval;
-    sendToAll(encodedEvacuations());
+    sendToAll(encodedEvacuations(), PeerMessageKind::Evacuations);
 }
 
 Task<void> PeerMessenger::awaitEvacuations(Udp::endpoint peer)
--- a/tests/gate/replicanewstest.cpp
+++ b/tests/gate/replicanewstest.cpp
@@ -72,6 +72,16 @@
     CHECK(!notice.rows.back().entry.has_value());
 }
 
+TEST(ReplicaNews, goBackSomeSecondsHoweverOftenTheyWereTold)
+{
+    for (std::uint64_t to = 11; to <= 16; ++to) {
+        advance(to, {ready("i-" + std::to_string(to))});
+        news.notice(now);
+        news.onHeard({revision(8), revision(to), {}, {}, {}});
+    }
+    CHECK(news.notice(now).from == revision(10));
+}
+
 TEST(ReplicaNews, forgetsWhatIsOld)
 {
     advance(12, {ready("i-1")});
@@ -116,6 +126,77 @@
     CHECK(notice.rows.empty());
 }
 
+TEST_GROUP_BASE(ReplicaNewsOfManyReplicas, TEST_GROUP_CppUTestGroupReplicaNews){
+    void setup() override{ReplicaNewsOptions options;
+options.maxRepeatedRows = 0;
+news = ReplicaNews(options);
+news.reset(revision(10));
+}
+}
+;
+
+TEST(ReplicaNewsOfManyReplicas, leavesOutWhatSeveralNoticesHaveTold)
+{
+    advance(12, {ready("i-1")});
+    LONGS_EQUAL(1, news.notice(now).rows.size());
+    news.onHeard({revision(8), revision(13), {}, {ready("i-1")}, {}});
+    LONGS_EQUAL(1, news.notice(now).rows.size());
+    advance(14, {ready("i-2")});
+    const ReplicaNotice notice = news.notice(now);
+    CHECK(notice.from == revision(12));
+    LONGS_EQUAL(1, notice.rows.size());
+    STRCMP_EQUAL("i-2", notice.rows[0].id.c_str());
+}
+
+TEST(ReplicaNewsOfManyReplicas, tellsOnceItselfWhatOthersHaveTold)
+{
+    advance(12, {ready("i-1")});
+    for (int i = 0; i < 5; ++i)
+        news.onHeard({revision(8), revision(13), {}, {ready("i-1")}, {}});
+    LONGS_EQUAL(1, news.notice(now).rows.size());
+    CHECK(news.notice(now).rows.empty());
+}
+
+TEST(ReplicaNewsOfManyReplicas, countsNoNoticeThatHasOnlyPartOfAChange)
+{
+    advance(12, {ready("i-1"), ready("i-2")});
+    for (int i = 0; i < 5; ++i)
+        news.onHeard({revision(11), revision(13), {}, {ready("i-2")}, {}});
+    LONGS_EQUAL(2, news.notice(now).rows.size());
+    LONGS_EQUAL(2, news.notice(now).rows.size());
+}
+
+TEST(ReplicaNewsOfManyReplicas, sendsEachRowFewTimesWhenAFleetOfReplicasStarts)
+{
+    constexpr int kReaders = 6;
+    std::vector<ReplicaNews> readers(kReaders, ReplicaNews(ReplicaNewsOptions{}));
+    std::size_t notices = 0;
+    for (ReplicaNews &reader : readers)
+        reader.reset(revision(10));
+    std::size_t rowsSent = 0;
+    constexpr int kReplicas = 100;
+    for (int i = 0; i < kReplicas; ++i) {
+        now += milliseconds{50};
+        readers[0].advance(revision(11 + i), {ready("i-" + std::to_string(i))}, now);
+        const bool isPoll = i % 6 == 5 || i + 1 == kReplicas;
+        if (!isPoll)
+            continue;
+        // One reader polls each 0.3 s, and all others hear what it sends.
+        const ReplicaNotice notice = readers[0].notice(now);
+        rowsSent += notice.rows.size();
+        ++notices;
+        for (int other = 1; other < kReaders; ++other) {
+            CHECK(readers[other].isComplete(notice));
+            readers[other].advance(notice.to, notice.rows, now);
+            readers[other].onHeard(notice);
+        }
+        for (ReplicaNews &reader : readers)
+            CHECK(reader.covered() == readers[0].covered());
+    }
+    const ReplicaNewsOptions options;
+    CHECK(rowsSent <= 3 * kReplicas + notices * options.maxRepeatedRows);
+}
+
 TEST_GROUP(ReplicaNoticeCodec)
 {
     ReplicaNotice notice{revision(7, 1),
