gateway: Let prompts that need several replicas wait until their latest start

Prompts larger than one replica's memory were refused after 0.15 of their objective, and placed after a wait as if none of the objective had passed.

They now wait until only idle replicas would serve them in time (maxRoomWait), and all prompts that waited are placed by what is left of objective and time (afterWait).

Tested: APromptLargerThanAReplica and the groups of placementtest, requesthandlertest and limitedreplicatest (84 tests). The full suite wasn't run.

--- a/src/gateway/dispatchqueue.h
+++ b/src/gateway/dispatchqueue.h
@@ -8,6 +8,7 @@
 #include "arbutuspier/replicahealth.h"
 #include "arbutuspier/replicarequestlimits.h"
 #include "arbutuspier/replicarests.h"
+#include "arbutuspier/roomwait.h"
 #include "arbutuspier/routetable.h"
 #include "arbutuspier/upstreamdirectory.h"
 #include "arbutuspier/zonehealth.h"
@@ -103,6 +104,8 @@
     DispatchRejection rejection = DispatchRejection::NoCapacity;
     /// Time after which the request could be assigned; empty if it isn't known.
     std::optional<Duration> retryAfter;
+    /// The request had to wait for room on several replicas.
+    bool hasWaitedForRoom = false;
 };
 
 class DispatchQueue
@@ -114,6 +117,8 @@
         DispatchRequirements requirements;
         /// Position in the order of arrival; decides between requests of the same priority.
         std::uint64_t order = 0;
+        /// When the request was queued; its requirements are as of this time.
+        TimePoint queuedAt{};
         /// Expires at the wait deadline, and is cancelled once there is a result.
         std::shared_ptr<asio::steady_timer> wakeTimer;
         DispatchResult result;
@@ -149,6 +154,8 @@
     std::optional<TimePoint> allRestUntil(const std::string &service) const;
 
     std::size_t waiting() const { return m_waiting.size(); }
+    /// Waiting requests that need room on several replicas.
+    std::size_t waitingForRoom() const;
     std::size_t running() const { return m_load.activeRequestsOf(m_vm).size(); }
     /// Called on each change of this VM's own active requests.
     std::function<void(const ActiveRequestUpdate &)> onActiveRequestUpdate;
@@ -185,8 +192,13 @@
     bool rejectIfLimitedForTooLong(Ticket &ticket, const Candidates &found);
     /// Requests for the service that are to be assigned before this one.
     std::size_t waitingBefore(const Ticket &ticket) const;
-    /// How long a request may wait for capacity before it is rejected.
-    Duration maxWait(const DispatchRequirements &requirements) const;
+    /// Limits the wait of a prompt that needs several replicas.
+    void limitRoomWait(Ticket &ticket) const;
+    /// The ticket's prompt with what is left of its objective and time.
+    PromptShape currentPrompt(const Ticket &ticket) const
+    {
+        return afterWait(ticket.requirements.prompt, m_clock.now() - ticket.queuedAt);
+    }
     /// Whether prompt and output exceed the memory of the replicas even if nothing else runs there.
     bool isTooLarge(const DispatchRequirements &requirements, const EngineFigures &figures,
                     std::size_t replicas) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -136,6 +136,8 @@
     GatewayMetrics &metrics = m_state.metrics;
     metrics.setGauge("running", static_cast<double>(m_state.dispatchQueue.running()));
     metrics.setGauge("waiting", static_cast<double>(m_state.dispatchQueue.waiting()));
+    metrics.setGauge("waiting_for_room",
+                     static_cast<double>(m_state.dispatchQueue.waitingForRoom()));
     metrics.setGauge("replicas", static_cast<double>(m_state.directory.size()));
     metrics.setGauge("limited_replicas", static_cast<double>(m_state.limits.limitedCount()));
     metrics.setGauge("resting_replicas",
