gateway: Leave the objective of prompts that fit one replica as it was

Suspected, not shown: the shortened objective. What it is for is the prompts that need several replicas; it now acts on these only.

--- a/src/gateway/dispatchqueue.h
+++ b/src/gateway/dispatchqueue.h
@@ -223,10 +223,13 @@
     std::size_t waitingBefore(const Ticket &ticket) const;
     /// Limits the wait of a prompt that needs several replicas.
     void limitRoomWait(Ticket &ticket) const;
-    /// The ticket's prompt with what is left of its objective and time.
+    /// The ticket's prompt; one that has waited for room on several replicas has what is left of
+    /// its objective and time.
     PromptShape currentPrompt(const Ticket &ticket) const
     {
-        return afterWait(ticket.requirements.prompt, m_clock.now() - ticket.queuedAt);
+        const PromptShape &prompt = ticket.requirements.prompt;
+        return ticket.result.hasWaitedForRoom ? afterWait(prompt, m_clock.now() - ticket.queuedAt)
+                                              : prompt;
     }
     /// Whether prompt and output exceed the memory of the replicas even if nothing else runs there.
     bool isTooLarge(const DispatchRequirements &requirements, const EngineFigures &figures,
