--- a/tests/gate/evacuatedzonetest.cpp
+++ b/tests/gate/evacuatedzonetest.cpp
@@ -191,21 +191,26 @@
 }
 
 // Guards against replicas that get requests again before it is known that they are cold.
-TEST(AGatewayBeforeAnEvacuatedZone, tellsThatAZoneReturnedBeforeItIsUsedAgain)
+TEST(AGatewayBeforeAnEvacuatedZone, takesTheReplicasForColdBeforeTheirZoneIsUsedAgain)
 {
     addInEast({answer(200)});
-    std::vector<std::string> returned;
+    const ReplicaIncarnation incarnation = fixture.state.directory.find("a")->incarnation();
+    ColdReplicas &cold = fixture.state.cold;
+    cold.setBound(ColdBound{});
+    cold.figures = [](const std::string &) { return ColdFigures{std::chrono::seconds{3}, 14}; };
+    std::vector<std::string> turnedCold;
     std::size_t usable = 0;
-    fixture.state.onZoneReturned = [&](const std::string &zone) {
-        returned.push_back(zone);
+    cold.onCold = [&](const ReplicaIncarnation &replica, Duration) {
+        turnedCold.push_back(replica.id);
         usable = fixture.state.directory.usable("desk").size();
     };
     set("east", true);
-    CHECK(returned.empty());
+    CHECK(turnedCold.empty());
     set("east", false);
-    CHECK(returned == std::vector<std::string>{"east"});
+    CHECK(turnedCold == std::vector<std::string>{"a"});
     LONGS_EQUAL(0, usable);
     LONGS_EQUAL(1, fixture.state.directory.usable("desk").size());
+    CHECK(cold.isCold(incarnation, fixture.clock.now()));
 }
 
 // Guards against a replica that is forgotten, or not known to drain, as its zone is evacuated.
