health: Let no VM alone eject a replica for others, and no overload

Found by review. Soon after an ejection one failure of one VM ejected the replica for the whole group, so that a VM with a broken path could keep a sound replica ejected: failures of two VMs are needed now. A 503 that is passed on may be that of an overloaded replica and counts no more; streams counted two successes to the peers; a path that is back ends shared ejections as it does the own ones. An identity probe asked the list for the zone of a replica that the list no longer has: the entry decides now.

--- a/include/arbutuspier/sharedreplicahealth.h
+++ b/include/arbutuspier/sharedreplicahealth.h
@@ -1,9 +1,9 @@
 // Ejects replicas by the failures that all VMs of a fleet group saw together.
 //
 // In a large group each VM sends a replica a request now and then only, so that it would need long
-// to learn by itself that the replica fails what it gets: every VM pays for its own lesson. VMs
-// therefore report their failures to each other. A failure puts the replica under watch; while it
-// is watched, successes are counted too, so that a replica that fails now and then is kept.
+// to learn by itself that the replica fails what it gets. VMs therefore report their failures to
+// each other. A failure puts the replica under watch; while it is watched, successes are counted
+// too, so that a replica that fails now and then is kept.
 //
 // A failure to connect may be that of a path, so it counts only for VMs of the reporting VM's
 // availability zone. No VM alone ejects a replica for the others. An ejection only changes the
@@ -28,13 +28,13 @@
 {
     /// Failures of this time add up; a replica is watched for so long after its last one.
     Duration window = std::chrono::seconds{2};
-    /// Failures that eject a replica that was not ejected lately. One is enough soon after an
-    /// ejection.
+    /// Failures that eject a replica that was not ejected lately. Soon after an ejection, one of
+    /// each of `minVms` VMs is enough.
     std::uint32_t minFailures = 3;
-    /// VMs that must have seen the failures of a first ejection.
+    /// VMs that must have seen the failures.
     std::size_t minVms = 2;
-    /// Share of the watched requests that have to fail.
-    double failureRate = 0.25;
+    /// Fraction of the watched requests that has to fail.
+    double minFailureFraction = 0.25;
     /// Length of the first ejection; doubled with each that follows it soon.
     Duration initialEjection = std::chrono::milliseconds{400};
     Duration maxEjection = std::chrono::seconds{4};
@@ -82,12 +82,16 @@
     /// VM's availability zone.
     std::vector<ReplicaIncarnation> merge(const OutcomeReport &report, TimePoint now);
 
+    /// Whether the reports eject the replica now.
     bool isEjected(const ReplicaIncarnation &incarnation, TimePoint now) const;
+    /// The failures so far weren't those of the replica.
+    void endEjection(const ReplicaIncarnation &incarnation);
     std::size_t ejectedCount(TimePoint now) const;
     /// When a report has to be sent; empty if there is nothing to tell.
     std::optional<TimePoint> reportDue() const { return m_reportDue; }
     /// The outcomes that the peers don't know yet.
     OutcomeReport takeReport();
+    /// Forgets the replicas that have neither failed nor been ejected lately.
     void tick(TimePoint now);
 
     /// Called when the reports eject a replica.
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -68,8 +68,9 @@
     suspects.wasRemoved = [this](const ReplicaIncarnation &incarnation) {
         return directory.wasRemovedOrReplaced(incarnation);
     };
-    suspects.tryAsk = [this](const ReplicaIncarnation &incarnation) {
-        return !isEvacuated(incarnation) && rests.tryControlRequest(incarnation, this->clock.now());
+    suspects.tryAsk = [this](const ReplicaEntry &replica) {
+        return !directory.isEvacuated(replica)
+            && rests.tryControlRequest(replica.incarnation(), this->clock.now());
     };
     suspects.isEngine = [this](const ReplicaEntry &replica) {
         const ServiceSpec *service = m_routes ? m_routes->service(replica.service) : nullptr;
@@ -227,12 +228,6 @@
     dispatchQueue.dispatchWaiting();
 }
 
-bool GatewayState::isEvacuated(const ReplicaIncarnation &incarnation) const
-{
-    const ReplicaEntry *entry = directory.find(incarnation.id);
-    return entry && directory.isEvacuated(*entry);
-}
-
 void GatewayState::recordSuccess(const ReplicaEntry &replica, double durationRatio)
 {
     health.onSuccess(replica.incarnation(), durationRatio);
@@ -253,8 +248,7 @@
 
 void GatewayState::recordReplaced(const ReplicaEntry &replica)
 {
-    // One such response is enough for this VM. The list has the last word, so the replica is not
-    // taken for removed.
+    // One such response is enough for this VM. Only the list of replicas removes one.
     health.onUnreachable(replica.incarnation(), clock.now());
     if (!sharesOutcomes())
         return;
@@ -367,6 +361,7 @@
         // The failures before were those of the path.
         for (const ReplicaEntry *replica : directory.usable(service)) {
             health.endEjection(replica->incarnation());
+            sharedHealth.endEjection(replica->incarnation());
             zones.onResponse(replica->zone);
         }
     }
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -61,8 +61,6 @@
     /// Applies changes of `evacuations`: requests that wait are placed anew. `source` is the store
     /// or the peer.
     void applyEvacuations(const std::vector<ZoneEvacuation> &changed, std::string_view source);
-    /// Whether the zone of the replica is evacuated, so that only what runs there may end.
-    bool isEvacuated(const ReplicaIncarnation &incarnation) const;
 
     /// Records that a replica served a request, or began its output. `durationRatio` is the time
     /// that it took divided by the forecast, or zero if that shows nothing.
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -19,6 +19,7 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds{150};
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
 } // namespace
@@ -404,11 +405,15 @@
 
 void RequestHandler::recordHealth(const UpstreamAttempt &attempt, const DispatchGrant &grant)
 {
-    // A sound replica responds with 504 too, at the deadline that it was given.
-    if (attempt.status() == kGatewayTimeout)
+    // A sound replica responds so too, if it is overloaded or at the deadline that it was given.
+    const bool isOfLoad = attempt.status() == kUnavailable || attempt.status() == kGatewayTimeout;
+    if (isOfLoad)
         return;
     if (isServerErrorStatus(attempt.status()))
         m_state.recordFailure(grant.replica);
+    else if (m_joiner)
+        // The peers know of its first event already.
+        m_state.health.onSuccess(grant.replica.incarnation(), 0);
     else
         m_state.recordSuccess(grant.replica, 0);
 }
--- a/src/gateway/suspecttracker.cpp
+++ b/src/gateway/suspecttracker.cpp
@@ -186,7 +186,7 @@
     const ReplicaIncarnation incarnation = replica.incarnation();
     if (!wasRemoved || !wasRemoved(incarnation))
         co_return false;
-    if (tryAsk && !tryAsk(incarnation))
+    if (tryAsk && !tryAsk(replica))
         co_return false;
     const HttpReply reply =
         co_await callOnce(address, platform::identityRequest(replica.id, kProbeTimeout));
--- a/src/gateway/suspecttracker.h
+++ b/src/gateway/suspecttracker.h
@@ -102,7 +102,7 @@
     /// its address.
     std::function<bool(const ReplicaIncarnation &)> wasRemoved;
     /// Counts a question to a replica that may want none now; false if it must not be asked.
-    std::function<bool(const ReplicaIncarnation &)> tryAsk;
+    std::function<bool(const ReplicaEntry &)> tryAsk;
     /// Whether the replica is of a service whose replicas are engines.
     std::function<bool(const ReplicaEntry &)> isEngine;
     /// Called for a replica that a check found unreachable.
--- a/src/policy/sharedreplicahealth.cpp
+++ b/src/policy/sharedreplicahealth.cpp
@@ -107,8 +107,8 @@
     const bool wasEjectedLately =
         record.ejections > 0 && now < record.ejectedUntil + m_options.window;
     const bool isEnough =
-        wasEjectedLately || (failures >= m_options.minFailures && vms.size() >= m_options.minVms);
-    return isEnough && failures > m_options.failureRate * (failures + successes);
+        vms.size() >= m_options.minVms && (wasEjectedLately || failures >= m_options.minFailures);
+    return isEnough && failures > m_options.minFailureFraction * (failures + successes);
 }
 
 void SharedReplicaHealth::eject(const ReplicaIncarnation &incarnation, Record &record,
@@ -133,6 +133,11 @@
     return found != m_records.end() && now < found->second.ejectedUntil;
 }
 
+void SharedReplicaHealth::endEjection(const ReplicaIncarnation &incarnation)
+{
+    m_records.erase(incarnation);
+}
+
 std::size_t SharedReplicaHealth::ejectedCount(TimePoint now) const
 {
     return static_cast<std::size_t>(
--- a/tests/gate/sharedreplicahealthtest.cpp
+++ b/tests/gate/sharedreplicahealthtest.cpp
@@ -73,7 +73,7 @@
     CHECK(!health.isEjected(replica, kNow + seconds{6}));
 }
 
-TEST(SharedFailuresOfAReplica, afterAnEjectionEndEachFailureEjectsItForLonger)
+TEST(SharedFailuresOfAReplica, ofTwoVmsSoonAfterAnEjectionEjectItForLonger)
 {
     for (const char *vm : {"vm-2", "vm-3", "vm-4"})
         peerFails(vm, kNow);
@@ -83,6 +83,8 @@
         while (health.isEjected(replica, now))
             now += milliseconds{100};
         peerFails("vm-2", now);
+        CHECK(!health.isEjected(replica, now));
+        peerFails("vm-3", now);
         CHECK(health.isEjected(replica, now + expected - milliseconds{1}));
         CHECK(!health.isEjected(replica, now + expected));
     }
