gateway: Mend what the review of the new parts found

A first read after a freeze counts only if it began after it; a datagram may be longer than a packet before it is compressed; a capacity that is no number isn't known; a request that only waits for the turn of a limited replica that it wasn't sent to yet goes to one that it was sent to if the turn is far; a call wakes with the next turn as a prompt does; a low bound on cold replicas leaves them a rate.

--- a/include/arbutuspier/requestshare.h
+++ b/include/arbutuspier/requestshare.h
@@ -6,7 +6,7 @@
 // messages, also while they don't hear each other. A VM that is down leaves its share unused.
 //
 // A share is a token bucket that is empty at first, so that a VM that restarts doesn't spend what
-// its former self has spent already.
+// its previous incarnation has spent already.
 #pragma once
 
 #include "arbutuspier/clock.h"
--- a/src/gateway/compresseddatagram.cpp
+++ b/src/gateway/compresseddatagram.cpp
@@ -14,8 +14,8 @@
 constexpr const char *kFormat = "compressed";
 /// To be incremented when a field changes its meaning.
 constexpr std::uint64_t kFormatVersion = 1;
-/// No VM sends a longer datagram.
-constexpr std::size_t kMaxBytes = 65'536;
+/// Longest datagram before it was compressed. The compressed one fits into a packet.
+constexpr std::size_t kMaxBytes = 1'048'576;
 
 } // namespace
 
--- a/src/gateway/dispatchqueue.cpp
+++ b/src/gateway/dispatchqueue.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+/// A request waits no longer than this for the turn of a replica that it wasn't sent to yet, if one
+/// that it was sent to can take it.
+constexpr Duration kMaxWaitForUntried = std::chrono::milliseconds{100};
+
 std::uint64_t packingOrder(const std::string &replica)
 {
     return XXH64(replica.data(), replica.size(), 0);
@@ -235,7 +239,9 @@
     }
     const ServiceSpec *service = ticket.requirements.table->service(ticket.requirements.service);
     Candidates found = candidates(ticket.requirements);
-    const bool isNoneLeft = found.replicas.empty() && !found.nextStart;
+    const bool isLimitedForLong =
+        found.nextStart && *found.nextStart > m_clock.now() + kMaxWaitForUntried;
+    const bool isNoneLeft = found.replicas.empty() && (!found.nextStart || isLimitedForLong);
     if (isNoneLeft && !ticket.requirements.excluded.empty()) {
         // A replica that failed this request before is better than none.
         ticket.requirements.excluded.clear();
@@ -261,6 +267,8 @@
         const auto replica = chooseForCall(ticket.requirements, all);
         if (replica)
             grantCall(ticket, *replica);
+        else if (found.nextStart)
+            dispatchAt(*found.nextStart);
         return replica.has_value();
     }
     const EngineFigures &figures = *service->engine;
--- a/src/gateway/memoryreservation.cpp
+++ b/src/gateway/memoryreservation.cpp
@@ -108,11 +108,12 @@
     // In an evacuated zone, memory is held only for what runs there already.
     const bool isWithheld =
         !shared->isReserved[partIndex] && shared->state.directory.isEvacuated(reservation.replica);
-    const int status = isWithheld
-        ? kWithheld
-        : co_await sendOrder(shared->state, reservation.replica,
-                             platform::reserveOrder(reservation.replica, reservation.id,
-                                                    reservation.tokens, kReservationTimeLimit));
+    int status = kWithheld;
+    if (!isWithheld)
+        status =
+            co_await sendOrder(shared->state, reservation.replica,
+                               platform::reserveOrder(reservation.replica, reservation.id,
+                                                      reservation.tokens, kReservationTimeLimit));
     shared->isReserved[partIndex] =
         platform::decodeReserveStatus(status) == platform::ReserveOutcome::Reserved;
     if (!shared->isReserved[partIndex]) {
--- a/src/gateway/peertraffic.h
+++ b/src/gateway/peertraffic.h
@@ -28,7 +28,8 @@
     Snapshot,
 };
 
-inline constexpr std::size_t kPeerMessageKinds = 11;
+inline constexpr std::size_t kPeerMessageKinds =
+    static_cast<std::size_t>(PeerMessageKind::Snapshot) + 1;
 
 /// The name of the kind in metrics and log lines.
 std::string_view nameOf(PeerMessageKind kind);
--- a/src/gateway/protocolcodec.cpp
+++ b/src/gateway/protocolcodec.cpp
@@ -5,6 +5,9 @@
 
 #include "gateway/cborfields.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace arbutuspier {
 
 namespace {
@@ -13,6 +16,13 @@
 /// To be incremented when a field changes its meaning.
 constexpr std::uint64_t kFormatVersion = 1;
 
+/// A capacity that is no positive number isn't known.
+double capacityField(const Json &value)
+{
+    const double capacity = value.get<double>();
+    return std::isfinite(capacity) ? std::max(0.0, capacity) : 0;
+}
+
 } // namespace
 
 std::string encodeProtocol(const ProtocolAnnouncement &announcement)
@@ -39,7 +49,7 @@
     const bool hasCapacity = document.size() >= kFieldsWithCapacity && document[5].is_number()
         && document[6].is_number();
     if (hasCapacity)
-        announcement.capacity = {document[5].get<double>(), document[6].get<double>()};
+        announcement.capacity = {capacityField(document[5]), capacityField(document[6])};
     return announcement;
 }
 
--- a/src/gateway/storewatcher.cpp
+++ b/src/gateway/storewatcher.cpp
@@ -246,8 +246,12 @@
 Snapshot StoreWatcher::snapshot() const
 {
     std::string configuration;
-    if (!m_deflatedConfiguration.empty())
-        configuration = inflated(m_deflatedConfiguration, kMaxConfigurationBytes).value_or("");
+    if (!m_deflatedConfiguration.empty()) {
+        auto whole = inflated(m_deflatedConfiguration, kMaxConfigurationBytes);
+        if (!whole)
+            LOG(ERROR) << LogLine("configuration_lost").text();
+        configuration = std::move(whole).value_or("");
+    }
     return {std::move(configuration), m_state.directory.entries(), m_state.directory.departures(),
             m_state.suspects.quarantine().records()};
 }
@@ -317,7 +321,6 @@
 void StoreWatcher::handleOperatorRead(const platform::StoreRead &read, bool isFullRead)
 {
     m_configRevision = std::max(m_configRevision, read.revision);
-    m_mustReadOperatorRows = false;
     // First, as this VM serves once it has a configuration.
     handleEvacuations(read, isFullRead);
     for (const platform::StoreRow &row : read.rows) {
@@ -335,11 +338,13 @@
     while (true) {
         if (!isFullRead)
             co_await awaitConfigurationTurn(timer);
+        // It may be set during the read, which then proves nothing.
+        const bool mustRead = m_mustReadOperatorRows;
         platform::StoreRead read;
         if (isFullRead) {
             read = co_await m_configClient.readTable(platform::kOperatorTable, kCallTimeout);
         } else {
-            const Duration wait = m_mustReadOperatorRows
+            const Duration wait = mustRead
                 ? Duration::zero()
                 : m_configInterval.longPollWait(m_state.pollingReaderCount(), m_state.random);
             read = co_await m_configClient.readChanges(platform::kOperatorTable, m_configRevision,
@@ -349,6 +354,7 @@
         m_isConfigurationReadable = read.outcome == Outcome::Done;
         if (m_isConfigurationReadable) {
             failures = 0;
+            m_mustReadOperatorRows = m_mustReadOperatorRows && !mustRead;
             handleOperatorRead(read, isFullRead);
             isFullRead = false;
             if (!read.rows.empty())
--- a/src/net/deflate.cpp
+++ b/src/net/deflate.cpp
@@ -34,6 +34,7 @@
     boost::beast::error_code error;
     // The buffer is large enough, so that one call ends the stream.
     stream.write(params, zlib::Flush::finish, error);
+    // Bytes that are no whole stream are recognised by who reads them.
     // The decoder of Beast reads a byte beyond the end of a short stream.
     out.resize(params.total_out + 1, '\0');
     out.shrink_to_fit();
--- a/src/policy/coldreplicas.cpp
+++ b/src/policy/coldreplicas.cpp
@@ -14,7 +14,9 @@
 
 SharedRequestRate ColdReplicas::sharedRate(double startsPerSecond) const
 {
-    const double bound = boundOf(startsPerSecond) - m_options.reservedRequests;
+    constexpr double kMaxReservedFraction = 0.25;
+    const double whole = boundOf(startsPerSecond);
+    const double bound = whole - std::min(m_options.reservedRequests, kMaxReservedFraction * whole);
     const double windowSeconds = toSeconds(m_options.window + m_options.arrivalJitter);
     // A bucket holds a whole request at least.
     const double perSecond = std::min(startsPerSecond, std::max(0.0, bound - 1) / windowSeconds);
--- a/tests/gate/coldreplicastest.cpp
+++ b/tests/gate/coldreplicastest.cpp
@@ -65,7 +65,8 @@
     }
 };
 
-// Guards against a VM that spends at once what it, or its former self, may have spent already.
+// Guards against a VM that spends at once what it, or its previous incarnation, may have spent
+// already.
 TEST(AColdReplica, getsNothingAtTheMomentWhenThisVmLearnsOfIt)
 {
     seeEntry(seconds{3}, kStart);
@@ -154,7 +155,7 @@
 }
 
 // Guards against a replica that repeats with each heartbeat what its entry said last before it was
-// warm, as seen on pichler-checkin-grown.
+// warm.
 TEST(AColdReplica, isWarmAlthoughItsEntryKeepsItsLastTime)
 {
     StatedColdTimes times;
