--- a/src/gateway/dispatchqueue.cpp
+++ b/src/gateway/dispatchqueue.cpp
@@ -51,7 +51,6 @@
     auto ticket = std::make_shared<Ticket>();
     ticket->requirements = std::move(requirements);
     ticket->order = m_nextOrder++;
-    ticket->queuedAt = m_clock.now();
     ticket->wakeTimer = std::make_shared<asio::steady_timer>(m_executor);
     return ticket;
 }
@@ -60,7 +59,8 @@
 {
     if (tryDispatch(*ticket))
         co_return ticket->result;
-    limitRoomWait(*ticket);
+    ticket->requirements.waitDeadline =
+        std::min(ticket->requirements.waitDeadline, m_clock.now() + maxWait(ticket->requirements));
     const auto isLater = [&](const std::shared_ptr<Ticket> &other) {
         return std::pair(other->requirements.priority, other->order)
             > std::pair(ticket->requirements.priority, ticket->order);
@@ -190,27 +190,18 @@
     return first;
 }
 
-void DispatchQueue::limitRoomWait(Ticket &ticket) const
+Duration DispatchQueue::maxWait(const DispatchRequirements &requirements) const
 {
-    DispatchRequirements &requirements = ticket.requirements;
     const ServiceSpec *service = requirements.table->service(requirements.service);
-    const bool isForRoom =
-        service && service->engine && needsSeveralReplicas(*service->engine, requirements.prompt);
-    if (!isForRoom)
-        return;
-    ticket.result.hasWaitedForRoom = true;
-    const std::size_t replicaCount = usable(requirements.service).size();
-    const Duration longest =
-        maxRoomWait(*service->engine, requirements.prompt, replicaCount, m_options);
-    requirements.waitDeadline = std::min(requirements.waitDeadline, ticket.queuedAt + longest);
-}
-
-std::size_t DispatchQueue::waitingForRoom() const
-{
-    const auto isForRoom = [](const std::shared_ptr<Ticket> &ticket) {
-        return ticket->result.hasWaitedForRoom;
-    };
-    return static_cast<std::size_t>(std::count_if(m_waiting.begin(), m_waiting.end(), isForRoom));
+    const bool exceedsOneReplica = service && service->engine
+        && requirements.prompt.promptTokens + requirements.prompt.outputTokens
+            > service->engine->memoryTokens;
+    // A prompt larger than one replica's memory can be placed only while the fleet is nearly idle.
+    // On a busy fleet it is rejected early, so that its caller learns soon that it has to retry.
+    constexpr double kObjectiveFraction = 0.15;
+    return exceedsOneReplica
+        ? fromSeconds(kObjectiveFraction * toSeconds(requirements.prompt.objective))
+        : std::chrono::hours{1};
 }
 
 bool DispatchQueue::isTooLarge(const DispatchRequirements &requirements,
@@ -272,9 +263,9 @@
         return replica.has_value();
     }
     const EngineFigures &figures = *service->engine;
-    const PromptShape prompt = currentPrompt(ticket);
-    const auto placement = placePrompt(figures, prompt, all, m_options, m_clock.now());
-    const double remainingMs = toMilliseconds(prompt.timeLeft);
+    const auto placement =
+        placePrompt(figures, ticket.requirements.prompt, all, m_options, m_clock.now());
+    const double remainingMs = toMilliseconds(ticket.requirements.prompt.timeLeft);
     if (placement && placement->partPrefillMs > remainingMs) {
         reject(ticket, DispatchRejection::CannotMeetDeadline);
         return true;
@@ -303,7 +294,7 @@
             grantCall(ticket, *replica);
         return replica.has_value();
     }
-    PromptShape prompt = currentPrompt(ticket);
+    PromptShape prompt = ticket.requirements.prompt;
     prompt.maySplit = false;
     const auto placement = placePrompt(*figures, prompt, candidates, m_options, m_clock.now());
     const bool isOnTime =
--- a/src/gateway/dispatchqueue.h
+++ b/src/gateway/dispatchqueue.h
@@ -11,7 +11,6 @@
 #include "arbutuspier/replicahealth.h"
 #include "arbutuspier/replicarequestlimits.h"
 #include "arbutuspier/replicarests.h"
-#include "arbutuspier/roomwait.h"
 #include "arbutuspier/routetable.h"
 #include "arbutuspier/sharedreplicahealth.h"
 #include "arbutuspier/upstreamdirectory.h"
@@ -113,8 +112,6 @@
     DispatchRejection rejection = DispatchRejection::NoCapacity;
     /// Time after which the request could be assigned; empty if it isn't known.
     std::optional<Duration> retryAfter;
-    /// The request had to wait for room on several replicas.
-    bool hasWaitedForRoom = false;
 };
 
 class DispatchQueue
@@ -126,8 +123,6 @@
         DispatchRequirements requirements;
         /// Position in the order of arrival; decides between requests of the same priority.
         std::uint64_t order = 0;
-        /// When the request was queued; its requirements are as of this time.
-        TimePoint queuedAt{};
         /// Expires at the wait deadline, and is cancelled once there is a result.
         std::shared_ptr<asio::steady_timer> wakeTimer;
         DispatchResult result;
@@ -173,8 +168,6 @@
     /// Requests that waited, or were rejected, as this VM could send none to a cold replica.
     std::uint64_t coldWaits() const { return m_coldWaits; }
     std::uint64_t coldRejections() const { return m_coldRejections; }
-    /// Waiting requests that need room on several replicas.
-    std::size_t waitingForRoom() const;
     std::size_t running() const { return m_load.activeRequestsOf(m_vm).size(); }
     /// Called on each change of this VM's own active requests.
     std::function<void(const ActiveRequestUpdate &)> onActiveRequestUpdate;
@@ -221,16 +214,8 @@
     void recordStart(const ReplicaEntry &replica);
     /// Requests for the service that are to be assigned before this one.
     std::size_t waitingBefore(const Ticket &ticket) const;
-    /// Limits the wait of a prompt that needs several replicas.
-    void limitRoomWait(Ticket &ticket) const;
-    /// The ticket's prompt; one that has waited for room on several replicas has what is left of
-    /// its objective and time.
-    PromptShape currentPrompt(const Ticket &ticket) const
-    {
-        const PromptShape &prompt = ticket.requirements.prompt;
-        return ticket.result.hasWaitedForRoom ? afterWait(prompt, m_clock.now() - ticket.queuedAt)
-                                              : prompt;
-    }
+    /// How long a request may wait for capacity before it is rejected.
+    Duration maxWait(const DispatchRequirements &requirements) const;
     /// Whether prompt and output exceed the memory of the replicas even if nothing else runs there.
     bool isTooLarge(const DispatchRequirements &requirements, const EngineFigures &figures,
                     std::size_t replicas) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -149,8 +149,6 @@
     GatewayMetrics &metrics = m_state.metrics;
     metrics.setGauge("running", static_cast<double>(m_state.dispatchQueue.running()));
     metrics.setGauge("waiting", static_cast<double>(m_state.dispatchQueue.waiting()));
-    metrics.setGauge("waiting_for_room",
-                     static_cast<double>(m_state.dispatchQueue.waitingForRoom()));
     metrics.setGauge("replicas", static_cast<double>(m_state.directory.size()));
     metrics.setGauge("limited_replicas", static_cast<double>(m_state.limits.limitedCount()));
     metrics.setGauge("cold_replicas", static_cast<double>(m_state.cold.coldCount(m_clock.now())));
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -286,10 +286,7 @@
     while (true) {
         const TimePoint queuedAt = m_state.clock.now();
         const DispatchResult result = co_await acquire();
-        const Duration waited = m_state.clock.now() - queuedAt;
-        m_queueTime += waited;
-        if (result.hasWaitedForRoom)
-            recordRoomWait(result, waited);
+        m_queueTime += m_state.clock.now() - queuedAt;
         if (!result.grant) {
             if (result.rejection == DispatchRejection::Cancelled) {
                 log("caller-gone", "while-queued");
@@ -325,21 +322,6 @@
     co_await respondWithFailure();
 }
 
-void RequestHandler::recordRoomWait(const DispatchResult &result, Duration waited)
-{
-    const std::string_view end = result.grant ? "placed" : reasonOf(result.rejection);
-    m_state.metrics.observe("room_wait", end, toSeconds(waited));
-    LOG(INFO) << LogLine("room_wait_ended")
-                     .add("request", m_head.requestId)
-                     .add("route", m_route->name)
-                     .add("team", m_team)
-                     .add("prompt_tokens", m_head.promptTokens)
-                     .add("end", end)
-                     .addSeconds("waited", toSeconds(waited))
-                     .add("replicas", result.grant ? result.grant->helpers.size() + 1 : 0)
-                     .text();
-}
-
 Task<void> RequestHandler::awaitCrashCheck()
 {
     if (m_lastLostReplica)
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -89,8 +89,6 @@
     /// Waits until it is known whether the last replica that lost the request has crashed: a retry
     /// of a request that crashed its replica would crash the next one too.
     Task<void> awaitCrashCheck();
-    /// Records the end of a wait for room on several replicas.
-    void recordRoomWait(const DispatchResult &result, Duration waited);
     /// Whether that check can end before the request's deadline. If not, there is no time for a
     /// retry, and the caller must have its response at once.
     bool hasTimeForRetry() const;
