--- a/src/gateway/compresseddatagram.cpp
+++ b/src/gateway/compresseddatagram.cpp
@@ -15,7 +15,7 @@
 /// To be incremented when a field changes its meaning.
 constexpr std::uint64_t kFormatVersion = 1;
 /// Longest datagram before it was compressed. The compressed one fits into a packet.
-constexpr std::size_t kMaxBytes = 1'048'576;
+constexpr std::size_t kMaxBytes = 262'144;
 
 } // namespace
 
