health: Write the length of an ejection, and the telling of peers, once

Both health types doubled an ejection with the same lines, the condition of a repeated ejection stood twice, and four functions ended with the same three lines. ejectionLength, wasEjectedLately and shareOutcome replace them. Behaviour and tests as before.

--- a/include/arbutuspier/replicahealth.h
+++ b/include/arbutuspier/replicahealth.h
@@ -25,6 +25,9 @@
     double maxSlowdown = 10;
 };
 
+/// Length of an ejection: `initial` for the first, doubled with each that follows, at most `max`.
+Duration ejectionLength(std::uint32_t ejectionsInARow, Duration initial, Duration max);
+
 class ReplicaHealth
 {
 public:
--- a/include/arbutuspier/sharedreplicahealth.h
+++ b/include/arbutuspier/sharedreplicahealth.h
@@ -121,6 +121,10 @@
     void addOwn(const ReplicaOutcomes &outcomes, Duration delay, TimePoint now);
     /// Whether the evidence, or only that of this VM's availability zone, ejects the replica.
     bool isFailing(const Record &record, bool isOwnZoneOnly, TimePoint now) const;
+    bool wasEjectedLately(const Record &record, TimePoint now) const
+    {
+        return record.ejections > 0 && now < record.ejectedUntil + m_options.window;
+    }
     bool isWatched(const ReplicaIncarnation &incarnation, TimePoint now) const;
     void eject(const ReplicaIncarnation &incarnation, Record &record, TimePoint now) const;
 
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -231,33 +231,29 @@
 void GatewayState::recordSuccess(const ReplicaEntry &replica, double durationRatio)
 {
     health.onSuccess(replica.incarnation(), durationRatio);
-    if (!sharesOutcomes())
-        return;
-    sharedHealth.onSuccess(replica.incarnation(), clock.now());
-    scheduleOutcomes();
+    shareOutcome(&SharedReplicaHealth::onSuccess, replica.incarnation());
 }
 
 void GatewayState::recordFailure(const ReplicaEntry &replica)
 {
     health.onFailure(replica.incarnation(), clock.now());
-    if (!sharesOutcomes())
-        return;
-    sharedHealth.onFailure(replica.incarnation(), clock.now());
-    scheduleOutcomes();
+    shareOutcome(&SharedReplicaHealth::onFailure, replica.incarnation());
 }
 
 void GatewayState::recordReplaced(const ReplicaEntry &replica)
 {
     // One such response is enough for this VM. Only the list of replicas removes one.
     health.onUnreachable(replica.incarnation(), clock.now());
-    if (!sharesOutcomes())
-        return;
-    sharedHealth.onFailure(replica.incarnation(), clock.now());
-    scheduleOutcomes();
+    shareOutcome(&SharedReplicaHealth::onFailure, replica.incarnation());
 }
 
-void GatewayState::scheduleOutcomes()
+void GatewayState::shareOutcome(void (SharedReplicaHealth::*record)(const ReplicaIncarnation &,
+                                                                    TimePoint),
+                                const ReplicaIncarnation &incarnation)
 {
+    if (!sharesOutcomes())
+        return;
+    (sharedHealth.*record)(incarnation, clock.now());
     const auto due = sharedHealth.reportDue();
     if (due && onOutcomes)
         onOutcomes(*due);
@@ -348,11 +344,8 @@
     pool.closeIdle(incarnation);
     paths.onUnreachable(replica);
     // A VM without a path tells nothing of the replicas.
-    const bool showsReplica = sharesOutcomes() && !paths.isLost(replica.service);
-    if (!showsReplica)
-        return;
-    sharedHealth.onUnreachable(incarnation, clock.now());
-    scheduleOutcomes();
+    if (!paths.isLost(replica.service))
+        shareOutcome(&SharedReplicaHealth::onUnreachable, incarnation);
 }
 
 void GatewayState::onPathChanged(const std::string &service)
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -177,8 +177,9 @@
     void onZoneReturned(const std::string &zone);
     /// The path to a service was lost, or is back.
     void onPathChanged(const std::string &service);
-    /// Has a report sent to the peers if one is due.
-    void scheduleOutcomes();
+    /// Records what this VM saw of a replica for the peers, if they are told.
+    void shareOutcome(void (SharedReplicaHealth::*record)(const ReplicaIncarnation &, TimePoint),
+                      const ReplicaIncarnation &incarnation);
     FleetRetryBudgetOptions retryBudgetOptions() const;
     /// VMs that may send requests to the replica.
     std::vector<std::string> vmsSharing(const ReplicaIncarnation &incarnation) const;
--- a/src/policy/replicahealth.cpp
+++ b/src/policy/replicahealth.cpp
@@ -5,6 +5,13 @@
 
 namespace arbutuspier {
 
+Duration ejectionLength(std::uint32_t ejectionsInARow, Duration initial, Duration max)
+{
+    constexpr std::uint32_t kMaxDoublings = 8;
+    const std::uint32_t doublings = std::min(ejectionsInARow - 1, kMaxDoublings);
+    return std::min(initial * (1U << doublings), max);
+}
+
 void ReplicaHealth::onSuccess(const ReplicaIncarnation &incarnation, double durationRatio)
 {
     Record &record = m_records[incarnation];
@@ -19,10 +26,8 @@
 
 void ReplicaHealth::eject(Record &record, TimePoint now)
 {
-    constexpr std::uint32_t kMaxDoublings = 8;
-    const std::uint32_t doublings = std::min(record.consecutiveFailures - 1, kMaxDoublings);
-    const Duration ejection =
-        std::min(m_options.initialEjection * (1U << doublings), m_options.maxEjection);
+    const Duration ejection = ejectionLength(record.consecutiveFailures, m_options.initialEjection,
+                                             m_options.maxEjection);
     record.ejectedUntil = std::max(record.ejectedUntil, now + ejection);
 }
 
--- a/src/policy/sharedreplicahealth.cpp
+++ b/src/policy/sharedreplicahealth.cpp
@@ -1,6 +1,8 @@
 // Counts failures and successes in a sliding window, by VM and availability zone.
 #include "arbutuspier/sharedreplicahealth.h"
 
+#include "arbutuspier/replicahealth.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -104,22 +106,17 @@
         if (failed > 0)
             vms.insert(evidence.vm);
     }
-    const bool wasEjectedLately =
-        record.ejections > 0 && now < record.ejectedUntil + m_options.window;
-    const bool isEnough =
-        vms.size() >= m_options.minVms && (wasEjectedLately || failures >= m_options.minFailures);
+    const bool isEnough = vms.size() >= m_options.minVms
+        && (wasEjectedLately(record, now) || failures >= m_options.minFailures);
     return isEnough && failures > m_options.minFailureFraction * (failures + successes);
 }
 
 void SharedReplicaHealth::eject(const ReplicaIncarnation &incarnation, Record &record,
                                 TimePoint now) const
 {
-    constexpr std::uint32_t kMaxDoublings = 8;
-    const bool isRepeated = record.ejections > 0 && now < record.ejectedUntil + m_options.window;
-    record.ejections = isRepeated ? record.ejections + 1 : 1;
-    const std::uint32_t doublings = std::min(record.ejections - 1, kMaxDoublings);
+    record.ejections = wasEjectedLately(record, now) ? record.ejections + 1 : 1;
     const Duration ejection =
-        std::min(m_options.initialEjection * (1U << doublings), m_options.maxEjection);
+        ejectionLength(record.ejections, m_options.initialEjection, m_options.maxEjection);
     record.ejectedUntil = now + ejection;
     record.watchedUntil = record.ejectedUntil + m_options.window;
     record.evidence.clear();
