policy: Remove checks that stand twice in cold replicas and group bounds

ColdReplicas::isLimited and StoreWatcher::startedAmong replace conditions that were repeated; groupBoundsFor returns before maxPeers if a capacity isn't known, so that the checks in it could never be false. Behaviour and tests as before.

--- a/include/arbutuspier/coldreplicas.h
+++ b/include/arbutuspier/coldreplicas.h
@@ -127,6 +127,11 @@
 
     void setEnd(const ReplicaIncarnation &incarnation, TimePoint end, TimePoint now);
     void setAssumedEnd(const ReplicaIncarnation &incarnation, TimePoint now);
+    /// Whether the cold replicas of the replica's service are limited.
+    bool isLimited(const std::string &replicaId) const
+    {
+        return m_bound && figures(replicaId).startsPerSecond > 0;
+    }
     /// Requests that the replica may get in a window from all VMs together.
     double boundOf(double startsPerSecond) const;
     /// What the shares of all VMs add up to.
--- a/src/gateway/storewatcher.h
+++ b/src/gateway/storewatcher.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -128,6 +129,8 @@
     /// The rows of a poll that other VMs may not know.
     std::vector<ReplicaRow> newsAmong(const std::vector<platform::StoreRow> &rows,
                                       const std::vector<ReplicaRow> &decoded) const;
+    /// The replicas of the rows that have started since this VM knows replicas.
+    std::set<ReplicaIncarnation> startedAmong(const std::vector<ReplicaRow> &rows) const;
     /// What this VM passes on after a poll.
     ReplicaNotice replicaNotice();
     /// Applies a configuration if it is newer, and returns whether it was. One that can't be
--- a/src/gateway/storewatcherreplicas.cpp
+++ b/src/gateway/storewatcherreplicas.cpp
@@ -145,8 +145,7 @@
     recordEarlierStarts(read.rows, rows);
     const std::vector<ReplicaRow> news = newsAmong(read.rows, rows);
     const std::uint64_t before = m_state.directory.revision();
-    const std::set<ReplicaIncarnation> started =
-        m_hasReplicas ? m_state.unknownAmong(rows) : std::set<ReplicaIncarnation>{};
+    const std::set<ReplicaIncarnation> started = startedAmong(rows);
     if (isFullRead)
         m_state.directory.replaceAll(rows, now,
                                      isRestored ? UpstreamDirectory::ListAge::Restored
@@ -188,6 +187,11 @@
     return news;
 }
 
+std::set<ReplicaIncarnation> StoreWatcher::startedAmong(const std::vector<ReplicaRow> &rows) const
+{
+    return m_hasReplicas ? m_state.unknownAmong(rows) : std::set<ReplicaIncarnation>{};
+}
+
 void StoreWatcher::continueFromNotices()
 {
     const bool foundAll = std::exchange(m_findsHeartbeats, needsHeartbeats());
@@ -229,8 +233,7 @@
         return;
     }
     const std::uint64_t before = m_state.directory.revision();
-    const std::set<ReplicaIncarnation> started =
-        m_hasReplicas ? m_state.unknownAmong(notice.rows) : std::set<ReplicaIncarnation>{};
+    const std::set<ReplicaIncarnation> started = startedAmong(notice.rows);
     m_state.directory.applyChanges(notice.rows, now);
     m_state.recordColdReplicas(notice.rows, started);
     m_replicaNews.advance(notice.to, notice.rows, now);
--- a/src/policy/coldreplicas.cpp
+++ b/src/policy/coldreplicas.cpp
@@ -129,8 +129,7 @@
 
 void ColdReplicas::onStart(const ReplicaIncarnation &incarnation, TimePoint now)
 {
-    const bool isLimited = m_bound && figures(incarnation.id).startsPerSecond > 0;
-    if (!isLimited)
+    if (!isLimited(incarnation.id))
         return;
     recordStart(incarnation.id, now);
     if (!isCold(incarnation, now))
@@ -143,7 +142,7 @@
 
 void ColdReplicas::onPeerStart(const std::string &replicaId, TimePoint now)
 {
-    if (m_bound && figures(replicaId).startsPerSecond > 0)
+    if (isLimited(replicaId))
         recordStart(replicaId, now);
 }
 
@@ -163,8 +162,7 @@
 
 TimePoint ColdReplicas::nextStart(const ReplicaIncarnation &incarnation, TimePoint now)
 {
-    const bool isLimited = m_bound && figures(incarnation.id).startsPerSecond > 0;
-    if (!isLimited)
+    if (!isLimited(incarnation.id))
         return now;
     const auto end = coldEnd(incarnation, now);
     if (!end)
--- a/src/policy/groupbounds.cpp
+++ b/src/policy/groupbounds.cpp
@@ -16,22 +16,17 @@
     return std::min(a, b);
 }
 
-/// Most peers with which the VM keeps within its limits.
+/// Most peers with which the VM keeps within its limits. Its capacity is known.
 double maxPeers(const VmCapacity &smallest, const GroupCostOptions &options)
 {
     double peers = options.maxBytesPerSecond / (options.datagramsPerSecond * options.datagramBytes);
-    if (smallest.cores > 0) {
-        const double perPeer = options.datagramsPerSecond * toSeconds(options.processorTime);
-        peers = std::min(peers, options.maxProcessorFraction * smallest.cores / perPeer);
-    }
-    if (smallest.linkMbps > 0) {
-        // A VM gets as many as it sends.
-        const double perPeer =
-            2 * options.datagramsPerSecond * (options.datagramBytes + options.headerBytes);
-        const double bytesPerSecond = smallest.linkMbps * kBytesPerSecondOfMbps;
-        peers = std::min(peers, options.maxLinkFraction * bytesPerSecond / perPeer);
-    }
-    return peers;
+    const double coresPerPeer = options.datagramsPerSecond * toSeconds(options.processorTime);
+    peers = std::min(peers, options.maxProcessorFraction * smallest.cores / coresPerPeer);
+    // A VM gets as many as it sends.
+    const double bytesPerPeer =
+        2 * options.datagramsPerSecond * (options.datagramBytes + options.headerBytes);
+    const double linkBytesPerSecond = smallest.linkMbps * kBytesPerSecondOfMbps;
+    return std::min(peers, options.maxLinkFraction * linkBytesPerSecond / bytesPerPeer);
 }
 
 } // namespace
