--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -326,6 +326,8 @@
         if (m_backups.hasWinner())
             co_return AttemptOutcome::Superseded;
         const JoinedEvents joined = m_joiner->feed(bytes);
+        if (joined.isFaulty)
+            attempt.setCause("faulty event");
         if (joined.events.empty() && joined.isFaulty)
             co_return AttemptOutcome::Lost;
         if (joined.events.empty())
@@ -454,6 +456,7 @@
         .add("born", static_cast<std::uint64_t>(grant.replica.startedAtMs))
         .add("end", outcomeName(outcome))
         .add("status", static_cast<std::uint64_t>(attempt.status()))
+        .add("cause", attempt.cause())
         .add("expired", attempt.hasExpired() ? "yes" : "no")
         .add("reached", attempt.wasReached() ? "yes" : "no")
         .add("helpers", grant.helpers.size())
--- a/src/gateway/requesthandlerbackup.cpp
+++ b/src/gateway/requesthandlerbackup.cpp
@@ -148,6 +148,8 @@
         if (backup.isCancelled)
             co_return cancelledOutcome();
         const JoinedEvents joined = joiner.feed(bytes);
+        if (joined.isFaulty)
+            attempt.setCause("faulty event");
         hasOutput = !joined.events.empty();
         if (joined.isFaulty && !hasOutput)
             co_return AttemptOutcome::Lost;
--- a/src/gateway/upstreamattempt.cpp
+++ b/src/gateway/upstreamattempt.cpp
@@ -98,8 +98,10 @@
         co_return false;
     m_connection->stream.expires_after(timeout);
     const auto [error] = co_await m_connection->stream.async_connect(endpointOf(target), kAwait);
-    if (error)
+    if (error) {
+        m_cause = error.message();
         co_return false;
+    }
     m_connection->stream.expires_never();
     ErrorCode ignored;
     m_connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
@@ -125,6 +127,8 @@
     const ErrorCode readError =
         co_await receiveResponseHead(m_connection->stream, m_connection->buffer, m_parser,
                                      ResponseLimits{boost::none, kMaxHeadBytes});
+    if (readError)
+        m_cause = readError.message();
     if (readError || m_isCancelled || m_hasExpired)
         co_return SendResult::NoResponse;
     m_status = m_parser->get().result_int();
@@ -150,12 +154,21 @@
     const auto [error, size] = co_await http::async_read_some(
         m_connection->stream, m_connection->buffer, *m_parser, kAwait);
     bytes.append(chunk.data(), chunk.size() - m_parser->get().body().size);
+    co_return judgeProgress(error);
+}
+
+UpstreamAttempt::ReadProgress UpstreamAttempt::judgeProgress(ErrorCode error)
+{
     if (m_isCancelled || m_hasExpired)
-        co_return ReadProgress::Broken;
-    if (error && error != http::error::need_buffer)
-        co_return ReadProgress::Broken;
-    m_isComplete = m_parser->is_done();
-    co_return m_isComplete ? ReadProgress::Complete : ReadProgress::More;
+        return ReadProgress::Broken;
+    if (error && error != http::error::need_buffer) {
+        m_cause = error.message();
+        return ReadProgress::Broken;
+    }
+    if (!m_parser->is_done())
+        return ReadProgress::More;
+    m_isComplete = true;
+    return ReadProgress::Complete;
 }
 
 void UpstreamAttempt::recordEvents(TimePoint now)
--- a/src/gateway/upstreamattempt.h
+++ b/src/gateway/upstreamattempt.h
@@ -63,6 +63,10 @@
     std::function<std::optional<TimePoint>()> onExpiry;
     bool hasExpired() const { return m_hasExpired; }
 
+    /// Why there is no usable response, for the log; empty if nothing was wrong.
+    const std::string &cause() const { return m_cause; }
+    void setCause(std::string cause) { m_cause = std::move(cause); }
+
     /// Status of the response; zero if no response head came.
     int status() const { return m_status; }
     const platform::ResponseHead &head() const { return m_head; }
@@ -91,6 +95,8 @@
 private:
     Task<bool> connect(const std::string &address, Duration timeout);
     void resetConnection();
+    /// Records how far the body has come.
+    ReadProgress judgeProgress(ErrorCode error);
 
     asio::any_io_executor m_executor;
     UpstreamPool &m_pool;
@@ -109,6 +115,7 @@
     bool m_hasExpired = false;
     bool m_isCancelled = false;
     std::string m_unread;
+    std::string m_cause;
     TimePoint m_sentAt{};
     AttemptProgress m_progress = AttemptProgress::NoOutput;
     /// When the first stream events came, if any did.
