policy: End an attempt before an event with a spoiled line

A replica had spoiled the name of an event's id field; the event was forwarded as one without an id, and came again from the next replica, which was asked for what follows the last known id.

The cause is wider than the id field: only the id of an event was read, none of its other lines. A test that puts each byte value at each place of a stream also found events without data, which clients don't dispatch, and two events forwarded as one.

The daemon's upstream side had the same cause: output without an id was passed on and came again, and a last token with too low an id was dropped.

--- a/include/arbutuspier/eventstreamjoiner.h
+++ b/include/arbutuspier/eventstreamjoiner.h
@@ -1,8 +1,9 @@
 // Joins the attempts of one event stream into complete events, each id once and in order.
 //
 // An attempt may break off anywhere. An incomplete event at its end is dropped, and the next
-// attempt continues after the last complete event. An attempt whose ids are not consecutive is
-// faulty from that event on; what came before it is forwarded.
+// attempt continues after the last complete event. An attempt whose ids are not consecutive, or
+// with an event that lacks its id or its data, is faulty from that event on; what came before it is
+// forwarded.
 #pragma once
 
 #include <cstdint>
@@ -34,7 +35,8 @@
     void beginAttempt();
 
     /// Adds bytes of the current attempt. An event is faulty if it exceeds 1 MiB, skips an id,
-    /// repeats one of the same attempt or has one that is no number.
+    /// repeats one of the same attempt or has one that is no number, if it has only one of an id
+    /// and data, or if it is malformed. One with neither, such as a comment, is forwarded.
     JoinedEvents feed(std::string_view bytes);
 
     /// Returns whether the bytes of the current attempt end with a complete event.
--- a/src/net/sseparser.cpp
+++ b/src/net/sseparser.cpp
@@ -2,8 +2,7 @@
 #include "net/sseparser.h"
 
 #include "kernel/eventend.h"
-
-#include <charconv>
+#include "kernel/streamevent.h"
 
 namespace arbutuspier {
 
@@ -11,18 +10,15 @@
 
 constexpr std::size_t kCompactionBytes = 64 * 1024;
 
-std::string_view fieldValue(std::string_view line, std::string_view name)
-{
-    line.remove_prefix(name.size() + 1);
-    if (!line.empty() && line.front() == ' ')
-        line.remove_prefix(1);
-    return line;
-}
-
-bool isField(std::string_view line, std::string_view name)
+std::string joinLines(const std::vector<std::string_view> &lines)
 {
-    return line.size() > name.size() && line.compare(0, name.size(), name) == 0
-        && line[name.size()] == ':';
+    std::string text;
+    for (std::size_t i = 0; i < lines.size(); ++i) {
+        if (i > 0)
+            text += '\n';
+        text += lines[i];
+    }
+    return text;
 }
 
 } // namespace
@@ -33,23 +29,8 @@
     const std::size_t end = endOfEvent(rest, 0);
     if (end == std::string_view::npos)
         return std::nullopt;
-    SseEvent event;
-    std::string_view block = rest.substr(0, end);
-    while (!block.empty()) {
-        const std::size_t newline = block.find('\n');
-        std::string_view line = block.substr(0, newline);
-        block.remove_prefix(newline == std::string_view::npos ? block.size() : newline + 1);
-        if (!line.empty() && line.back() == '\r')
-            line.remove_suffix(1);
-        if (isField(line, "id")) {
-            const std::string_view value = fieldValue(line, "id");
-            std::from_chars(value.data(), value.data() + value.size(), event.id);
-        } else if (isField(line, "data")) {
-            if (!event.data.empty())
-                event.data += '\n';
-            event.data += fieldValue(line, "data");
-        }
-    }
+    const StreamEvent fields = readStreamEvent(rest.substr(0, end));
+    SseEvent event{fields.id.value_or(0), joinLines(fields.data), !fields.isWellFormed};
     m_unparsedStart += end;
     if (m_unparsedStart >= kCompactionBytes) {
         m_buffer.erase(0, m_unparsedStart);
--- a/src/net/sseparser.h
+++ b/src/net/sseparser.h
@@ -13,6 +13,8 @@
     /// The number in the `id` field; zero if there is none.
     std::uint64_t id = 0;
     std::string data;
+    /// What came is no event of a sound upstream (see StreamEvent).
+    bool isFaulty = false;
 };
 
 class SseParser
--- a/src/net/upstreamstream.cpp
+++ b/src/net/upstreamstream.cpp
@@ -30,17 +30,62 @@
 /// With this header an upstream states that it did not run the request and will not.
 constexpr std::string_view kNotRunHeader = "X-Not-Run";
 
-std::uint64_t parseCachedTokens(const std::string &data)
+std::uint64_t cachedTokensOf(const nlohmann::json &event)
 {
-    const auto json = nlohmann::json::parse(data, nullptr, false);
-    if (!json.is_object() || !json.contains("usage") || !json["usage"].is_object())
+    if (!event.is_object() || !event.contains("usage") || !event["usage"].is_object())
         return 0;
-    const auto &usage = json["usage"];
+    const auto &usage = event["usage"];
     const bool isPresent =
         usage.contains("cached_tokens") && usage["cached_tokens"].is_number_unsigned();
     return isPresent ? usage["cached_tokens"].get<std::uint64_t>() : 0;
 }
 
+bool hasOutput(const nlohmann::json &event)
+{
+    return event.is_object() && event.contains("choices") && !event["choices"].empty();
+}
+
+/// What the events of one attempt have told so far.
+class AttemptEvents
+{
+public:
+    explicit AttemptEvents(std::uint64_t resumeOffset)
+        : m_lastId(resumeOffset)
+    {
+    }
+
+    /// Returns false if no sound engine sends the event here: ids grow, and events with output have
+    /// ids, as without one their output would come again from the next attempt.
+    bool add(const SseEvent &event)
+    {
+        if (event.isFaulty)
+            return false;
+        if (event.id == 0)
+            return addUnnumbered(event);
+        const bool isInOrder = event.id > m_attemptId;
+        m_attemptId = event.id;
+        m_lastId = std::max(m_lastId, event.id);
+        return isInOrder;
+    }
+    /// Id of the last event, or the resume offset before the first one.
+    std::uint64_t lastId() const { return m_lastId; }
+    std::uint64_t cachedTokenCount() const { return m_cachedTokenCount; }
+    bool hasToken() const { return m_attemptId != 0; }
+
+private:
+    bool addUnnumbered(const SseEvent &event)
+    {
+        const auto json = nlohmann::json::parse(event.data, nullptr, false);
+        m_cachedTokenCount = cachedTokensOf(json);
+        return !hasOutput(json);
+    }
+
+    std::uint64_t m_lastId;
+    /// Id of the last event of this attempt; zero before the first one.
+    std::uint64_t m_attemptId = 0;
+    std::uint64_t m_cachedTokenCount = 0;
+};
+
 } // namespace
 
 UpstreamStream::UpstreamStream(std::shared_ptr<CallerSession> session, OpenStream open,
@@ -176,11 +221,9 @@
         co_return;
     }
     m_session->events().post(StreamOpened{m_open.attempt});
-    SseParser events;
+    SseParser parsedEvents;
+    AttemptEvents events(m_open.resumeOffset);
     std::array<char, kReadBytes> bytes;
-    std::uint64_t lastEventId = m_open.resumeOffset;
-    std::uint64_t cachedTokenCount = 0;
-    bool hasFirstToken = false;
     while (true) {
         parser.get().body().data = bytes.data();
         parser.get().body().size = bytes.size();
@@ -188,20 +231,20 @@
         if (m_isFinished)
             co_return;
         const std::size_t bytesRead = bytes.size() - parser.get().body().size;
-        events.feed(std::string_view(bytes.data(), bytesRead));
-        while (const auto event = events.next()) {
+        parsedEvents.feed(std::string_view(bytes.data(), bytesRead));
+        while (const auto event = parsedEvents.next()) {
             if (event->data == "[DONE]") {
                 m_session->onEvent(m_open.attempt, *event);
-                complete({m_open.attempt, lastEventId, cachedTokenCount, 200, {}});
+                complete({m_open.attempt, events.lastId(), events.cachedTokenCount(), 200, {}});
                 co_return;
             }
-            if (event->id != 0 && !hasFirstToken) {
-                hasFirstToken = true;
-                m_session->events().post(StreamFirstToken{m_open.attempt});
+            const bool hadToken = events.hasToken();
+            if (!events.add(*event)) {
+                fail(FailureKind::Broken);
+                co_return;
             }
-            lastEventId = std::max(lastEventId, event->id);
-            if (event->id == 0)
-                cachedTokenCount = parseCachedTokens(event->data);
+            if (events.hasToken() && !hadToken)
+                m_session->events().post(StreamFirstToken{m_open.attempt});
             if (!m_session->onEvent(m_open.attempt, *event)) {
                 fail(FailureKind::Broken);
                 co_return;
@@ -209,7 +252,7 @@
         }
         const bool needsBuffer = error == http::error::need_buffer;
         const bool isAtEnd = (error && !needsBuffer) || parser.is_done();
-        if (isAtEnd || events.isOverlong()) {
+        if (isAtEnd || parsedEvents.isOverlong()) {
             fail(isAtEnd ? FailureKind::ConnectionLost : FailureKind::Broken);
             co_return;
         }
--- a/src/policy/eventstreamjoiner.cpp
+++ b/src/policy/eventstreamjoiner.cpp
@@ -1,50 +1,11 @@
-// Forwards events byte for byte and parses only their ids.
+// Forwards events byte for byte.
 #include "arbutuspier/eventstreamjoiner.h"
 
 #include "kernel/eventend.h"
-
-#include <algorithm>
-#include <charconv>
+#include "kernel/streamevent.h"
 
 namespace arbutuspier {
 
-namespace {
-
-constexpr std::string_view kIdField = "id:";
-
-struct IdField
-{
-    bool isPresent = false;
-    /// Not set if the field holds no number.
-    std::optional<std::uint64_t> number;
-};
-
-/// The event's first `id` field.
-IdField idField(std::string_view event)
-{
-    std::size_t at = 0;
-    while (at < event.size()) {
-        const std::size_t end = std::min(event.find('\n', at), event.size());
-        std::string_view line = event.substr(at, end - at);
-        at = end + 1;
-        if (line.substr(0, kIdField.size()) != kIdField)
-            continue;
-        line.remove_prefix(kIdField.size());
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
-        if (line.starts_with(' '))
-            line.remove_prefix(1);
-        std::uint64_t number = 0;
-        const char *const lineEnd = line.data() + line.size();
-        const auto [rest, error] = std::from_chars(line.data(), lineEnd, number);
-        const bool isNumber = error == std::errc{} && rest == lineEnd;
-        return {true, isNumber ? std::optional(number) : std::nullopt};
-    }
-    return {};
-}
-
-} // namespace
-
 void EventStreamJoiner::beginAttempt()
 {
     m_pending.clear();
@@ -54,12 +15,14 @@
 
 EventStreamJoiner::Verdict EventStreamJoiner::judge(std::string_view event)
 {
-    const IdField field = idField(event);
-    if (!field.isPresent)
+    const StreamEvent fields = readStreamEvent(event);
+    if (!fields.isWellFormed)
+        return Verdict::Faulty;
+    if (fields.isEmpty())
         return Verdict::Forward;
-    if (!field.number)
+    if (!fields.id)
         return Verdict::Faulty;
-    const std::uint64_t id = *field.number;
+    const std::uint64_t id = *fields.id;
     const bool isFirst = !m_lastId;
     const bool isInOrder = !m_attemptId || id > *m_attemptId;
     const bool skipsAnId = m_lastId && id > *m_lastId + 1;
--- a/tests/gate/eventstreamjoinertest.cpp
+++ b/tests/gate/eventstreamjoinertest.cpp
@@ -4,6 +4,12 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+#include <vector>
+
 using namespace arbutuspier;
 
 namespace {
@@ -21,6 +27,68 @@
     return text;
 }
 
+/// What a client dispatches of an event stream: the last id that it was given and the data.
+struct DispatchedEvent
+{
+    std::string id;
+    std::string data;
+};
+
+/// Takes the first line of a stream, which ends with CR, LF, or both.
+std::string takeLine(std::string_view &stream)
+{
+    const std::size_t end = stream.find_first_of("\r\n");
+    std::string line(stream.substr(0, end));
+    stream.remove_prefix(end == std::string_view::npos ? stream.size() : end);
+    stream.remove_prefix(stream.starts_with("\r\n") ? 2 : stream.empty() ? 0 : 1);
+    return line;
+}
+
+/// Reads a stream as a client does.
+std::vector<DispatchedEvent> dispatch(std::string_view stream)
+{
+    std::vector<DispatchedEvent> dispatched;
+    DispatchedEvent next;
+    while (!stream.empty()) {
+        const std::string line = takeLine(stream);
+        if (line.empty() && !next.data.empty())
+            dispatched.push_back(next);
+        if (line.empty())
+            next.data.clear();
+        const std::size_t colon = std::min(line.find(':'), line.size());
+        std::string value = colon < line.size() ? line.substr(colon + 1) : std::string();
+        if (value.starts_with(' '))
+            value.erase(0, 1);
+        if (line.substr(0, colon) == "id")
+            next.id = value;
+        if (line.substr(0, colon) == "data")
+            next.data += value + '\n';
+    }
+    return dispatched;
+}
+
+/// A stream whose first attempt has one wrong byte. If that attempt is faulty, a sound one follows.
+struct SpoiledStream
+{
+    std::string received;
+    bool isComplete = false;
+
+    SpoiledStream(std::string first, std::uint64_t last, std::size_t at, char byte)
+    {
+        first[at] = byte;
+        EventStreamJoiner joiner{std::nullopt};
+        JoinedEvents joined = joiner.feed(first);
+        received = joined.events;
+        isComplete = !joined.isFaulty && joiner.isAtEnd();
+        if (isComplete || !joiner.canContinue())
+            return;
+        joiner.beginAttempt();
+        joined = joiner.feed(events(joiner.lastId() ? *joiner.lastId() + 1 : 0, last));
+        received += joined.events;
+        isComplete = !joined.isFaulty && joiner.isAtEnd();
+    }
+};
+
 } // namespace
 
 TEST_GROUP(AnEventStreamJoiner)
@@ -109,6 +177,81 @@
     }
 }
 
+// Guards against a complete stream with a piece that comes twice: once without its id, as a replica
+// spoiled the id field, and once more from the next attempt.
+TEST(AnEventStreamJoiner, rejectsDataWithoutAnId)
+{
+    joiner.feed(events(0, 1));
+    for (const char *line : {"iD: 2\n", ":d: 2\n", "id; 2\n", "\nd: 2\n", ""}) {
+        EventStreamJoiner attempt = joiner;
+        const JoinedEvents joined = attempt.feed(std::string(line) + "data: piece 2\n\n");
+        CHECK(joined.isFaulty);
+        CHECK(joined.events.empty());
+    }
+}
+
+// Guards against a complete stream in which a client misses a piece, as it dispatches no event
+// without data.
+TEST(AnEventStreamJoiner, rejectsAnIdWithoutData)
+{
+    joiner.feed(events(0, 1));
+    for (const char *line : {"Data: piece 2\n", ":ata: piece 2\n", "data; piece 2\n", ""}) {
+        EventStreamJoiner attempt = joiner;
+        const JoinedEvents joined = attempt.feed("id: 2\n" + std::string(line) + '\n');
+        CHECK(joined.isFaulty);
+        CHECK(joined.events.empty());
+    }
+}
+
+// Guards against two events that are forwarded as one, as the empty line between them is spoiled:
+// the second one would come again from the next attempt.
+TEST(AnEventStreamJoiner, rejectsEventsWithoutAnEmptyLineBetweenThem)
+{
+    joiner.feed(events(0, 1));
+    for (const char *between : {"\n", "\n:", "\nx", "\n\r"}) {
+        EventStreamJoiner attempt = joiner;
+        const JoinedEvents joined = attempt.feed("id: 2\ndata: piece 2" + std::string(between)
+                                                 + "id: 3\ndata: piece 3\n\n");
+        CHECK(joined.isFaulty);
+        CHECK(joined.events.empty());
+    }
+}
+
+// Guards against all of these at once: whichever byte of a stream is wrong, and whatever it is, a
+// complete stream has each piece once and in order.
+TEST(AnEventStreamJoiner, yieldsEachPieceOnceWhicheverByteOfAStreamIsSpoiled)
+{
+    constexpr std::uint64_t kLast = 3;
+    constexpr int kByteValues = 256;
+    const std::string sound = events(0, kLast);
+    const std::vector<DispatchedEvent> pieces = dispatch(sound);
+    for (std::size_t at = 0; at < sound.size(); ++at) {
+        for (int value = 0; value < kByteValues; ++value) {
+            const SpoiledStream stream(sound, kLast, at, static_cast<char>(value));
+            if (!stream.isComplete)
+                continue;
+            const std::vector<DispatchedEvent> got = dispatch(stream.received);
+            LONGS_EQUAL(pieces.size(), got.size());
+            for (std::size_t i = 0; i < pieces.size(); ++i) {
+                CHECK(!got[i].id.empty());
+                // A blank may turn into a leading zero.
+                LONGS_EQUAL(std::atol(pieces[i].id.c_str()), std::atol(got[i].id.c_str()));
+            }
+        }
+    }
+}
+
+// Guards against a stream that is given up for what is no piece, or for a field that is new.
+TEST(AnEventStreamJoiner, forwardsCommentsAndFieldsThatPrecedeAnEvent)
+{
+    const std::string text = ": still here\n\nretry: 100\n\n: one\nx-new: 3\nid: 0\nevent: a\n"
+                             "data: x\ndata\n\n";
+    const JoinedEvents joined = joiner.feed(text);
+    CHECK(!joined.isFaulty);
+    STRCMP_EQUAL(text.c_str(), joined.events.c_str());
+    LONGS_EQUAL(0, *joiner.lastId());
+}
+
 // Guards against a complete stream without its last event, after an attempt that went wrong.
 TEST(AnEventStreamJoiner, isNotAtItsEndBeforeAnEventThatTheCallerHas)
 {
--- a/tests/gate/requesthandlertest.cpp
+++ b/tests/gate/requesthandlertest.cpp
@@ -422,6 +422,38 @@
     CHECK(contains(response, "\r\n0\r\n\r\n"));
 }
 
+// Guards against a complete stream with an event that comes twice: from a replica that spoiled its
+// id field, and once more from the next one.
+TEST(AStream, continuesBeforeAnEventWhoseIdFieldIsSpoiled)
+{
+    const std::string faulty =
+        streamHead() + chunk(event(0)) + chunk(event(1)) + chunk("iD: 2\ndata: x\n\n");
+    const auto script = std::make_shared<Script>(
+        std::vector<ReplicaStep>{{faulty + chunk(event(3))}, {stream(2, 4)}});
+    fixture.addReplica("a", "desk", script);
+    fixture.addReplica("b", "desk", script);
+    const std::string response = callStream();
+    for (int id = 0; id <= 4; ++id)
+        CHECK(contains(response, event(id)));
+    CHECK(!contains(response, "iD"));
+    CHECK(contains(response, "\r\n0\r\n\r\n"));
+}
+
+// The same for its last event, after which no id is missing.
+TEST(AStream, continuesBeforeALastEventWhoseIdFieldIsSpoiled)
+{
+    const std::string faulty = streamHead() + chunk(event(0)) + chunk("iD: 1\ndata: x\n\n");
+    const auto script =
+        std::make_shared<Script>(std::vector<ReplicaStep>{{faulty + "0\r\n\r\n"}, {stream(1, 1)}});
+    fixture.addReplica("a", "desk", script);
+    fixture.addReplica("b", "desk", script);
+    const std::string response = callStream();
+    CHECK(contains(response, event(0)));
+    CHECK(contains(response, event(1)));
+    CHECK(!contains(response, "iD"));
+    CHECK(contains(response, "\r\n0\r\n\r\n"));
+}
+
 // Guards against an error of the next replica that callers find in the middle of their stream, and
 // against a stream that ends there as if it were complete.
 TEST(AStream, isTruncatedIfTheNextReplicaAnswersWithAnError)
--- a/tests/upstreamstreamtest.cpp
+++ b/tests/upstreamstreamtest.cpp
@@ -219,6 +219,37 @@
     CHECK(upstream->endlessBytesSent() < kMaxBytes);
 }
 
+// Guards against tokens that a caller gets twice: without their id, as the upstream spoiled it, and
+// once more from the next attempt.
+TEST(AStreamedAttemptWithoutChunks, isBrokenOffAtATokenWithoutItsId)
+{
+    const std::string token = R"(data: {"choices":[{"index":0,"text":"x"}]})"
+                              "\n\n";
+    for (const char *line : {"iD: 2\n", ":d: 2\n", "id; 2\n", "id: 2x\n", ""}) {
+        recorder = AttemptEndRecorder();
+        checkFails(ResponseForm::Events, closing(kHead + event(1) + line + token + kDone),
+                   FailureKind::Broken);
+        LONGS_EQUAL(1, recorder.failed()->deliveredTokens);
+    }
+}
+
+// Guards against a complete stream that lacks its last token, whose id was spoiled.
+TEST(AStreamedAttemptWithoutChunks, isBrokenOffAtATokenThatGoesBack)
+{
+    checkFails(ResponseForm::Events, closing(kHead + event(1) + event(2) + event(1) + kDone),
+               FailureKind::Broken);
+    LONGS_EQUAL(2, recorder.failed()->deliveredTokens);
+}
+
+TEST(AStreamedAttemptWithoutChunks, mayHaveAnEventWithoutAnIdAfterItsTokens)
+{
+    const std::string usage = R"(data: {"usage":{"completion_tokens":1,"cached_tokens":7}})"
+                              "\n\n";
+    run(ResponseForm::Events, closing(kHead + event(1) + usage + kDone));
+    CHECK(recorder.done() != nullptr);
+    LONGS_EQUAL(7, recorder.done()->cachedTokens);
+}
+
 TEST_GROUP(AReplyWithoutLength)
 {
     asio::io_context context{1};
