net: Take no response with a status that HTTP doesn't know

The parser accepts any three digits, and behind it 0 means that no response came, so that the replica's health didn't suffer either. The daemon even told callers of streams that their request had not run.

`receiveResponseHead`, through which all responses of replicas, peers and the store are read, now fails unless the final status is one from 200 to 599; 101 is none, as nobody asks for another protocol.

--- a/src/net/responsehead.h
+++ b/src/net/responsehead.h
@@ -1,4 +1,7 @@
 // Receives the head of an HTTP response, past those of interim responses.
+//
+// All responses that this VM asks for are read through here. A head that isn't valid HTTP comes from
+// a server in trouble, and is no response.
 #pragma once
 
 #include "net/asiotypes.h"
@@ -29,8 +32,17 @@
     return status / 100 == 1 && status != kSwitchingProtocols;
 }
 
-/// Receives the head of the response into a new parser. Fails if too many interim responses precede
-/// it.
+/// Whether HTTP knows the class of the status, and a response with it ends the request. 101
+/// doesn't, as nobody here asks for another protocol.
+inline bool isFinalStatus(unsigned status)
+{
+    constexpr unsigned kFirst = 200;
+    constexpr unsigned kLast = 599;
+    return status >= kFirst && status <= kLast;
+}
+
+/// Receives the head of the response into a new parser. Fails if its status isn't valid, or if too
+/// many interim responses precede it.
 template <class Body>
 Task<ErrorCode> receiveResponseHead(beast::tcp_stream &stream, beast::flat_buffer &buffer,
                                     std::optional<beast::http::response_parser<Body>> &parser,
@@ -43,8 +55,14 @@
         parser->header_limit(limits.headBytes);
         const auto [error, size] =
             co_await beast::http::async_read_header(stream, buffer, *parser, kAwait);
-        if (error || !isInterimStatus(parser->get().result_int()))
+        if (error)
             co_return error;
+        const unsigned status = parser->get().result_int();
+        if (isInterimStatus(status))
+            continue;
+        if (!isFinalStatus(status))
+            co_return make_error_code(beast::http::error::bad_status);
+        co_return ErrorCode{};
     }
     co_return make_error_code(beast::http::error::unexpected_body);
 }
--- a/tests/upstreamstreamtest.cpp
+++ b/tests/upstreamstreamtest.cpp
@@ -332,3 +332,35 @@
     checkIsAnswered("first");
     checkIsAnswered("other");
 }
+
+namespace {
+
+/// Heads that no sound server sends, each followed by a body.
+const std::vector<std::string> kFaultyHeads = {
+    "HTTP/1.1 000 X\r\n\r\n", "HTTP/1.1 099 X\r\n\r\n", "HTTP/1.1 600 X\r\n\r\n",
+    "HTTP/1.1 101 X\r\n\r\n"};
+
+} // namespace
+
+// Guard against heads that are no HTTP and are taken for responses: one with status 000 was told as
+// "not run" to the caller of a stream.
+TEST(AnAttemptWithoutLength, isLostIfItsHeadIsFaulty)
+{
+    for (const std::string &head : kFaultyHeads) {
+        recorder = AttemptEndRecorder();
+        checkFails(ResponseForm::PlainService, closing(head + "done"), FailureKind::ConnectionLost);
+        recorder = AttemptEndRecorder();
+        checkFails(ResponseForm::Events, closing(head + event(1) + kDone),
+                   FailureKind::ConnectionLost);
+    }
+}
+
+TEST_GROUP_BASE(AReplyInTrouble, TEST_GROUP_CppUTestGroupAReplyWithoutLength){};
+
+TEST(AReplyInTrouble, isLostIfItsHeadIsFaulty)
+{
+    for (const std::string &head : kFaultyHeads) {
+        listen({closing(head + "done")});
+        CHECK(call().outcome == HttpReply::Outcome::Lost);
+    }
+}
