--- a/src/gateway/upstreamattempt.h
+++ b/src/gateway/upstreamattempt.h
@@ -32,7 +32,8 @@
         /// A response head came.
         GotHead,
     };
-    /// Outcome of reading a part of the response body.
+    /// Outcome of reading a part of the response body. A response that ends with its connection is
+    /// broken if the request could not be written whole: the connection was reset then.
     enum class ReadProgress : std::uint8_t { More, Complete, Broken };
 
     UpstreamAttempt(asio::any_io_executor executor, UpstreamPool &pool,
--- a/tests/gate/answerofareplicaintroubletest.cpp
+++ b/tests/gate/answerofareplicaintroubletest.cpp
@@ -27,6 +27,7 @@
   "idleTimeoutMs":15000}})";
 
 constexpr std::string_view kBody = "done";
+constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
 
 /// A signed response with a status line and further fields of a replica's choice.
 std::string answer(std::string_view statusLine, std::string_view fields)
@@ -58,6 +59,67 @@
     return response.substr(response.find("\r\n\r\n") + 4);
 }
 
+/// Answers each request as soon as its head has come, and resets the connection while the body is
+/// still being sent.
+class EarlyReplica
+{
+public:
+    EarlyReplica(GatewayFixture &fixture, const std::string &id, std::string answer)
+        : m_acceptor(fixture.context)
+        , m_answer(std::move(answer))
+    {
+        // A small window, so that the body doesn't fit into the buffers.
+        constexpr int kReceiveBufferBytes = 8 * 1024;
+        const Tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+        m_acceptor.open(any.protocol());
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
+        m_acceptor.bind(any);
+        m_acceptor.listen();
+        ReplicaEntry entry;
+        entry.id = id;
+        entry.service = "desk";
+        entry.address = "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+        entry.zone = "yard";
+        entry.slots = 6;
+        entry.startedAtMs = 1;
+        fixture.state.directory.applyChanges({{id, entry}}, fixture.clock.now());
+        asio::co_spawn(fixture.context, accept(), asio::detached);
+    }
+
+    int requests() const { return m_requests; }
+
+private:
+    Task<void> accept()
+    {
+        while (true) {
+            auto [error, socket] = co_await m_acceptor.async_accept(kAwait);
+            if (error)
+                co_return;
+            co_await answer(std::move(socket));
+        }
+    }
+    Task<void> answer(Tcp::socket socket)
+    {
+        constexpr Duration kUploadTime = std::chrono::milliseconds{100};
+        std::array<char, 1024> head{};
+        const auto [error, size] = co_await socket.async_read_some(asio::buffer(head), kAwait);
+        if (error)
+            co_return;
+        ++m_requests;
+        std::string bytes = m_answer;
+        if (const auto at = bytes.find("%ID"); at != std::string::npos)
+            bytes.replace(at, 3, "id1");
+        co_await asio::async_write(socket, asio::buffer(bytes), kAwait);
+        asio::steady_timer timer(socket.get_executor(), kUploadTime);
+        co_await timer.async_wait(kAwait);
+        socket.set_option(asio::socket_base::linger(true, 0));
+    }
+
+    Tcp::acceptor m_acceptor;
+    std::string m_answer;
+    int m_requests = 0;
+};
+
 } // namespace
 
 TEST_GROUP(AnAnswerOfAReplicaInTrouble){
@@ -94,3 +156,49 @@
 {
     checkIsNoAnswer(closing(answer("HTTP/1.1 101 X", "Upgrade: h2c\r\n")));
 }
+
+TEST_GROUP(AnEarlyAnswer)
+{
+    GatewayFixture fixture;
+
+    void setup() override
+    {
+        fixture.configure(kRoutes);
+    }
+
+    /// Sends a body that is longer than the buffers of a connection.
+    std::string upload(std::string_view path)
+    {
+        constexpr std::size_t kUploadBytes = 12 * 1024 * 1024;
+        return fixture.call(
+            GatewayFixture::request("POST", path, "", std::string(kUploadBytes, 'x')));
+    }
+};
+
+// Guards against a part of a response that is taken for all of it: the replica answered a long
+// upload at once, without a length, and reset the connection while the upload was still written.
+TEST(AnEarlyAnswer, isNotCompleteWithoutALengthIfTheUploadIsReset)
+{
+    EarlyReplica replica(fixture, "a", answer("HTTP/1.1 200 X", ""));
+    LONGS_EQUAL(502, statusOf(upload("/order/5")));
+    LONGS_EQUAL(1, replica.requests());
+}
+
+// The same for a stream, whose part ends with an event.
+TEST(AnEarlyAnswer, isNoCompleteStreamWithoutALengthIfTheUploadIsReset)
+{
+    std::string response = answer("HTTP/1.1 200 X", "");
+    response.replace(response.size() - kBody.size(), kBody.size(), event(0) + event(1));
+    EarlyReplica first(fixture, "a", response);
+    EarlyReplica second(fixture, "b", response);
+    CHECK(!contains(upload("/ask/5"), kLastChunk));
+}
+
+// A response with a length is complete once all of it came, whatever becomes of the upload.
+TEST(AnEarlyAnswer, isCompleteWithALengthIfTheUploadIsReset)
+{
+    EarlyReplica replica(fixture, "a", answerWithStatus("200"));
+    const std::string response = upload("/order/5");
+    LONGS_EQUAL(200, statusOf(response));
+    CHECK(response.ends_with(kBody));
+}
