net: Take no response with folded lines or an unknown coding

Here a blank as the first byte did it: the parser joins such a line to the one before it, as older HTTP allowed, so that the field that says where the body ends is lost. A body with the sizes of its chunks in it was passed on. `Transfer-Encoding: chunkec` had the same result, as the parser ignores codings that it doesn't know. Other places of a name and control bytes were rejected before.

The bytes of a head are now looked at before they are parsed; a folded line, or a transfer coding but chunked, makes the response invalid.

--- a/src/net/responsehead.h
+++ b/src/net/responsehead.h
@@ -1,20 +1,23 @@
 // Receives the head of an HTTP response, past those of interim responses.
 //
-// All responses that this VM asks for are read through here. A head that isn't valid HTTP comes from
-// a server in trouble, and is no response.
+// All responses that this VM asks for are read through here. A head that isn't valid HTTP comes
+// from a server in trouble, and is no response.
 #pragma once
 
 #include "net/asiotypes.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/field.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <boost/optional.hpp>
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 namespace arbutuspier {
 
@@ -41,27 +44,64 @@
     return status >= kFirst && status <= kLast;
 }
 
-/// Receives the head of the response into a new parser. Fails if its status isn't valid, or if too
+/// Whether a line of the head begins with a blank and so continues the one before it. HTTP has
+/// dropped such lines. One that a server in trouble spoiled would hide the length of the body.
+bool hasFoldedLine(std::string_view head);
+
+/// The bytes of a head at the front of a buffer.
+struct HeadBytes
+{
+    ErrorCode error;
+    /// With the empty line that ends the head. Valid until the buffer changes.
+    std::string_view text;
+};
+
+/// Reads until the buffer begins with a whole head. Fails if it is longer than `maxBytes`.
+Task<HeadBytes> receiveHeadBytes(beast::tcp_stream &stream, beast::flat_buffer &buffer,
+                                 std::size_t maxBytes);
+
+/// Whether the body's transfer coding, if any, can be decoded here. Otherwise the caller would get
+/// the coded bytes.
+template <class Parser>
+bool canDecodeBody(const Parser &parser)
+{
+    const auto [begin, end] = parser.get().equal_range(beast::http::field::transfer_encoding);
+    for (auto field = begin; field != end; ++field) {
+        if (!beast::iequals(field->value(), "chunked"))
+            return false;
+    }
+    return true;
+}
+
+/// Receives the head of the response into a new parser. Fails if the head isn't valid, or if too
 /// many interim responses precede it.
 template <class Body>
 Task<ErrorCode> receiveResponseHead(beast::tcp_stream &stream, beast::flat_buffer &buffer,
                                     std::optional<beast::http::response_parser<Body>> &parser,
                                     ResponseLimits limits)
 {
+    namespace http = beast::http;
     constexpr int kMaxInterimResponses = 8;
     for (int i = 0; i <= kMaxInterimResponses; ++i) {
         parser.emplace();
         parser->body_limit(limits.bodyBytes);
         parser->header_limit(limits.headBytes);
-        const auto [error, size] =
-            co_await beast::http::async_read_header(stream, buffer, *parser, kAwait);
+        const HeadBytes head = co_await receiveHeadBytes(stream, buffer, limits.headBytes);
+        if (head.error)
+            co_return head.error;
+        if (hasFoldedLine(head.text))
+            co_return make_error_code(http::error::bad_obs_fold);
+        ErrorCode error;
+        buffer.consume(parser->put(asio::buffer(head.text), error));
         if (error)
             co_return error;
         const unsigned status = parser->get().result_int();
         if (isInterimStatus(status))
             continue;
         if (!isFinalStatus(status))
-            co_return make_error_code(beast::http::error::bad_status);
+            co_return make_error_code(http::error::bad_status);
+        if (!canDecodeBody(*parser))
+            co_return make_error_code(http::error::bad_transfer_encoding);
         co_return ErrorCode{};
     }
     co_return make_error_code(beast::http::error::unexpected_body);
--- a/tests/gate/answerofareplicaintroubletest.cpp
+++ b/tests/gate/answerofareplicaintroubletest.cpp
@@ -157,6 +157,48 @@
     checkIsNoAnswer(closing(answer("HTTP/1.1 101 X", "Upgrade: h2c\r\n")));
 }
 
+// Guards against a response whose next line's first byte was spoiled into a blank: the line is lost
+// in the value of the one before it, and with it the length of the body, or its chunks.
+TEST(AnAnswerOfAReplicaInTrouble, hasNoFieldNameThatBeginsWithABlank)
+{
+    const std::string chunked = answer("HTTP/1.1 200 X", "?ransfer-Encoding: chunked\r\n");
+    const std::string withLength = answer("HTTP/1.1 200 X", "?ontent-Length: 2\r\n");
+    for (const std::string &response : {chunked, withLength}) {
+        for (const char blank : {' ', '\t'}) {
+            std::string spoiled = response;
+            spoiled[spoiled.find('?')] = blank;
+            checkIsNoAnswer(closing(spoiled));
+        }
+    }
+}
+
+// The same for a blank or a control byte in the name of any field. AReplyInTrouble tries them all.
+TEST(AnAnswerOfAReplicaInTrouble, hasNoBlankOrControlByteInTheNameOfAField)
+{
+    using namespace std::string_view_literals;
+    const std::string name = "Content-Length";
+    for (const std::size_t at : {std::size_t{0}, std::size_t{7}, name.size()}) {
+        for (const char byte : "\0\t\x1f \x7f"sv) {
+            std::string spoiled = name;
+            spoiled.replace(at, 1, 1, byte);
+            checkIsNoAnswer(closing(answer("HTTP/1.1 200 X", spoiled + ": 4\r\n")));
+        }
+    }
+}
+
+// Guards against a body whose chunks' sizes the caller gets as a part of it.
+TEST(AnAnswerOfAReplicaInTrouble, hasNoTransferCodingButChunked)
+{
+    const std::string chunks = "4\r\ndone\r\n0\r\n\r\n";
+    for (const char *coding : {"chunkec", "identity", "", "gzip, chunked", "chunked, x",
+                               "gzip\r\nTransfer-Encoding: chunked"}) {
+        const std::string fields = "Transfer-Encoding: " + std::string(coding) + "\r\n";
+        std::string response = answer("HTTP/1.1 200 X", fields);
+        response.replace(response.size() - kBody.size(), kBody.size(), chunks);
+        checkIsNoAnswer(closing(response));
+    }
+}
+
 TEST_GROUP(AnEarlyAnswer)
 {
     GatewayFixture fixture;
--- a/tests/upstreamstreamtest.cpp
+++ b/tests/upstreamstreamtest.cpp
@@ -337,8 +337,12 @@
 
 /// Heads that no sound server sends, each followed by a body.
 const std::vector<std::string> kFaultyHeads = {
-    "HTTP/1.1 000 X\r\n\r\n", "HTTP/1.1 099 X\r\n\r\n", "HTTP/1.1 600 X\r\n\r\n",
-    "HTTP/1.1 101 X\r\n\r\n"};
+    "HTTP/1.1 000 X\r\n\r\n",
+    "HTTP/1.1 099 X\r\n\r\n",
+    "HTTP/1.1 600 X\r\n\r\n",
+    "HTTP/1.1 101 X\r\n\r\n",
+    "HTTP/1.1 200 X\r\nX-Own: v\r\n ontent-Length: 2\r\n\r\n",
+    "HTTP/1.1 200 X\r\nTransfer-Encoding: chunkec\r\n\r\n"};
 
 } // namespace
 
@@ -364,3 +368,22 @@
         CHECK(call().outcome == HttpReply::Outcome::Lost);
     }
 }
+
+// Guards against a line that is taken for the end of the one before it, and hides the body's
+// length.
+TEST(AReplyInTrouble, isLostIfABlankOrControlByteIsInTheNameOfAField)
+{
+    constexpr char kBlank = ' ';
+    std::string bytes = "\x7f";
+    for (char byte = 0; byte <= kBlank; ++byte)
+        bytes += byte;
+    const std::string name = "Content-Length";
+    for (std::size_t at = 0; at <= name.size(); ++at) {
+        for (const char byte : bytes) {
+            std::string spoiled = name;
+            spoiled.replace(at, 1, 1, byte);
+            listen({closing("HTTP/1.1 200 X\r\nX-Own: v\r\n" + spoiled + ": 4\r\n\r\ndone")});
+            CHECK(call().outcome == HttpReply::Outcome::Lost);
+        }
+    }
+}
