tests: Show that a head which ends in its middle is no response

It doesn't happen here: both tests, one of which cuts a head at each byte, closed and reset, hold on as well.

--- a/tests/gate/answerofareplicaintroubletest.cpp
+++ b/tests/gate/answerofareplicaintroubletest.cpp
@@ -50,6 +50,14 @@
     return step;
 }
 
+ReplicaStep resetting(std::string response)
+{
+    ReplicaStep step;
+    step.response = std::move(response);
+    step.resetsConnection = true;
+    return step;
+}
+
 /// The body of a response that isn't the gateway's own.
 std::string bodyIfAnswered(const std::string &response)
 {
@@ -199,6 +207,18 @@
     }
 }
 
+// Guards against a response with an empty or a short body from a replica that ended within its
+// head, as other operators reported. AReplyInTrouble tries each place.
+TEST(AnAnswerOfAReplicaInTrouble, isNoAnswerIfItEndsWithinItsHead)
+{
+    const std::string whole = answerWithStatus("200");
+    for (const char *line : {"\r\nX-", "\r\nContent", "\r\n\r\n"}) {
+        const std::size_t cut = whole.find(line) + 2;
+        checkIsNoAnswer(closing(whole.substr(0, cut)));
+        checkIsNoAnswer(resetting(whole.substr(0, cut)));
+    }
+}
+
 TEST_GROUP(AnEarlyAnswer)
 {
     GatewayFixture fixture;
--- a/tests/upstreamstreamtest.cpp
+++ b/tests/upstreamstreamtest.cpp
@@ -387,3 +387,15 @@
         }
     }
 }
+
+// Guards against an empty or a short body from a server that ended within its head.
+TEST(AReplyInTrouble, isLostIfItEndsAnywhereInItsHead)
+{
+    const std::string head = "HTTP/1.1 200 X\r\nX-Own: v\r\nContent-Length: 4\r\n\r\n";
+    for (std::size_t cut = 0; cut < head.size(); ++cut) {
+        listen({closing(head.substr(0, cut))});
+        CHECK(call().outcome == HttpReply::Outcome::Lost);
+        listen({resetting(head.substr(0, cut))});
+        CHECK(call().outcome == HttpReply::Outcome::Lost);
+    }
+}
