gateway: Refuse requests with an unknown transfer coding

The parser ignores transfer codings but chunked and takes such a request for one without a body, so that the body was parsed as the next request on the connection.

A message with any other coding now gets 400, and its connection is closed: from callers of the gateway, from peers that relay, and from callers of the daemon. `canDecodeBody`, which responses are held to already, moves into a header of its own.

ACall withAnUnknownTransferCodingIsRejected fails without the fix (200 in place of 400).

--- a/src/gateway/callerconnection.cpp
+++ b/src/gateway/callerconnection.cpp
@@ -5,6 +5,7 @@
 #include "gateway/relayhead.h"
 #include "gateway/requesthandler.h"
 #include "kernel/logline.h"
+#include "net/transfercoding.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/write.hpp>
@@ -122,6 +123,8 @@
     const auto [headError, headSize] =
         co_await http::async_read_header(m_stream, m_buffer, parser, kAwait);
     ErrorCode error = headError;
+    if (!error && !canDecodeBody(parser.get()))
+        error = http::error::bad_transfer_encoding;
     if (!error) {
         m_stream.expires_after(limits.idleTimeout);
         error = co_await readBody(parser);
--- a/src/net/httpfrontend.cpp
+++ b/src/net/httpfrontend.cpp
@@ -2,6 +2,7 @@
 #include "net/httpfrontend.h"
 
 #include "net/listen.h"
+#include "net/transfercoding.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -173,6 +174,8 @@
         co_await http::async_read_header(stream, buffer, parser, kAwait);
     if (headerError)
         co_return headerError;
+    if (!canDecodeBody(parser.get()))
+        co_return make_error_code(http::error::bad_transfer_encoding);
     // A caller that sent "Expect: 100-continue" waits for this response before it sends the body.
     const bool expectsContinue =
         beast::iequals(parser.get()[http::field::expect], "100-continue") && !parser.is_done();
--- a/src/net/responsehead.h
+++ b/src/net/responsehead.h
@@ -5,12 +5,11 @@
 #pragma once
 
 #include "net/asiotypes.h"
+#include "net/transfercoding.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/field.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include <boost/optional.hpp>
@@ -60,19 +59,6 @@
 Task<HeadBytes> receiveHeadBytes(beast::tcp_stream &stream, beast::flat_buffer &buffer,
                                  std::size_t maxBytes);
 
-/// Whether the body's transfer coding, if any, can be decoded here. Otherwise the caller would get
-/// the coded bytes.
-template <class Parser>
-bool canDecodeBody(const Parser &parser)
-{
-    const auto [begin, end] = parser.get().equal_range(beast::http::field::transfer_encoding);
-    for (auto field = begin; field != end; ++field) {
-        if (!beast::iequals(field->value(), "chunked"))
-            return false;
-    }
-    return true;
-}
-
 /// Receives the head of the response into a new parser. Fails if the head isn't valid, or if too
 /// many interim responses precede it.
 template <class Body>
@@ -100,7 +86,7 @@
             continue;
         if (!isFinalStatus(status))
             co_return make_error_code(http::error::bad_status);
-        if (!canDecodeBody(*parser))
+        if (!canDecodeBody(parser->get()))
             co_return make_error_code(http::error::bad_transfer_encoding);
         co_return ErrorCode{};
     }
--- a/tests/gate/requesthandlertest.cpp
+++ b/tests/gate/requesthandlertest.cpp
@@ -151,6 +151,23 @@
     LONGS_EQUAL(0, replica.requests().size());
 }
 
+// Guards against a request that is smuggled inside the body of another one, whose end can't be
+// told, as its transfer coding isn't known.
+TEST(ACall, withAnUnknownTransferCodingIsRejected)
+{
+    auto &replica = fixture.addReplica("a", "desk", {{fullResponse(200, "x")}});
+    const std::string inner = GatewayFixture::request("POST", "/order/2", "Content-Length: 0\r\n");
+    for (const char *coding : {"identity", "xchunked", "chunked, identity", "gzip, chunked", "",
+                               "gzip\r\nTransfer-Encoding: chunked"}) {
+        std::string request = GatewayFixture::request(
+            "POST", "/order/1", "Transfer-Encoding: " + std::string(coding) + "\r\n");
+        request.erase(request.find("Connection: close\r\n"), sizeof("Connection: close\r\n") - 1);
+        const std::string response = fixture.call(request + inner);
+        LONGS_EQUAL(400, statusOf(response));
+        LONGS_EQUAL(0, replica.requests().size());
+    }
+}
+
 TEST(ACall, isRetriedAtAnotherReplicaIfOneDidNotExecuteIt)
 {
     auto &first = fixture.addReplica("a", "desk", {{notExecuted()}});
--- a/tests/process/api.sh
+++ b/tests/process/api.sh
@@ -20,5 +20,25 @@
     check "$(head -n 1 "$example" | cut -c1-60)" has_response
 done
 check "docs/API.md contains four examples" test "$(ls "$work_dir"/example-*.sh | wc -l)" = 4
+# Guards against a request that is smuggled inside the body of another one.
+status_of_unknown_coding() { # transfer coding; the status of the first response
+    python3 - "$CALLER" "$1" <<'PY'
+import socket, sys
+host, port = sys.argv[1].split("//")[1].split(":")
+caller = socket.create_connection((host, int(port)), timeout=5)
+inner = b"GET /v1/models HTTP/1.1\r\nHost: a\r\n\r\n"
+caller.sendall(b"POST /services/desk/order HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: " + sys.argv[2].encode() + b"\r\n\r\n" + inner)
+received = b""
+try:
+    while part := caller.recv(65536):
+        received += part
+except OSError:
+    pass
+print(received[9:12].decode(), received.count(b"HTTP/1.1 "))
+PY
+}
+for coding in identity xchunked "chunked, identity"; do
+    check "a body with the transfer coding '$coding' is refused" test "$(status_of_unknown_coding "$coding")" = "400 1"
+done
 echo "api examples: $passed_checks held, $failed_checks not held"
 exit "$((failed_checks > 0))"
