gateway: Hold a request to the limits that are in force as it arrives

The limits were read before the wait for the request's first byte, which lasts as long as the connection is idle.

They are now read once the request has begun to arrive. The idle timer had the same cause: it now looks at the configuration of the moment at which it expires, so that a raised idle time holds for connections that are idle already.

--- a/src/gateway/callerconnection.cpp
+++ b/src/gateway/callerconnection.cpp
@@ -38,6 +38,7 @@
     , m_state(state)
     , m_origin(origin)
     , m_watchEndedTimer(m_stream.get_executor())
+    , m_idleTimer(m_stream.get_executor())
 {
 }
 
@@ -94,13 +95,35 @@
     m_stream.cancel();
 }
 
-Task<bool> CallerConnection::awaitRequest(Duration idleTimeout)
+CallerLimits CallerConnection::limits() const
 {
+    return m_state.routes() ? m_state.routes()->limits() : CallerLimits{};
+}
+
+void CallerConnection::closeWhenIdle(TimePoint idleSince)
+{
+    m_idleTimer.expires_at(idleSince + limits().idleTimeout);
+    m_idleTimer.async_wait([weak = weak_from_this(), idleSince](ErrorCode error) {
+        const auto self = weak.lock();
+        if (error || !self)
+            return;
+        // A new configuration may allow more time than the one at the start of the wait.
+        const bool isDue = self->m_state.clock.now() >= idleSince + self->limits().idleTimeout;
+        if (isDue)
+            self->closeIfIdle();
+        else
+            self->closeWhenIdle(idleSince);
+    });
+}
+
+Task<bool> CallerConnection::awaitRequest()
+{
+    m_stream.expires_never();
+    closeWhenIdle(m_state.clock.now());
     while (m_buffer.size() == 0) {
         ErrorCode ignored;
         if (m_isClosing && m_stream.socket().available(ignored) == 0)
             co_return false;
-        m_stream.expires_after(idleTimeout);
         const auto [error, size] =
             co_await m_stream.async_read_some(m_buffer.prepare(kReadAheadStep), kAwait);
         m_buffer.commit(size);
@@ -108,16 +131,17 @@
         if (error && !isCancelled)
             co_return false;
     }
+    m_idleTimer.cancel();
     co_return true;
 }
 
 Task<bool> CallerConnection::readRequest(Parser &parser)
 {
-    const CallerLimits limits = m_state.routes() ? m_state.routes()->limits() : CallerLimits{};
+    if (!co_await awaitRequest())
+        co_return false;
+    const CallerLimits limits = this->limits();
     parser.header_limit(limits.maxHeaderBytes);
     parser.body_limit(limits.maxBodyBytes);
-    if (!co_await awaitRequest(limits.idleTimeout))
-        co_return false;
     m_isBusy = true;
     m_stream.expires_after(limits.headerTimeout);
     const auto [headError, headSize] =
--- a/src/gateway/callerconnection.h
+++ b/src/gateway/callerconnection.h
@@ -71,9 +71,14 @@
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    /// The limits that are in force now.
+    CallerLimits limits() const;
     /// Waits for the first bytes of a request. False if none come and the connection must be
     /// closed.
-    Task<bool> awaitRequest(Duration idleTimeout);
+    Task<bool> awaitRequest();
+    /// Closes the connection once it has been idle since `idleSince` for as long as the
+    /// configuration of that moment allows.
+    void closeWhenIdle(TimePoint idleSince);
     /// Reads one request. On an error it sends the error status that fits, if any, and returns
     /// false; the connection must then be closed.
     Task<bool> readRequest(Parser &parser);
@@ -106,6 +111,7 @@
     Origin m_origin;
     asio::cancellation_signal m_watchCancel;
     asio::steady_timer m_watchEndedTimer;
+    asio::steady_timer m_idleTimer;
     bool m_isWatching = false;
     bool m_isWatchStopping = false;
     bool m_isDisconnected = false;
--- a/tests/gate/callerconnectiontest.cpp
+++ b/tests/gate/callerconnectiontest.cpp
@@ -1,5 +1,7 @@
-// A caller's connection that the gateway closes while a request arrives.
+// A caller's connection that the gateway closes while a request arrives, and one that is kept while
+// the configuration changes.
 #include "gatewayfixture.h"
+#include "responsetext.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -65,3 +67,98 @@
     }
     CHECK(!replica.requests().empty());
 }
+
+namespace {
+
+std::string routesWithLimits(int version, std::size_t maxBodyBytes, Duration idleTimeout)
+{
+    const auto idleMs = std::chrono::duration_cast<std::chrono::milliseconds>(idleTimeout).count();
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[
+ {"host":"f.example","prefix":"/order/","routeKind":"non_idempotent","timeoutMs":4000,
+  "goalMs":500,"service":"desk","maxAttempts":1,"public":true}],
+ "services":[{"name":"desk","maxConnections":100}],
+ "limits":{"maxHeaderBytes":16384,"headerTimeoutMs":3000,"maxBodyBytes":)"
+        + std::to_string(maxBodyBytes) + R"(,"idleTimeoutMs":)" + std::to_string(idleMs) + "}}";
+}
+
+} // namespace
+
+TEST_GROUP(AKeptCallerConnection)
+{
+    static constexpr std::size_t kSmallBytes = 1000;
+    static constexpr std::size_t kLargeBytes = 100'000;
+    static constexpr Duration kShortTime = std::chrono::milliseconds{100};
+    static constexpr Duration kLongTime = std::chrono::seconds{30};
+
+    GatewayFixture fixture;
+    Tcp::socket caller{fixture.context};
+    std::shared_ptr<CallerConnection> connection;
+
+    void connect()
+    {
+        Tcp::acceptor acceptor(fixture.context,
+                               Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        caller.connect(acceptor.local_endpoint());
+        caller.non_blocking(true);
+        connection = std::make_shared<CallerConnection>(acceptor.accept(), fixture.state);
+        asio::co_spawn(fixture.context, connection->run(connection), asio::detached);
+    }
+    /// Sends a request on the connection and returns the status of the response; zero if none
+    /// comes.
+    int callWithBody(std::size_t bytes)
+    {
+        std::string request =
+            GatewayFixture::request("POST", "/order/1", "", std::string(bytes, 'x'));
+        request.erase(request.find("Connection: close\r\n"), sizeof("Connection: close\r\n") - 1);
+        ErrorCode error;
+        asio::write(caller, asio::buffer(request), error);
+        std::string response(4096, ' ');
+        std::size_t size = 0;
+        constexpr int kMostWaits = 100;
+        for (int i = 0; i < kMostWaits && size == 0; ++i) {
+            fixture.runFor(std::chrono::milliseconds{10});
+            size = caller.read_some(asio::buffer(response), error);
+        }
+        response.resize(size);
+        return statusOf(response);
+    }
+};
+
+// Guards against a request that a new configuration allows, and that is refused by the limits which
+// were in force when its connection became idle.
+TEST(AKeptCallerConnection, obeysTheLimitsThatAreInForceAsARequestArrives)
+{
+    fixture.addReplica("a", "desk", {{fullResponse(200, "done")}});
+    fixture.configure(routesWithLimits(1, kSmallBytes, kLongTime));
+    connect();
+    LONGS_EQUAL(200, callWithBody(kSmallBytes));
+    fixture.runFor(kShortTime);
+    fixture.configure(routesWithLimits(2, kLargeBytes, kLongTime));
+    LONGS_EQUAL(200, callWithBody(kLargeBytes));
+    fixture.runFor(kShortTime);
+    fixture.configure(routesWithLimits(3, kSmallBytes, kLongTime));
+    LONGS_EQUAL(413, callWithBody(kLargeBytes));
+}
+
+// The same for the time for which it may be idle.
+TEST(AKeptCallerConnection, staysOpenForTheTimeThatANewConfigurationAllows)
+{
+    fixture.addReplica("a", "desk", {{fullResponse(200, "done")}});
+    fixture.configure(routesWithLimits(1, kSmallBytes, 2 * kShortTime));
+    connect();
+    LONGS_EQUAL(200, callWithBody(kSmallBytes));
+    fixture.runFor(kShortTime);
+    fixture.configure(routesWithLimits(2, kSmallBytes, kLongTime));
+    fixture.runFor(3 * kShortTime);
+    LONGS_EQUAL(200, callWithBody(kSmallBytes));
+}
+
+TEST(AKeptCallerConnection, isClosedOnceItHasBeenIdleForTooLong)
+{
+    fixture.addReplica("a", "desk", {{fullResponse(200, "done")}});
+    fixture.configure(routesWithLimits(1, kSmallBytes, kShortTime));
+    connect();
+    LONGS_EQUAL(200, callWithBody(kSmallBytes));
+    fixture.runFor(3 * kShortTime);
+    LONGS_EQUAL(0, callWithBody(kSmallBytes));
+}
