gateway: Let callers read their response until their deadline

An answer with a length is one write, and each write had ten seconds, however steadily it was read.

A write may now take until the request's deadline, and at least as long as before (`limits.write_timeout_s`). What waits is bounded by ResponseMemory, as it was.

ASlowReader getsAllOfItsResponseWithinItsDeadline fails without the fix (with the old bound in place of the new one).

--- a/src/gateway/callerconnection.cpp
+++ b/src/gateway/callerconnection.cpp
@@ -17,6 +17,8 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace arbutuspier {
 
 namespace http = boost::beast::http;
@@ -28,8 +30,6 @@
 /// Most bytes of further requests that are buffered while one is served.
 constexpr std::size_t kMaxReadAhead = 64 * 1024;
 constexpr std::size_t kReadAheadStep = 4 * 1024;
-/// The connection is closed if the caller doesn't accept a write within this time.
-constexpr Duration kWriteTimeout = std::chrono::seconds{10};
 
 } // namespace
 
@@ -51,6 +51,7 @@
         if (!keepsOpen)
             break;
         m_isBusy = true;
+        m_responseDeadline = TimePoint{};
         Request request = parser.release();
         m_wantsKeepAlive = request.keep_alive();
         startDisconnectWatch();
@@ -212,7 +213,8 @@
 template <class Start>
 Task<bool> CallerConnection::writeWithTimeout(Start start)
 {
-    m_stream.expires_after(kWriteTimeout);
+    const TimePoint timeout = m_state.clock.now() + m_state.settings.writeTimeout;
+    m_stream.expires_at(std::max(timeout, m_responseDeadline));
     const auto [error, size] = co_await start();
     m_stream.expires_never();
     if (error)
--- a/src/gateway/callerconnection.h
+++ b/src/gateway/callerconnection.h
@@ -52,9 +52,13 @@
     std::function<void()> onDisconnect;
     /// Called when this VM begins to drain while a request is served.
     std::function<void()> onDrain;
+    /// Sets how long the caller waits for the response to the current request. Until then it may
+    /// read as slowly as it likes.
+    void setResponseDeadline(TimePoint at) { m_responseDeadline = at; }
 
     // The functions below return false if the caller has disconnected, the write failed, or the
-    // caller didn't accept the bytes in time.
+    // caller didn't accept the bytes in time: until the response deadline, and for at least
+    // GatewaySettings::writeTimeout.
 
     /// Sends a complete response with a Content-Length.
     Task<bool> sendResponse(int status, platform::Fields fields, std::string body);
@@ -86,8 +90,8 @@
     /// Sends the status that fits the error of reading a request, if any does. Always false.
     Task<bool> rejectBadRequest(ErrorCode error);
     Task<bool> write(const std::string &bytes);
-    /// Awaits the write that `start` begins, for at most the write timeout. False if it failed; the
-    /// connection is then closed after the current request.
+    /// Awaits the write that `start` begins. False if it failed; the connection is then closed
+    /// after the current request.
     template <class Start>
     Task<bool> writeWithTimeout(Start start);
     /// Sets the status, the fields and whether the connection stays open after the response.
@@ -116,6 +120,7 @@
     bool m_isWatchStopping = false;
     bool m_isDisconnected = false;
     TimePoint m_disconnectedAt{};
+    TimePoint m_responseDeadline{};
     bool m_isBusy = false;
     bool m_wantsKeepAlive = true;
     bool m_isClosing = false;
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -131,6 +131,7 @@
         settings.seedHosts.push_back(seed.substr(0, seed.rfind(':')));
     settings.capacity.cores = reader.number("limits.cores", settings.capacity.cores);
     settings.capacity.linkMbps = reader.number("limits.link_mbps", settings.capacity.linkMbps);
+    settings.writeTimeout = reader.seconds("limits.write_timeout_s", settings.writeTimeout);
     settings.drainBound = reader.milliseconds("bounds.drain_ms", settings.drainBound);
     settings.configBound = reader.milliseconds("bounds.config_ms", settings.configBound);
     settings.replicaHeartbeat =
@@ -164,6 +165,7 @@
                                               const GatewaySettings &reloaded)
 {
     active.seedHosts = reloaded.seedHosts;
+    active.writeTimeout = reloaded.writeTimeout;
     active.drainBound = reloaded.drainBound;
     active.configBound = reloaded.configBound;
     active.grace = reloaded.grace;
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -54,6 +54,9 @@
     /// What a cold replica bears in a second beyond the rate that its service names; empty if cold
     /// replicas aren't limited.
     std::optional<ColdBound> coldBound;
+    /// Shortest time that a caller has to accept what is written to it. It has longer if it waits
+    /// for longer.
+    Duration writeTimeout = std::chrono::seconds{10};
     /// Requests are placed by what similar ones cost and by the work left at each replica.
     bool learnedCost = false;
 };
--- a/src/gateway/requesthandler.cpp
+++ b/src/gateway/requesthandler.cpp
@@ -214,6 +214,7 @@
     constexpr Duration kDefaultTimeout = std::chrono::seconds{30};
     if (hasNoDeadline)
         m_callerDeadline = m_arrivedAt + kDefaultTimeout;
+    m_caller.setResponseDeadline(std::min(m_callerDeadline, m_routeDeadline));
 }
 
 PromptShape RequestHandler::promptShape() const
--- a/tests/gate/callerconnectiontest.cpp
+++ b/tests/gate/callerconnectiontest.cpp
@@ -162,3 +162,60 @@
     fixture.runFor(3 * kShortTime);
     LONGS_EQUAL(0, callWithBody(kSmallBytes));
 }
+
+TEST_GROUP_BASE(ASlowReader, TEST_GROUP_CppUTestGroupAKeptCallerConnection)
+{
+    /// More than the buffers of a connection hold.
+    static constexpr std::size_t kBodyBytes = 7UL * 1024 * 1024;
+
+    void setup() override
+    {
+        fixture.settings.writeTimeout = kShortTime;
+        fixture.addReplica("a", "desk", {{fullResponse(200, std::string(kBodyBytes, 'x'))}});
+        fixture.configure(routesWithLimits(1, kSmallBytes, kLongTime));
+        connect();
+    }
+    void send(Duration deadline)
+    {
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(deadline).count();
+        asio::write(caller,
+                    asio::buffer("GET /order/1 HTTP/1.1\r\nHost: f.example\r\n"
+                                 "X-Arbutuspier-Attempt-Id: id1\r\nX-Arbutuspier-Deadline-Ms: "
+                                 + std::to_string(ms) + "\r\n\r\n"));
+    }
+    /// Reads all that there is, until nothing more comes for a moment.
+    std::size_t readAll()
+    {
+        std::vector<char> bytes(1024UL * 1024);
+        std::size_t total = 0;
+        constexpr int kMostWaits = 10;
+        for (int waits = 0; waits < kMostWaits;) {
+            ErrorCode error;
+            const std::size_t size = caller.read_some(asio::buffer(bytes), error);
+            total += size;
+            waits = size > 0 ? 0 : waits + 1;
+            fixture.runFor(std::chrono::milliseconds{10});
+        }
+        return total;
+    }
+};
+
+// Guards against a response that is cut off though its caller still waits for it, and reads on.
+TEST(ASlowReader, getsAllOfItsResponseWithinItsDeadline)
+{
+    constexpr Duration kDeadline = std::chrono::seconds{4};
+    send(kDeadline);
+    fixture.runFor(4 * kShortTime);
+    CHECK(readAll() > kBodyBytes);
+}
+
+// Guards against memory that a caller holds for good as it never reads its response.
+TEST(ASlowReader, isCutOffOnceItsDeadlineAndTheTimeForWritesAreOver)
+{
+    send(2 * kShortTime);
+    fixture.runFor(kShortTime);
+    CHECK(connection->isBusy());
+    fixture.runFor(3 * kShortTime);
+    CHECK(!connection->isBusy());
+    CHECK(readAll() < kBodyBytes);
+}
--- a/tests/gate/settingsandlogsinktest.cpp
+++ b/tests/gate/settingsandlogsinktest.cpp
@@ -29,6 +29,7 @@
 [limits]
 cores = 0.084
 link_mbps = 14
+write_timeout_s = 4
 [bounds]
 drain_ms = 2000
 grace_s = 8
@@ -53,6 +54,7 @@
     DOUBLES_EQUAL(102, settings->retrySlack, 1e-9);
     DOUBLES_EQUAL(0.084, settings->capacity.cores, 1e-9);
     DOUBLES_EQUAL(14, settings->capacity.linkMbps, 1e-9);
+    CHECK(settings->writeTimeout == std::chrono::seconds{4});
 }
 
 TEST(GatewaySettingsFile, placesRequestsByLearnedCostOnlyIfItSaysSo)
