gateway: Bound the memory of all requests together

Nothing bounded what requests hold, and each attempt had a copy of the body.

MemoryBudget, so far ResponseMemory, bounds the bodies of requests too, by the VM's memory (`limits.memory_mb`). Attempts and backups send the body from where it is. A connection whose request was rejected unread is read on for a moment, as its reset would take the response from the caller.

--- a/src/gateway/callerconnection.cpp
+++ b/src/gateway/callerconnection.cpp
@@ -18,6 +18,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <array>
 
 namespace arbutuspier {
 
@@ -27,9 +28,14 @@
 
 constexpr int kHttp11 = 11;
 constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
 /// Most bytes of further requests that are buffered while one is served.
 constexpr std::size_t kMaxReadAhead = 64 * 1024;
 constexpr std::size_t kReadAheadStep = 4 * 1024;
+/// Sent if requests take too much memory. It is short, as another VM may have some.
+constexpr Duration kRetryWithoutMemory = std::chrono::milliseconds{300};
+/// For this long, a caller may go on sending a request that was rejected before it was read.
+constexpr Duration kDiscardTime = std::chrono::seconds{2};
 
 } // namespace
 
@@ -47,7 +53,8 @@
     bool keepsOpen = true;
     while (keepsOpen) {
         Parser parser;
-        keepsOpen = co_await readRequest(parser);
+        MemoryBudget::Share memory(m_state.requestMemory);
+        keepsOpen = co_await readRequest(parser, memory);
         if (!keepsOpen)
             break;
         m_isBusy = true;
@@ -136,7 +143,7 @@
     co_return true;
 }
 
-Task<bool> CallerConnection::readRequest(Parser &parser)
+Task<bool> CallerConnection::readRequest(Parser &parser, MemoryBudget::Share &memory)
 {
     if (!co_await awaitRequest())
         co_return false;
@@ -152,49 +159,91 @@
         error = http::error::bad_transfer_encoding;
     if (!error) {
         m_stream.expires_after(limits.idleTimeout);
-        error = co_await readBody(parser);
+        error = co_await readBody(parser, memory);
     }
     m_stream.expires_never();
     m_isBusy = false;
     if (!error)
         co_return true;
-    co_return co_await rejectBadRequest(error);
+    co_return co_await rejectUnreadRequest(parser, error);
 }
 
-Task<ErrorCode> CallerConnection::readBody(Parser &parser)
+Task<ErrorCode> CallerConnection::readBody(Parser &parser, MemoryBudget::Share &memory)
 {
+    const auto noMemory = make_error_code(boost::system::errc::not_enough_memory);
+    const auto length = parser.content_length();
+    if (length && !memory.resize(*length))
+        co_return noMemory;
     const bool expectsContinue =
         beast::iequals(parser.get()[http::field::expect], "100-continue") && !parser.is_done();
     if (expectsContinue && !co_await write("HTTP/1.1 100 Continue\r\n\r\n"))
         co_return asio::error::connection_reset;
-    const auto [error, size] = co_await http::async_read(m_stream, m_buffer, parser, kAwait);
-    co_return error;
+    while (!parser.is_done()) {
+        const auto [error, size] =
+            co_await http::async_read_some(m_stream, m_buffer, parser, kAwait);
+        if (error)
+            co_return error;
+        if (!length && !memory.resize(parser.get().body().capacity()))
+            co_return noMemory;
+    }
+    co_return ErrorCode{};
+}
+
+platform::Fields CallerConnection::refusalFields(const Parser &parser) const
+{
+    platform::Fields fields;
+    const platform::CallerHead head = platform::readCallerHead(parser.get().base());
+    platform::setGatewayResponseFields(fields, head.requestId, kRetryWithoutMemory);
+    if (m_origin == Origin::Peer) {
+        platform::setNotExecuted(fields);
+        setRelayReport(fields, {0, true});
+    }
+    return fields;
 }
 
-Task<bool> CallerConnection::rejectBadRequest(ErrorCode error)
+Task<bool> CallerConnection::rejectUnreadRequest(const Parser &parser, ErrorCode error)
 {
     m_wantsKeepAlive = false;
     int status = 0;
+    platform::Fields fields;
     if (error == http::error::header_limit)
         status = 431;
     else if (error == http::error::body_limit)
         status = 413;
     else if (error == beast::error::timeout)
         status = 408;
+    else if (error == boost::system::errc::not_enough_memory)
+        status = kUnavailable;
     else if (error.category() == http::make_error_code(http::error::bad_method).category()
              && error != http::error::end_of_stream && error != http::error::partial_message)
         status = kBadRequest;
     if (status == 0)
         co_return false;
+    if (status == kUnavailable)
+        fields = refusalFields(parser);
     LOG(INFO) << LogLine("request_rejected")
                      .add("status", static_cast<std::uint64_t>(status))
                      .add("cause", error.message())
                      .text();
     m_state.metrics.incrementCounter("rejected", std::to_string(status));
-    co_await sendResponse(status, {}, {});
+    if (co_await sendResponse(status, std::move(fields), {}))
+        co_await discardInput();
     co_return false;
 }
 
+Task<void> CallerConnection::discardInput()
+{
+    ErrorCode ignored;
+    m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    m_stream.expires_after(kDiscardTime);
+    std::array<char, kReadAheadStep> bytes;
+    while (true) {
+        const auto [error, size] = co_await m_stream.async_read_some(asio::buffer(bytes), kAwait);
+        if (error)
+            co_return;
+    }
+}
+
 template <class Response>
 void CallerConnection::setHead(Response &response, int status, platform::Fields fields)
 {
--- a/src/gateway/callerconnection.h
+++ b/src/gateway/callerconnection.h
@@ -83,12 +83,18 @@
     /// Closes the connection once it has been idle since `idleSince` for as long as the
     /// configuration of that moment allows.
     void closeWhenIdle(TimePoint idleSince);
-    /// Reads one request. On an error it sends the error status that fits, if any, and returns
-    /// false; the connection must then be closed.
-    Task<bool> readRequest(Parser &parser);
-    Task<ErrorCode> readBody(Parser &parser);
+    /// Reads one request, whose body counts as `memory`. On an error it sends the error status that
+    /// fits, if any, and returns false; the connection must then be closed.
+    Task<bool> readRequest(Parser &parser, MemoryBudget::Share &memory);
+    Task<ErrorCode> readBody(Parser &parser, MemoryBudget::Share &memory);
     /// Sends the status that fits the error of reading a request, if any does. Always false.
-    Task<bool> rejectBadRequest(ErrorCode error);
+    Task<bool> rejectUnreadRequest(const Parser &parser, ErrorCode error);
+    /// Fields of the response to a request for whose body there is no memory: another VM, or this
+    /// one later, may have some.
+    platform::Fields refusalFields(const Parser &parser) const;
+    /// Reads on for a while and discards what comes, as closing a connection with unread bytes
+    /// resets it, and the caller might lose the response.
+    Task<void> discardInput();
     Task<bool> write(const std::string &bytes);
     /// Awaits the write that `start` begins. False if it failed; the connection is then closed
     /// after the current request.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -168,6 +168,7 @@
         static_cast<double>(m_state.work.estimateCount() + m_state.outputLengths.size()));
     metrics.setGauge("lost_paths", static_cast<double>(m_state.paths.lostServices().size()));
     metrics.setGauge("vms", static_cast<double>(m_state.vmCount()));
+    metrics.setGauge("request_bytes", static_cast<double>(m_state.requestMemory.used()));
     metrics.setGauge("response_bytes", static_cast<double>(m_state.responseMemory.used()));
     metrics.setGauge("idle_connections", static_cast<double>(m_state.pool.idleCount()));
     metrics.setGauge("store_calls",
--- a/src/gateway/gatewaysettings.cpp
+++ b/src/gateway/gatewaysettings.cpp
@@ -131,6 +131,9 @@
         settings.seedHosts.push_back(seed.substr(0, seed.rfind(':')));
     settings.capacity.cores = reader.number("limits.cores", settings.capacity.cores);
     settings.capacity.linkMbps = reader.number("limits.link_mbps", settings.capacity.linkMbps);
+    constexpr double kMegabyte = 1e6;
+    settings.memoryBytes =
+        static_cast<std::size_t>(kMegabyte * reader.number("limits.memory_mb", 0));
     settings.writeTimeout = reader.seconds("limits.write_timeout_s", settings.writeTimeout);
     settings.drainBound = reader.milliseconds("bounds.drain_ms", settings.drainBound);
     settings.configBound = reader.milliseconds("bounds.config_ms", settings.configBound);
@@ -193,6 +196,8 @@
                     std::to_string(reloaded.capacity.cores));
     reportIfChanged("limits.link_mbps", std::to_string(active.capacity.linkMbps),
                     std::to_string(reloaded.capacity.linkMbps));
+    reportIfChanged("limits.memory_mb", std::to_string(active.memoryBytes),
+                    std::to_string(reloaded.memoryBytes));
     reportIfChanged("platform.store", active.store.text(), reloaded.store.text());
     return needsRestart;
 }
--- a/src/gateway/gatewaysettings.h
+++ b/src/gateway/gatewaysettings.h
@@ -39,6 +39,8 @@
     std::vector<std::string> seedHosts;
     /// What this VM has; zero where the settings don't say it.
     VmCapacity capacity;
+    /// Memory of this VM; zero if the settings don't say it.
+    std::size_t memoryBytes = 0;
     /// Longest time from when a replica's departure is seen until it gets no new requests.
     Duration drainBound = std::chrono::seconds{2};
     /// Longest time until a new configuration is active.
--- a/src/gateway/gatewaystate.cpp
+++ b/src/gateway/gatewaystate.cpp
@@ -50,7 +50,8 @@
     , durations({})
     , work({}, {})
     , outputLengths({})
-    , responseMemory({})
+    , requestMemory(requestMemoryOf(settings.memoryBytes))
+    , responseMemory(responseMemoryOf(settings.memoryBytes))
     , pool({})
     , suspects(executor, clock, metrics, settings.replicaHeartbeat)
     , dispatchQueue(executor, clock, settings.vm, settings.zone, directory, groups, load, health,
--- a/src/gateway/gatewaystate.h
+++ b/src/gateway/gatewaystate.h
@@ -20,8 +20,8 @@
 #include "gateway/dispatchqueue.h"
 #include "gateway/gatewaymetrics.h"
 #include "gateway/gatewaysettings.h"
+#include "gateway/memorybudget.h"
 #include "gateway/relaypeers.h"
-#include "gateway/responsememory.h"
 #include "gateway/suspecttracker.h"
 #include "gateway/upstreampaths.h"
 #include "gateway/upstreampool.h"
@@ -159,7 +159,10 @@
     RemainingWork work;
     /// How long responses of engines are, in output tokens.
     CostEstimates outputLengths;
-    ResponseMemory responseMemory;
+    /// Bodies of requests, from their arrival until they are answered.
+    MemoryBudget requestMemory;
+    /// Responses that are collected whole.
+    MemoryBudget responseMemory;
     UpstreamPool pool;
     GatewayMetrics metrics;
     SuspectTracker suspects;
--- a/src/gateway/memoryreservation.cpp
+++ b/src/gateway/memoryreservation.cpp
@@ -41,7 +41,9 @@
     UpstreamAttempt attempt(state.executor, state.pool, replica.incarnation());
     attempt.setSentAt(state.clock.now());
     attempt.expireAt(attempt.sentAt() + kOrderTimeout);
-    const auto sent = co_await attempt.send(order, replica.address, false, kConnectTimeout);
+    UpstreamAttempt::Request request(boost::beast::http::request_header<>(order.base()));
+    request.body() = {order.body().data(), order.body().size()};
+    const auto sent = co_await attempt.send(request, replica.address, false, kConnectTimeout);
     state.metrics.incrementCounter(
         "orders", sent == UpstreamAttempt::SendResult::GotHead ? "answered" : "lost");
     if (sent != UpstreamAttempt::SendResult::GotHead)
--- a/src/gateway/requesthandler.h
+++ b/src/gateway/requesthandler.h
@@ -109,7 +109,7 @@
     /// those of all requests together are.
     static Task<UpstreamAttempt::ReadProgress> collectResponse(UpstreamAttempt &attempt,
                                                                std::string &body,
-                                                               ResponseMemory::Share &share);
+                                                               MemoryBudget::Share &share);
     Task<AttemptOutcome> readStream(UpstreamAttempt &attempt, const DispatchGrant &grant);
     /// Forwards events to the caller, after the response head before the first ones. False if the
     /// caller has disconnected.
--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -58,7 +58,7 @@
     request.version(m_request.version());
     request.method_string(m_request.method_string());
     request.target(m_request.target());
-    request.body() = m_request.body();
+    request.body() = {m_request.body().data(), m_request.body().size()};
     const bool hasBody = !m_request.body().empty() || m_request.has_content_length();
     if (hasBody)
         request.content_length(m_request.body().size());
@@ -232,7 +232,7 @@
 
 Task<UpstreamAttempt::ReadProgress> RequestHandler::collectResponse(UpstreamAttempt &attempt,
                                                                     std::string &body,
-                                                                    ResponseMemory::Share &share)
+                                                                    MemoryBudget::Share &share)
 {
     UpstreamAttempt::ReadProgress progress = UpstreamAttempt::ReadProgress::More;
     bool hasRoom = true;
@@ -246,7 +246,7 @@
 Task<RequestHandler::AttemptOutcome> RequestHandler::readFullResponse(UpstreamAttempt &attempt)
 {
     std::string body;
-    ResponseMemory::Share share(m_state.responseMemory);
+    MemoryBudget::Share share(m_state.responseMemory);
     const auto progress = co_await collectResponse(attempt, body, share);
     if (m_caller.isDisconnected())
         co_return AttemptOutcome::CallerDisconnected;
--- a/src/gateway/requesthandlerbackup.cpp
+++ b/src/gateway/requesthandlerbackup.cpp
@@ -169,7 +169,7 @@
 {
     UpstreamAttempt &attempt = *backup.upstream;
     std::string body;
-    ResponseMemory::Share share(m_state.responseMemory);
+    MemoryBudget::Share share(m_state.responseMemory);
     const auto progress = co_await collectResponse(attempt, body, share);
     if (backup.isCancelled)
         co_return cancelledOutcome();
--- a/src/gateway/upstreamattempt.h
+++ b/src/gateway/upstreamattempt.h
@@ -9,7 +9,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/span_body.hpp>
 
 #include <functional>
 #include <memory>
@@ -21,7 +21,8 @@
 class UpstreamAttempt
 {
 public:
-    using Request = boost::beast::http::request<boost::beast::http::string_body>;
+    /// The body is not copied: it must live until send() has returned.
+    using Request = boost::beast::http::request<boost::beast::http::span_body<const char>>;
 
     /// Outcome of sending the request.
     enum class SendResult : std::uint8_t {
--- a/tests/gate/settingsandlogsinktest.cpp
+++ b/tests/gate/settingsandlogsinktest.cpp
@@ -30,6 +30,7 @@
 cores = 0.084
 link_mbps = 14
 write_timeout_s = 4
+memory_mb = 112
 [bounds]
 drain_ms = 2000
 grace_s = 8
@@ -55,6 +56,7 @@
     DOUBLES_EQUAL(0.084, settings->capacity.cores, 1e-9);
     DOUBLES_EQUAL(14, settings->capacity.linkMbps, 1e-9);
     CHECK(settings->writeTimeout == std::chrono::seconds{4});
+    LONGS_EQUAL(112'000'000, settings->memoryBytes);
 }
 
 TEST(GatewaySettingsFile, placesRequestsByLearnedCostOnlyIfItSaysSo)
