net: Take no response whose body doesn't fit its head

Found by reading, with the reports on heads of replicas in trouble: a wrong byte may leave the head valid.

A response that ends with its connection, and whose body is whole in the chunked coding, is now broken; so is a 204 that announces a body, which HTTP forbids.

--- a/src/gateway/requesthandlerattempt.cpp
+++ b/src/gateway/requesthandlerattempt.cpp
@@ -5,6 +5,7 @@
 #include "arbutuspier/forecast.h"
 #include "kernel/httpstatus.h"
 #include "kernel/logline.h"
+#include "net/transfercoding.h"
 
 #include <glog/logging.h>
 
@@ -240,6 +241,11 @@
         progress = co_await attempt.read(body);
         hasRoom = share.resize(body.size()) && body.size() <= kMaxResponseBytes;
     }
+    const bool isComplete = progress == UpstreamAttempt::ReadProgress::Complete;
+    if (isComplete && attempt.endsWithConnection() && isInChunks(body)) {
+        attempt.setCause("chunks without their header field");
+        co_return UpstreamAttempt::ReadProgress::Broken;
+    }
     co_return progress;
 }
 
--- a/src/gateway/upstreamattempt.cpp
+++ b/src/gateway/upstreamattempt.cpp
@@ -168,7 +168,7 @@
     if (!m_parser->is_done())
         return ReadProgress::More;
     // The reset was told to the write; the read then sees an end like any other.
-    const bool wasReset = m_parser->need_eof() && !m_wasWritten;
+    const bool wasReset = endsWithConnection() && !m_wasWritten;
     if (wasReset) {
         m_cause = "reset before the request was written";
         return ReadProgress::Broken;
--- a/src/gateway/upstreamattempt.h
+++ b/src/gateway/upstreamattempt.h
@@ -74,6 +74,8 @@
     const platform::ResponseHead &head() const { return m_head; }
     const platform::Fields &fields() const { return m_parser->get().base(); }
     platform::Fields &fields() { return m_parser->get().base(); }
+    /// Whether the response has neither a length nor chunks.
+    bool endsWithConnection() const { return m_parser->need_eof(); }
     bool usedNewConnection() const { return m_isNewConnection; }
     /// Whether there was a connection, so that the replica may have received the request.
     bool wasReached() const { return m_wasReached; }
--- a/src/net/httpchannel.cpp
+++ b/src/net/httpchannel.cpp
@@ -2,6 +2,7 @@
 #include "net/httpchannel.h"
 
 #include "net/responsehead.h"
+#include "net/transfercoding.h"
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -120,7 +121,8 @@
     if (!readError)
         std::tie(readError, std::ignore) =
             co_await http::async_read(*m_stream, m_buffer, *parser, kAwait);
-    if (readError) {
+    const bool isCoded = !readError && parser->need_eof() && isInChunks(parser->get().body());
+    if (readError || isCoded) {
         m_stream.reset();
         co_return reply;
     }
--- a/src/net/responsehead.h
+++ b/src/net/responsehead.h
@@ -47,6 +47,15 @@
 /// dropped such lines. One that a server in trouble spoiled would hide the length of the body.
 bool hasFoldedLine(std::string_view head);
 
+/// Whether the head announces a body and a status that has none.
+template <class Parser>
+bool hidesBody(const Parser &parser)
+{
+    constexpr unsigned kNoContent = 204;
+    const bool hasBody = parser.chunked() || parser.content_length().value_or(0) > 0;
+    return parser.get().result_int() == kNoContent && hasBody;
+}
+
 /// The bytes of a head at the front of a buffer.
 struct HeadBytes
 {
@@ -84,7 +93,7 @@
         const unsigned status = parser->get().result_int();
         if (isInterimStatus(status))
             continue;
-        if (!isFinalStatus(status))
+        if (!isFinalStatus(status) || hidesBody(*parser))
             co_return make_error_code(http::error::bad_status);
         if (!canDecodeBody(parser->get()))
             co_return make_error_code(http::error::bad_transfer_encoding);
--- a/src/net/transfercoding.h
+++ b/src/net/transfercoding.h
@@ -1,23 +1,18 @@
 // The transfer codings of HTTP messages that can be decoded here.
 #pragma once
 
-#include <boost/beast/core/string.hpp>
-#include <boost/beast/http/field.hpp>
 #include <boost/beast/http/fields.hpp>
 
+#include <string_view>
+
 namespace arbutuspier {
 
 /// Whether the message has no transfer coding, or only chunked. The parser ignores other ones: it
 /// takes the body of a request for the next request, and the coded body of a response for the body.
-inline bool canDecodeBody(const boost::beast::http::fields &fields)
-{
-    namespace http = boost::beast::http;
-    const auto [begin, end] = fields.equal_range(http::field::transfer_encoding);
-    for (auto field = begin; field != end; ++field) {
-        if (!boost::beast::iequals(field->value(), "chunked"))
-            return false;
-    }
-    return true;
-}
+bool canDecodeBody(const boost::beast::http::fields &fields);
+
+/// Whether the bytes are a whole body in the chunked coding. A response that ends with its
+/// connection, and whose body is one, has lost the field that names the coding.
+bool isInChunks(std::string_view body);
 
 } // namespace arbutuspier
--- a/src/net/upstreamstream.cpp
+++ b/src/net/upstreamstream.cpp
@@ -5,6 +5,7 @@
 #include "net/httpchannel.h"
 #include "net/responsehead.h"
 #include "net/sseparser.h"
+#include "net/transfercoding.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -192,6 +193,10 @@
         co_return;
     }
     auto &message = parser->get();
+    if (parser->need_eof() && isInChunks(message.body())) {
+        fail(FailureKind::Broken);
+        co_return;
+    }
     if (message.count(kNotRunHeader) != 0) {
         fail(FailureKind::Refused);
         co_return;
--- a/tests/gate/answerofareplicaintroubletest.cpp
+++ b/tests/gate/answerofareplicaintroubletest.cpp
@@ -207,6 +207,23 @@
     }
 }
 
+// The same, if the name of the field that names the coding was spoiled into another valid one.
+TEST(AnAnswerOfAReplicaInTrouble, hasNoChunksWithoutTheFieldThatNamesThem)
+{
+    std::string response = answer("HTTP/1.1 200 X", "Transfer-Encodinx: chunked\r\n");
+    const std::string chunks = chunk("do") + chunk("ne") + "0\r\n\r\n";
+    response.replace(response.size() - kBody.size(), kBody.size(), chunks);
+    checkIsNoAnswer(closing(response));
+}
+
+// Guards against a success without the body that its replica sent, as one digit of the status was
+// spoiled.
+TEST(AnAnswerOfAReplicaInTrouble, hasNoStatusThatHidesItsBody)
+{
+    checkIsNoAnswer(closing(answerWithStatus("204")));
+    checkIsNoAnswer(closing(answer("HTTP/1.1 204 X", "Transfer-Encoding: chunked\r\n")));
+}
+
 // Guards against a response with an empty or a short body from a replica that ended within its
 // head, as other operators reported. AReplyInTrouble tries each place.
 TEST(AnAnswerOfAReplicaInTrouble, isNoAnswerIfItEndsWithinItsHead)
--- a/tests/upstreamstreamtest.cpp
+++ b/tests/upstreamstreamtest.cpp
@@ -342,7 +342,8 @@
     "HTTP/1.1 600 X\r\n\r\n",
     "HTTP/1.1 101 X\r\n\r\n",
     "HTTP/1.1 200 X\r\nX-Own: v\r\n ontent-Length: 2\r\n\r\n",
-    "HTTP/1.1 200 X\r\nTransfer-Encoding: chunkec\r\n\r\n"};
+    "HTTP/1.1 200 X\r\nTransfer-Encoding: chunkec\r\n\r\n",
+    "HTTP/1.1 204 X\r\nContent-Length: 4\r\n\r\n"};
 
 } // namespace
 
@@ -399,3 +400,25 @@
         CHECK(call().outcome == HttpReply::Outcome::Lost);
     }
 }
+
+// Guards against a body that the caller gets with the sizes of its chunks.
+TEST(AnAttemptWithoutLength, isBrokenIfItsChunksHaveLostTheirHeaderField)
+{
+    checkFails(ResponseForm::PlainService, closing(std::string(kHead) + "4\r\ndone\r\n0\r\n\r\n"),
+               FailureKind::Broken);
+}
+
+TEST(AReplyInTrouble, isLostIfItsChunksHaveLostTheirHeaderField)
+{
+    listen({closing(std::string(kHead) + "4\r\ndone\r\n0\r\n\r\n")});
+    CHECK(call().outcome == HttpReply::Outcome::Lost);
+}
+
+// Guards against a sound body that is given up, as it looks like chunks at first sight.
+TEST(AReplyInTrouble, mayHaveABodyThatOnlyBeginsLikeChunks)
+{
+    for (const char *body : {"4\r\ndone\r\n0\r\n", "4\r\ndone", "4\r\n", "0\r\n\r\nmore", "face"}) {
+        listen({closing(std::string(kHead) + body)});
+        checkIsAnswered(body);
+    }
+}
