--- a/tests/gate/answerofareplicaintroubletest.cpp
+++ b/tests/gate/answerofareplicaintroubletest.cpp
@@ -42,22 +42,6 @@
     return answer("HTTP/1.1 " + std::string(status) + " X", "Content-Length: 4\r\n");
 }
 
-ReplicaStep closing(std::string response)
-{
-    ReplicaStep step;
-    step.response = std::move(response);
-    step.closesConnection = true;
-    return step;
-}
-
-ReplicaStep resetting(std::string response)
-{
-    ReplicaStep step;
-    step.response = std::move(response);
-    step.resetsConnection = true;
-    return step;
-}
-
 /// The body of a response that isn't the gateway's own.
 std::string bodyIfAnswered(const std::string &response)
 {
@@ -83,14 +67,8 @@
         m_acceptor.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
         m_acceptor.bind(any);
         m_acceptor.listen();
-        ReplicaEntry entry;
-        entry.id = id;
-        entry.service = "desk";
-        entry.address = "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
-        entry.zone = "yard";
-        entry.slots = 6;
-        entry.startedAtMs = 1;
-        fixture.state.directory.applyChanges({{id, entry}}, fixture.clock.now());
+        fixture.listReplica(id, "desk",
+                            "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()));
         asio::co_spawn(fixture.context, accept(), asio::detached);
     }
 
--- a/tests/gate/answerwithoutlengthtest.cpp
+++ b/tests/gate/answerwithoutlengthtest.cpp
@@ -42,28 +42,6 @@
     return text;
 }
 
-ReplicaStep closing(std::string response)
-{
-    ReplicaStep step;
-    step.response = std::move(response);
-    step.closesConnection = true;
-    return step;
-}
-
-ReplicaStep resetting(std::string response)
-{
-    ReplicaStep step;
-    step.response = std::move(response);
-    step.resetsConnection = true;
-    return step;
-}
-
-ReplicaStep withLaterBytes(ReplicaStep step, std::string bytes)
-{
-    step.laterBytes = std::move(bytes);
-    return step;
-}
-
 std::string bodyOf(const std::string &response)
 {
     const auto at = response.find(kHeadEnd);
@@ -156,7 +134,7 @@
 
 TEST(AnAnswerWithoutLength, isCompleteIfItsBodyComesLaterThanItsHead)
 {
-    fixture.addReplica("a", "desk", {withLaterBytes(closing(head(200)), "done")});
+    fixture.addReplica("a", "desk", {closing(head(200), "done")});
     checkIsWhole(200, "done", callAtMostOnce());
 }
 
@@ -192,7 +170,7 @@
 
 TEST(AnAnswerWithoutLength, isNotCompleteIfItsConnectionIsResetLater)
 {
-    fixture.addReplica("a", "desk", {withLaterBytes(resetting(head(200)), "done")});
+    fixture.addReplica("a", "desk", {resetting(head(200), "done")});
     LONGS_EQUAL(502, statusOf(callAtMostOnce()));
 }
 
@@ -236,7 +214,7 @@
 
 TEST(AStreamWithoutChunks, isCompleteIfItsEventsComeLaterThanItsHead)
 {
-    fixture.addReplica("a", "desk", {withLaterBytes(closing(head(200)), events(0, 3))});
+    fixture.addReplica("a", "desk", {closing(head(200), events(0, 3))});
     const std::string response = callStreamOnce();
     STRCMP_EQUAL(events(0, 3).c_str(), chunkContents(response).c_str());
     CHECK(contains(response, kLastChunk));
@@ -266,7 +244,7 @@
 
 TEST(AStreamWithoutChunks, isBrokenOffIfItsConnectionIsResetAfterAnEvent)
 {
-    checkIsBrokenOff(withLaterBytes(resetting(head(200) + event(0)), event(1)), events(0, 1));
+    checkIsBrokenOff(resetting(head(200) + event(0), event(1)), events(0, 1));
 }
 
 TEST(AStreamWithoutChunks, continuesAfterItsConnectionEndedWithinAnEvent)
@@ -276,7 +254,7 @@
 
 TEST(AStreamWithoutChunks, continuesAfterItsConnectionWasResetAfterAnEvent)
 {
-    checkIsResumedAfterEvent("1", withLaterBytes(resetting(head(200) + event(0)), event(1)));
+    checkIsResumedAfterEvent("1", resetting(head(200) + event(0), event(1)));
 }
 
 TEST(AStreamWithoutChunks, isCompleteIfNothingIsLeftAfterItContinued)
--- a/tests/gate/gatewayfixture.h
+++ b/tests/gate/gatewayfixture.h
@@ -65,6 +65,25 @@
     return {"", false, false, true};
 }
 
+/// The replica closes the connection in good order after the response.
+inline ReplicaStep closing(std::string response, std::string laterBytes = "")
+{
+    ReplicaStep step;
+    step.response = std::move(response);
+    step.laterBytes = std::move(laterBytes);
+    step.closesConnection = true;
+    return step;
+}
+
+/// The replica resets the connection after the response.
+inline ReplicaStep resetting(std::string response, std::string laterBytes = "")
+{
+    ReplicaStep step = closing(std::move(response), std::move(laterBytes));
+    step.closesConnection = false;
+    step.resetsConnection = true;
+    return step;
+}
+
 using ReplicaRequest = boost::beast::http::request<boost::beast::http::string_body>;
 
 /// The steps for successive requests, counted over all replicas that share the script. The last
@@ -235,15 +254,21 @@
     ScriptedReplica &addReplica(std::string id, std::string service, std::shared_ptr<Script> script)
     {
         m_replicas.push_back(std::make_unique<ScriptedReplica>(context, std::move(script)));
+        listReplica(std::move(id), std::move(service), m_replicas.back()->address());
+        return *m_replicas.back();
+    }
+
+    /// Lists a replica that something else serves.
+    void listReplica(std::string id, std::string service, std::string address)
+    {
         ReplicaEntry entry;
         entry.id = id;
         entry.service = std::move(service);
-        entry.address = m_replicas.back()->address();
+        entry.address = std::move(address);
         entry.zone = "yard";
         entry.slots = 6;
         entry.startedAtMs = 1;
-        state.directory.applyChanges({{id, entry}}, clock.now());
-        return *m_replicas.back();
+        state.directory.applyChanges({{std::move(id), entry}}, clock.now());
     }
 
     /// Starts a process at the address of a replica that has crashed. The directory still lists the
--- a/tests/upstreamstreamtest.cpp
+++ b/tests/upstreamstreamtest.cpp
@@ -6,7 +6,9 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace arbutuspier;
+using gatetest::closing;
 using gatetest::ReplicaStep;
+using gatetest::resetting;
 using gatetest::Script;
 using gatetest::ScriptedReplica;
 
@@ -24,24 +26,6 @@
     return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
 
-ReplicaStep closing(std::string response, std::string laterBytes = "")
-{
-    ReplicaStep step;
-    step.response = std::move(response);
-    step.laterBytes = std::move(laterBytes);
-    step.closesConnection = true;
-    return step;
-}
-
-ReplicaStep resetting(std::string response, std::string laterBytes = "")
-{
-    ReplicaStep step;
-    step.response = std::move(response);
-    step.laterBytes = std::move(laterBytes);
-    step.resetsConnection = true;
-    return step;
-}
-
 ReplicaStep endless(std::string response)
 {
     ReplicaStep step;
