tests: Have replicas spoil their answers in the soak

tests/process/drain.sh gets a third part: one answer in twenty has the status 000, a blank or a control byte in the name of a field, no end of its head, or a wrong byte in an event, while gateways are stopped and the configuration changes. No caller may get a wrong answer; streams are now compared whole, not by their ids alone. BASE_PORT lets several run at a time.

--- a/tests/process/drain.sh
+++ b/tests/process/drain.sh
@@ -1,13 +1,15 @@
 #!/usr/bin/env bash
 # Runs four gateways with simulators of the metadata store and of six replicas on loopback. One gateway after the other
 # gets SIGTERM under streams and orders, while the configuration changes; in the second part replicas are silent for a
-# second now and then. Every request must get a whole answer, or a refusal that another gateway makes up for.
+# second now and then, in the third they put wrong bytes into some of their answers. Every request must get a whole
+# answer, or a refusal that another gateway makes up for; in the third part no answer may be wrong.
 # Ends with "drain tests: N held, N not held".
-#   SECONDS_EACH=60 SEED=7 tests/process/drain.sh    a longer run; KEEP_LOGS=DIR keeps the logs of the gateways
+#   SECONDS_EACH=60 SEED=7 tests/process/drain.sh    a longer run; KEEP_LOGS=DIR keeps the logs of the gateways,
+#   BASE_PORT=39000 lets several run at a time
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 work_dir=$(mktemp -d)
-base_port=29000
+base_port=${BASE_PORT:-29000}
 . bin/fleet.sh
 trap stop_fleet EXIT
 
@@ -46,20 +48,38 @@
     local i
     for i in $gateways; do printf '%s,' "$(gateway_url "$i")"; done
 }
-play() { # trouble
+replica_urls() {
+    local i
+    for i in $replicas; do printf 'http://127.0.0.1:%s,' $((base_port + 20 + i)); done
+}
+run_load() { # trouble
     print_line "Gateways are stopped one after the other; $1."
     python3 tests/process/drainload.py "$seed" "$seconds_each" "$1" "http://127.0.0.1:$((base_port + 1))" "$work_dir" \
-        "$(gateway_urls)" "$(replica_pids)" >"$work_dir/report-$1"
+        "$(gateway_urls)" "$(replica_pids)" "$(replica_urls)" >"$work_dir/report-$1"
     sed 's/^/   /' "$work_dir/report-$1"
+}
+play() { # trouble
+    run_load "$1"
     check "every request gets a whole answer" grep -q ' lost=0 wrong=0 .*ask_whole=' "$work_dir/report-$1"
     check "gateways were stopped" grep -qE 'summary sigterms=[1-9]' "$work_dir/report-$1"
 }
+# An order whose answer is spoiled gets 502: it may have run, and must not run again.
+play_spoiled() {
+    run_load spoiled
+    check "no answer is wrong" grep -q ' wrong=0 .*ask_whole=' "$work_dir/report-spoiled"
+    check "answers were spoiled" grep -q 'order_502=' "$work_dir/report-spoiled"
+    check "gateways found them" has_found_faulty_answers
+}
+has_found_faulty_answers() {
+    grep -q 'event=attempt_failed .*cause="faulty event"' "$work_dir"/gateway-*.log &&
+        grep -qE 'event=attempt_failed .*cause="(bad status|bad obs-fold|bad field|partial message)"' "$work_dir"/gateway-*.log
+}
 no_gateway_ended_otherwise() { ! cat "$work_dir"/gateway-*.ends 2>/dev/null | grep -qv '^0$'; }
 
 start_process store build/standin --role store --port $((base_port + 1))
 for i in $replicas; do
     start_process "replica-$i" build/standin --role replica --port $((base_port + 20 + i)) --id "i-$i" \
-        --store_port $((base_port + 1))
+        --store_port $((base_port + 1)) --spoiler_seed $((seed * 10 + i))
 done
 for i in $gateways; do start_supervised_gateway "$i"; done
 put_gateway_config '{"version":1,"routes":[
@@ -72,6 +92,7 @@
 
 play calm
 play silent
+play_spoiled
 check "no gateway ends otherwise than by its stop" no_gateway_ended_otherwise
 [ -z "${KEEP_LOGS:-}" ] || cp "$work_dir"/gateway-*.log "$work_dir"/report-* "$KEEP_LOGS"
 
--- a/tests/process/drainload.py
+++ b/tests/process/drainload.py
@@ -1,10 +1,10 @@
 #!/usr/bin/env python3
 """Sends streams and orders to gateways that are stopped one after the other, and prints what callers got.
 
-    drainload.py SEED SECONDS TROUBLE STORE_URL GATEWAY_PIDS_DIR URL,... REPLICA_PID,...
+    drainload.py SEED SECONDS TROUBLE STORE_URL GATEWAY_PIDS_DIR URL,... REPLICA_PID,... REPLICA_URL,...
 
-TROUBLE is "calm", or "silent": replicas are stopped (SIGSTOP) for about a second every few seconds. The configuration
-changes every few seconds. Every 5 to 10 s the next gateway gets SIGTERM; whoever started it starts it again. Each of 40
+TROUBLE is "calm", "silent": replicas are stopped (SIGSTOP) for about a second every few seconds, or "spoiled": replicas
+put a wrong byte into one answer of twenty. The configuration changes every few seconds. Every 5 to 10 s the next gateway gets SIGTERM; whoever started it starts it again. Each of 40
 callers keeps its connection, and turns to another gateway when a request was refused. Prints a line for each request
 that ended without a whole answer, and a summary.
 """
@@ -22,6 +22,8 @@
 KEY = "saw-key"
 CALLERS = 40
 EVENTS = 60
+WHOLE_STREAM = "".join(f"id: {i}\ndata: x\n\n" for i in range(EVENTS))
+SPOILED_ONE_IN = 20
 CALLER_TIMEOUT_S = 9.0
 MAX_TRIES = 4
 
@@ -115,7 +117,7 @@
             self.connection.request("POST", target, body=f"prompt {request_id}", headers=headers)
             response = self.connection.getresponse()
             status = response.status
-            body = response.read().decode()
+            body = response.read().decode(errors="replace")
         except (OSError, http.client.HTTPException) as error:
             self.close()
             # An idle connection that the gateway closed as the request was sent: it was not read.
@@ -131,10 +133,12 @@
             return "refused"
         if status != 200:
             return str(status)
-        ids = [line[4:] for line in body.split("\n") if line.startswith("id: ")]
-        is_whole = ids == [str(i) for i in range(EVENTS)] if kind == "ask" else body == f"ran prompt {request_id}"
+        expected = WHOLE_STREAM if kind == "ask" else f"ran prompt {request_id}"
+        is_whole = body == expected
         if not is_whole:
-            print(f"WRONG ANSWER to {request_id}: {len(ids)} events, {body[:60]!r}")
+            events = body.count("data: ")
+            print(f"WRONG ANSWER to {request_id}: {events} events, differs at {len(os.path.commonprefix([body, expected]))}"
+                  f" of {len(body)}: {body[:60]!r}")
         return "whole" if is_whole else "wrong"
 
     def close(self):
@@ -151,6 +155,14 @@
         put_config(store, config(version, chance.randint(9000, 11000), chance.randint(9000, 15000)))
 
 
+def set_spoiling(replica_urls, one_in):
+    for url in replica_urls:
+        connection = http.client.HTTPConnection(url, timeout=2)
+        connection.request("POST", "/spoil", str(one_in))
+        connection.getresponse().read()
+        connection.close()
+
+
 def silence_replicas(chance, replicas, stop_at):
     while time.monotonic() < stop_at:
         time.sleep(chance.uniform(3, 5))
@@ -182,7 +194,10 @@
     pids_dir = sys.argv[5]
     hosts = [urllib.parse.urlsplit(u).netloc for u in sys.argv[6].split(",") if u]
     replicas = [int(pid) for pid in sys.argv[7].split(",") if pid]
+    replica_urls = [urllib.parse.urlsplit(u).netloc for u in sys.argv[8].split(",") if u]
     drains = Drains()
+    if trouble == "spoiled":
+        set_spoiling(replica_urls, SPOILED_ONE_IN)
     stop_at = time.monotonic() + seconds
     callers = [Caller(i, hosts, seed, stop_at, drains) for i in range(CALLERS)]
     helpers = [threading.Thread(target=change_configurations, args=(random.Random(f"{seed}-c"), store, stop_at)),
@@ -194,6 +209,8 @@
         thread.start()
     for thread in callers + helpers:
         thread.join()
+    if trouble == "spoiled":
+        set_spoiling(replica_urls, 0)
     for request_id, host, status, sent, ended, error in sorted(x for c in callers for x in c.lost):
         print(f"lost id={request_id} gateway={host} status={status}"
               f" sent_after_sigterm_s={'-' if sent is None else f'{sent:.2f}'}"
--- a/tools/standin/main.cpp
+++ b/tools/standin/main.cpp
@@ -31,6 +31,8 @@
     crash_on_part, "",
     "replica: comma-separated ids of prompt parts; a prompt that holds one of them before "
     "its last part crashes the replica when its stream would begin");
+DEFINE_uint64(spoiler_seed, 1,
+              "replica: decides which responses are spoiled, once POST /spoil asked for it");
 DEFINE_uint32(prefill_ms, 0, "replica: time before the first event of a stream in milliseconds");
 DEFINE_uint32(
     replica_silence_ms, 0,
@@ -132,6 +134,7 @@
         options.zone = FLAGS_zone;
         options.eventsPerStream = FLAGS_events;
         options.crashText = FLAGS_crash_on;
+        options.spoilerSeed = FLAGS_spoiler_seed;
         options.crashDelay = std::chrono::milliseconds{FLAGS_crash_delay_ms};
         options.prefill = std::chrono::milliseconds{FLAGS_prefill_ms};
         boost::split(options.crashParts, FLAGS_crash_on_part, boost::is_any_of(","));
--- a/tools/standin/replicaserver.cpp
+++ b/tools/standin/replicaserver.cpp
@@ -75,6 +75,7 @@
     , m_store(context.get_executor(), m_options.store)
     , m_signals(context, SIGTERM)
     , m_startedAtMs(millisecondsSinceEpoch())
+    , m_spoiler(m_options.spoilerSeed)
 {
 }
 
@@ -119,6 +120,8 @@
         co_return co_await reply(stream, request, kOk, std::to_string(m_executedRequestCount));
     if (request.target() == "/limit")
         co_return co_await setLimit(stream, request);
+    if (request.target() == "/spoil")
+        co_return co_await setSpoiling(stream, request);
     if (m_logsArrivals)
         std::cout << "arrived at_ms=" << millisecondsSinceEpoch() << std::endl;
     const bool isForThisReplica = request["X-Arbutuspier-Expected-Instance"] == m_options.id;
@@ -143,6 +146,8 @@
     if (!m_limit.empty())
         headers.emplace_back("Server-Limit", m_limit);
     std::string body = "ran " + request.body();
+    if (m_spoiler.isDue())
+        co_return co_await replySpoiled(stream, request, std::move(body));
     co_return co_await reply(stream, request, kOk, std::move(body), std::move(headers));
 }
 
@@ -155,6 +160,30 @@
     co_return co_await reply(stream, request, kOk, "{}");
 }
 
+Task<bool> ReplicaServer::setSpoiling(beast::tcp_stream &stream, const Request &request)
+{
+    m_spoiler.setOneIn(numberAfter(request.body(), ""));
+    co_return co_await reply(stream, request, kOk, "{}");
+}
+
+std::string ReplicaServer::head(const Request &request, std::string_view framing) const
+{
+    return "HTTP/1.1 200 OK\r\nX-Arbutuspier-Attempt-Id: "
+        + std::string(request["X-Arbutuspier-Attempt-Id"])
+        + "\r\nX-Arbutuspier-Response-Signature: " + m_options.id
+        + (m_limit.empty() ? "" : "\r\nServer-Limit: " + m_limit) + "\r\n" + std::string(framing)
+        + "\r\n\r\n";
+}
+
+Task<bool> ReplicaServer::replySpoiled(beast::tcp_stream &stream, const Request &request,
+                                       std::string body)
+{
+    const std::string sound = head(request, "Content-Length: " + std::to_string(body.size()));
+    const std::string bytes = m_spoiler.spoilHead(sound) + body;
+    co_await asio::async_write(stream, asio::buffer(bytes), kAwait);
+    co_return false;
+}
+
 bool ReplicaServer::isCrashing(const Request &request) const
 {
     return !m_options.crashText.empty()
@@ -185,15 +214,15 @@
 
 Task<bool> ReplicaServer::streamEvents(beast::tcp_stream &stream, const Request &request)
 {
-    const std::string id(request["X-Arbutuspier-Attempt-Id"]);
-    const std::string responseHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                                     "X-Arbutuspier-Attempt-Id: "
-        + id + "\r\nX-Arbutuspier-Response-Signature: " + m_options.id
-        + (m_limit.empty() ? "" : "\r\nServer-Limit: " + m_limit)
-        + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const bool isSpoiled = m_spoiler.isDue();
+    const bool hasSpoiledHead = isSpoiled && m_spoiler.below(2) == 0;
+    std::string responseHead =
+        head(request, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked");
+    if (hasSpoiledHead)
+        responseHead = m_spoiler.spoilHead(std::move(responseHead));
     const auto [headError, headSize] =
         co_await asio::async_write(stream, asio::buffer(responseHead), kAwait);
-    if (headError)
+    if (headError || hasSpoiledHead)
         co_return false;
     const bool isResumed = request.count("Last-Event-Id") != 0;
     const std::string lastEventId(request["Last-Event-Id"]);
@@ -208,11 +237,14 @@
     }
     const std::uint64_t events = queryNumber(request, "events=", m_options.eventsPerStream);
     const Duration gap = queryTime(request, "gap_ms=", m_options.eventGap);
+    const std::uint64_t spoiledEvent = isSpoiled ? m_spoiler.below(events) : events;
     for (std::uint64_t event = isResumed ? std::stoull(lastEventId) + 1 : 0; event < events;
          ++event) {
         timer.expires_after(gap);
         co_await timer.async_wait(kAwait);
-        const std::string text = "id: " + std::to_string(event) + "\ndata: x\n\n";
+        std::string text = "id: " + std::to_string(event) + "\ndata: x\n\n";
+        if (event == spoiledEvent)
+            text = m_spoiler.spoilEvent(std::move(text));
         const auto [error, size] =
             co_await asio::async_write(stream, http::make_chunk(asio::buffer(text)), kAwait);
         if (error)
--- a/tools/standin/replicaserver.h
+++ b/tools/standin/replicaserver.h
@@ -4,6 +4,7 @@
 
 #include "platform/storeclient.h"
 #include "simpleserver.h"
+#include "spoiler.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -33,12 +34,15 @@
     /// Ids of prompt parts; a prompt that holds one of them before its last part crashes the
     /// replica when its stream would begin.
     std::vector<std::string> crashParts;
+    /// Decides which responses are spoiled, and how.
+    std::uint64_t spoilerSeed = 1;
 };
 
 /// `GET /runs` returns how many requests this replica executed. `POST /limit` sets the request
-/// limit that it names in its answers, as it stands in the body; an empty body ends it. After
-/// SIGTERM it reports the state "draining" and continues to serve. A request may set its own pace
-/// in its query: `events`, `gap_ms` and `first_ms` for a stream, `work_ms` for a call.
+/// limit that it names in its answers, as it stands in the body; an empty body ends it. `POST
+/// /spoil` has it spoil one response in as many as the body says. After SIGTERM it reports the
+/// state "draining" and continues to serve. A request may set its own pace in its query: `events`,
+/// `gap_ms` and `first_ms` for a stream, `work_ms` for a call.
 class ReplicaServer
 {
 public:
@@ -51,6 +55,12 @@
     Task<bool> handle(beast::tcp_stream &stream, Request request);
     /// Sets the limit and replies.
     Task<bool> setLimit(beast::tcp_stream &stream, const Request &request);
+    /// Sets how many responses are spoiled and replies.
+    Task<bool> setSpoiling(beast::tcp_stream &stream, const Request &request);
+    /// Writes a response whose head is spoiled.
+    Task<bool> replySpoiled(beast::tcp_stream &stream, const Request &request, std::string body);
+    /// The head of a signed response; `framing` are the fields that say where its body ends.
+    std::string head(const Request &request, std::string_view framing) const;
     Task<bool> streamEvents(beast::tcp_stream &stream, const Request &request);
     /// Whether the request is one that crashes the replica.
     bool isCrashing(const Request &request) const;
@@ -71,6 +81,7 @@
     /// Value of the header that names the request limit; empty for none.
     std::string m_limit;
     bool m_logsArrivals = false;
+    Spoiler m_spoiler;
 };
 
 } // namespace arbutuspier::standin
