gateway: Bound the wait for a body that was asked for

A caller that sent Expect: 100-continue and then no body held its connection for good: writing the interim response ended the timeout of the read. Found by reading. The timeout now begins after that write.

AKeptCallerConnection isClosedIfABodyThatWasAskedForNeverComes fails without the fix.

--- a/src/gateway/callerconnection.cpp
+++ b/src/gateway/callerconnection.cpp
@@ -157,10 +157,8 @@
     ErrorCode error = headError;
     if (!error && !canDecodeBody(parser.get()))
         error = http::error::bad_transfer_encoding;
-    if (!error) {
-        m_stream.expires_after(limits.idleTimeout);
+    if (!error)
         error = co_await readBody(parser, memory);
-    }
     m_stream.expires_never();
     m_isBusy = false;
     if (!error)
@@ -178,6 +176,7 @@
         beast::iequals(parser.get()[http::field::expect], "100-continue") && !parser.is_done();
     if (expectsContinue && !co_await write("HTTP/1.1 100 Continue\r\n\r\n"))
         co_return asio::error::connection_reset;
+    m_stream.expires_after(limits().idleTimeout);
     while (!parser.is_done()) {
         const auto [error, size] =
             co_await http::async_read_some(m_stream, m_buffer, parser, kAwait);
--- a/tests/gate/callerconnectiontest.cpp
+++ b/tests/gate/callerconnectiontest.cpp
@@ -153,6 +153,21 @@
     LONGS_EQUAL(200, callWithBody(kSmallBytes));
 }
 
+// Guards against a connection that is held for good by a caller that was asked to go on and never
+// sends its body.
+TEST(AKeptCallerConnection, isClosedIfABodyThatWasAskedForNeverComes)
+{
+    fixture.configure(routesWithLimits(1, kSmallBytes, kShortTime));
+    connect();
+    asio::write(caller,
+                asio::buffer(GatewayFixture::request(
+                    "POST", "/order/1", "Expect: 100-continue\r\nContent-Length: 9\r\n")));
+    fixture.runFor(kShortTime / 2);
+    CHECK(connection->isBusy());
+    fixture.runFor(2 * kShortTime);
+    CHECK(!connection->isBusy());
+}
+
 TEST(AKeptCallerConnection, isClosedOnceItHasBeenIdleForTooLong)
 {
     fixture.addReplica("a", "desk", {{fullResponse(200, "done")}});
