--- a/tests/gate/answerofareplicaintroubletest.cpp
+++ b/tests/gate/answerofareplicaintroubletest.cpp
@@ -106,28 +106,30 @@
     int m_requests = 0;
 };
 
-} // namespace
-
-TEST_GROUP(AnAnswerOfAReplicaInTrouble){
-    /// Sends a call, and one that may be retried, to replicas that answer so at first.
-    void checkIsNoAnswer(const ReplicaStep &step){GatewayFixture once;
-once.configure(kRoutes);
-auto &replica = once.addReplica("a", "desk", {step});
-const std::string response = once.call(GatewayFixture::request("POST", "/order/5", "", "stone=3"));
-STRCMP_EQUAL("", bodyIfAnswered(response).c_str());
-LONGS_EQUAL(1, replica.requests().size());
+/// Sends a call, and one that may be retried, to replicas that answer so at first.
+void checkIsNoAnswer(const ReplicaStep &step)
+{
+    GatewayFixture once;
+    once.configure(kRoutes);
+    auto &replica = once.addReplica("a", "desk", {step});
+    const std::string response =
+        once.call(GatewayFixture::request("POST", "/order/5", "", "stone=3"));
+    STRCMP_EQUAL("", bodyIfAnswered(response).c_str());
+    LONGS_EQUAL(1, replica.requests().size());
 
-GatewayFixture retrying;
-retrying.configure(kRoutes);
-const auto script =
-    std::make_shared<Script>(std::vector<ReplicaStep>{step, {fullResponse(200, "sound")}});
-retrying.addReplica("a", "desk", script);
-retrying.addReplica("b", "desk", script);
-const std::string retried = retrying.call(GatewayFixture::request("GET", "/look/5"));
-STRCMP_EQUAL("sound", bodyIfAnswered(retried).c_str());
-}
+    GatewayFixture retrying;
+    retrying.configure(kRoutes);
+    const auto script =
+        std::make_shared<Script>(std::vector<ReplicaStep>{step, {fullResponse(200, "sound")}});
+    retrying.addReplica("a", "desk", script);
+    retrying.addReplica("b", "desk", script);
+    const std::string retried = retrying.call(GatewayFixture::request("GET", "/look/5"));
+    STRCMP_EQUAL("sound", bodyIfAnswered(retried).c_str());
 }
-;
+
+} // namespace
+
+TEST_GROUP(AnAnswerOfAReplicaInTrouble){};
 
 // Guards against a response whose status is no status of HTTP, and which the caller gets as one:
 // 000 was taken for "no response yet".
