--- a/src/kernel/streamevent.h
+++ b/src/kernel/streamevent.h
@@ -1,8 +1,8 @@
 // The fields of one server-sent event.
 //
-// An upstream in trouble may spoil any byte of an event. If the byte stands in a line's name or at
-// its end, the event gets a line that no sound event has: an unknown field or a comment among its
-// fields, or a second id. A spoiled byte within the value of a data field can't be noticed.
+// A faulty upstream may corrupt any byte of an event. If the byte stands in a line's name or at its
+// end, the event gets a line that no sound event has: an unknown field or a comment among its
+// fields, or a second id. A corrupt byte within the value of a data field can't be noticed.
 #pragma once
 
 #include <cstdint>
--- a/src/net/responsehead.cpp
+++ b/src/net/responsehead.cpp
@@ -1,5 +1,5 @@
-// The bytes of a head are looked at before they are parsed: the parser joins folded lines, and
-// takes each three digits for a status.
+// The bytes of a head are read and looked at before they are parsed, as the parser joins folded
+// lines.
 #include "net/responsehead.h"
 
 #include <boost/beast/http/error.hpp>
--- a/src/net/responsehead.h
+++ b/src/net/responsehead.h
@@ -44,7 +44,7 @@
 }
 
 /// Whether a line of the head begins with a blank and so continues the one before it. HTTP has
-/// dropped such lines. One that a server in trouble spoiled would hide the length of the body.
+/// dropped such lines. One that comes of a corrupt byte would hide the length of the body.
 bool hasFoldedLine(std::string_view head);
 
 /// Whether the head announces a body and a status that has none.
