--- a/review/standins-3/engine.py
+++ b/review/standins-3/engine.py
@@ -2,6 +2,7 @@
 import asyncio
 import json
 import math
+import socket
 import time
 
 from fleet import ENGINE_SLOTS, ENGINE_TOKENS, HEARTBEAT_S
@@ -12,6 +13,9 @@
 PREFILL_TOKENS_PER_MS = 177.0
 PAIR_MS_PER_MILLION = 0.184
 TOKENS_PER_EVENT = 51
+# Disruptions of that site: how long a replica is dark (`srv_crash`), and how long work that depends on it stalls.
+DARK_S = 4.5
+STALL_S = 1.5
 
 RUNTIME = {"slots": ENGINE_SLOTS, "kvCapacity": ENGINE_TOKENS, "step_ms": STEP_MS, "per_seq_ms": 0.00425,
            "context_per_k": CONTEXT_MS_PER_THOUSAND, "read_per_s": PREFILL_TOKENS_PER_MS * 1000,
@@ -43,6 +47,9 @@
         """All engines by their addresses."""
         self.loses_answer_of = None
         """Says of a request's id whether its answer is lost: the request is run, and nothing is sent."""
+        self.goes_dark_at = None
+        """Says of a request's id and the number of an event whether the replica goes dark once it has written it."""
+        self.is_dark = False
         self.freed = []
         """(ticket, seconds from its last use until it was free) of used tickets."""
         self.runs = []
@@ -52,8 +59,34 @@
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
         self.tasks = [asyncio.create_task(self.send_heartbeats()), asyncio.create_task(self.expire_tickets())]
 
+    async def go_dark(self, for_s):
+        """The replica loses power: it writes nothing more, open connections fall silent, and new ones hang. Later another
+        replica starts at its address."""
+        self.is_dark = True
+        self.server.close()
+        self.tickets.clear()
+        self.fleet.note(f"{self.id} goes dark")
+        address = ("127.0.0.1", self.port)
+        with socket.socket() as listener:
+            # The queue of new connections is full, so that the opening packets of others are dropped.
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind(address)
+            listener.listen(0)
+            fillers = [socket.socket() for _ in range(3)]
+            for filler in fillers:
+                filler.setblocking(False)
+                filler.connect_ex(address)
+            await asyncio.sleep(for_s)
+            for filler in fillers:
+                filler.close()
+        successor = Engine(self.fleet, f"{self.id.removeprefix('i-')}b", self.port, self.service, self.order_delay_s)
+        successor.engines = self.engines
+        self.engines[self.address] = successor
+        await successor.start()
+        self.fleet.note(f"{successor.id} starts at the address of {self.id}")
+
     async def send_heartbeats(self):
-        while True:
+        while not self.is_dark:
             self.sequence += 1
             await self.fleet.write_row("servers", self.id, {
                 "service": self.service, "address": self.address, "zone": "north", "version": "v1",
@@ -64,7 +97,7 @@
     # Memory.
 
     async def expire_tickets(self):
-        while True:
+        while not self.is_dark:
             for key in [key for key, ticket in self.tickets.items() if time.monotonic() > ticket.until]:
                 self.free_ticket(key, "its lease has ended")
             await asyncio.sleep(0.02)
@@ -104,7 +137,11 @@
                 method, path, _ = head[0].split(" ", 2)
                 fields = {line.split(":", 1)[0].lower(): line.split(":", 1)[1].strip() for line in head[1:] if line}
                 body = await reader.readexactly(int(fields.get("content-length", "0")))
-                await self.handle(path, fields, body, reader, writer)
+                if not self.is_dark:
+                    await self.handle(path, fields, body, reader, writer)
+                if self.is_dark:
+                    await self.until_closed(reader, writer)
+                    return
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
             pass
@@ -168,6 +205,13 @@
                 event = f"id: {number}\ndata: tokens\n\n".encode()
                 if not loses_answer:
                     writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                if self.goes_dark_at and self.goes_dark_at(request, number):
+                    await writer.drain()
+                    self.dark_task = asyncio.create_task(self.go_dark(DARK_S))
+                    # What depends on it stalls, and is cut off then.
+                    await asyncio.sleep(STALL_S)
+                    how = f"was cut off {STALL_S} s after its replica went dark"
+                    return
             if not loses_answer:
                 writer.write(b"0\r\n\r\n")
         except ConnectionError:
