--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the project's stand-ins that the scripts of the case 11 starts, into build/. The links of this
+# Builds the project's stand-ins that the script of case 11 starts, into build/. The links of this
 # case (review/standins-3) are a Python program and need no build; the gateways come from the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
